Lay out the workspace, its state and its decisions

The layers of the starting design become packages whose dependencies point inward. The pure layers come first because every promise rests on them: placement, slots, ledger, fold, detector, retries and splice take events, the time and a seed, and do no I/O.

--- /dev/null
+++ b/crates/coordination/src/lib.rs
@@ -0,0 +1,16 @@
+//! Every decision of a crosslane node.
+//!
+//! Events, the time and a seed go in; answers and actions come out. Nothing here does I/O,
+//! reads a clock or draws randomness of its own, so that any order of events can be replayed.
+
+pub mod detector;
+pub mod fold;
+pub mod ledger;
+pub mod node;
+pub mod placement;
+pub mod program;
+pub mod reconcile;
+pub mod record;
+pub mod retry;
+pub mod slots;
+pub mod splice;
--- /dev/null
+++ b/crates/coordination/src/node.rs
@@ -0,0 +1,350 @@
+//! All that one node decides, behind one door.
+
+use crate::detector::{Belief, Detector};
+use crate::fold;
+use crate::ledger::{self, Ledger};
+use crate::placement::{Chooser, Mode, Query};
+use crate::reconcile::{self, Plan};
+use crate::record::Leave;
+use crate::retry::Budget;
+use crate::slots::{self, Allocator, Ask, Grant};
+use crosslane_state::attempt;
+use crosslane_state::incarnation::Incarnation;
+use crosslane_state::load::{Board, Report};
+use crosslane_state::member::Member;
+use crosslane_state::policy::Version;
+use crosslane_state::request::Key;
+use crosslane_state::runner::{Id, Role, Runner, Table};
+use crosslane_state::time::Millis;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+/// Time for which a failed runner is left alone, in milliseconds.
+const SHUN_MILLIS: u64 = 1_000;
+
+/// What a node starts with.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// This node.
+    pub me: Incarnation,
+    /// VM it runs on.
+    pub vm: String,
+    /// Its failure domain.
+    pub domain: String,
+    /// Runners it may use.
+    pub table: Table,
+    /// How runners are chosen.
+    pub mode: Mode,
+    /// Retries as a percentage of fresh requests.
+    pub retry_percent: u32,
+    /// Silence after which a node is suspected, in milliseconds.
+    pub suspect_millis: u64,
+    /// Nodes that heartbeats go to.
+    pub neighbours: usize,
+    /// Whether slots are granted ahead of predicted releases.
+    pub ahead: bool,
+    /// Whether slots are granted by owners at all; off only as a baseline.
+    pub reserve: bool,
+    /// Bounds of the ledger.
+    pub ledger: ledger::Limits,
+    /// Seed of every random choice.
+    pub seed: u64,
+}
+
+/// Where a keyed request is to be handled.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Route {
+    /// Here, after these nodes have given the key up.
+    Here {
+        /// Nodes that may know the key.
+        ask: Vec<Incarnation>,
+    },
+    /// At another node.
+    There(Incarnation),
+}
+
+/// A node's decisions and what they rest on.
+#[derive(Debug)]
+pub struct Node {
+    options: Options,
+    /// The folded log.
+    pub state: fold::State,
+    /// Load of runners.
+    pub board: Board,
+    /// Endings of keyed requests.
+    pub ledger: Ledger,
+    /// Retries left.
+    pub budget: Budget,
+    /// Which nodes live.
+    pub detector: Detector,
+    chooser: Chooser,
+    allocators: HashMap<Id, Allocator>,
+    told: BTreeMap<String, Leave>,
+    joined: HashMap<Incarnation, Millis>,
+    claims: HashMap<u64, Incarnation>,
+    versions: HashMap<Incarnation, Version>,
+}
+
+impl Node {
+    /// A node that knows nothing yet.
+    pub fn new(options: Options) -> Self {
+        Self {
+            state: fold::State::default(),
+            board: Board::default(),
+            ledger: Ledger::new(options.ledger),
+            budget: Budget::new(options.retry_percent, options.seed),
+            detector: Detector::new(options.suspect_millis),
+            chooser: Chooser::new(options.mode, options.seed),
+            allocators: HashMap::new(),
+            told: BTreeMap::new(),
+            joined: HashMap::new(),
+            claims: HashMap::new(),
+            versions: HashMap::new(),
+            options,
+        }
+    }
+
+    /// What it was started with.
+    pub fn options(&self) -> &Options {
+        &self.options
+    }
+
+    /// Brings what follows from the folded log up to date.
+    pub fn refresh(&mut self, now: Millis) {
+        let members: Vec<_> = self.state.roster.iter().map(|it| it.incarnation).collect();
+        self.joined.retain(|it, _| self.state.roster.get(*it).is_some());
+        for member in members {
+            self.joined.entry(member).or_insert(now);
+            self.detector.watch(member, now);
+        }
+        let ended = &self.state.ended;
+        self.told.retain(|_, leave| !ended.contains(&leave.id));
+        let mine: BTreeSet<_> = self.owned().map(|it| it.id).collect();
+        self.allocators.retain(|id, _| mine.contains(id));
+    }
+
+    /// Takes an announcement that came past the log; true when it was new.
+    pub fn tell(&mut self, leave: Leave) -> bool {
+        if self.state.ended.contains(&leave.id) || self.is_leaving(&leave.vm) {
+            return false;
+        }
+        self.told.insert(leave.vm.clone(), leave);
+        true
+    }
+
+    /// Announcements to pass on.
+    pub fn told(&self) -> impl Iterator<Item = &Leave> {
+        self.told.values().chain(self.state.leaving.values())
+    }
+
+    /// Announcements that the log does not have yet.
+    pub fn untold(&self) -> Vec<Leave> {
+        let known = |it: &&Leave| !self.state.leaving.contains_key(&it.vm);
+        self.told.values().filter(known).cloned().collect()
+    }
+
+    /// Whether a VM is announced as leaving.
+    pub fn is_leaving(&self, vm: &str) -> bool {
+        self.told.contains_key(vm) || self.state.leaving.contains_key(vm)
+    }
+
+    /// Whether a member's VM is announced as leaving.
+    pub fn member_leaving(&self, incarnation: Incarnation) -> bool {
+        self.state.roster.get(incarnation).is_some_and(|it| self.is_leaving(&it.vm))
+    }
+
+    /// Nodes that heartbeats go to.
+    pub fn neighbours(&self) -> Vec<&Member> {
+        self.state.roster.neighbours(self.options.me, self.options.neighbours)
+    }
+
+    /// The node that grants a runner's slots.
+    pub fn owner(&self, runner: Id) -> Option<Incarnation> {
+        self.state.roster.owner(runner.0, |it| !self.member_leaving(it))
+    }
+
+    /// Engines whose slots this node grants.
+    pub fn owned(&self) -> impl Iterator<Item = &Runner> {
+        let me = self.options.me;
+        self.options
+            .table
+            .iter()
+            .filter(move |it| it.role != Role::Service && self.owner(it.id) == Some(me))
+    }
+
+    /// Chooses a runner of a pool.
+    pub fn place(
+        &mut self,
+        role: Role,
+        serves: &str,
+        domains: &[String],
+        avoid: &[Id],
+        now: Millis,
+    ) -> Option<Id> {
+        let (told, leaving) = (&self.told, &self.state.leaving);
+        let table = &self.options.table;
+        let query = Query { pool: table.pool(role, serves), table, board: &self.board, now };
+        let chosen = self.chooser.choose(query, |runner| {
+            !told.contains_key(&runner.vm)
+                && !leaving.contains_key(&runner.vm)
+                && !avoid.contains(&runner.id)
+                && (domains.is_empty() || domains.contains(&runner.domain))
+        })?;
+        self.board.sent(chosen);
+        Some(chosen)
+    }
+
+    /// Keeps requests away from a runner that failed.
+    pub fn failed(&mut self, runner: Id, now: Millis) {
+        self.board.shun(runner, now + SHUN_MILLIS);
+    }
+
+    /// Asks for a slot of an owned runner; `None` means that the answer comes later.
+    pub fn ask(&mut self, runner: Id, ask: Ask, now: Millis) -> Option<Grant> {
+        match self.allocator(runner) {
+            Some(allocator) => allocator.ask(ask, now),
+            None => Some(Grant::NotOwner),
+        }
+    }
+
+    /// Frees a slot and returns the attempts granted in turn.
+    pub fn release(&mut self, runner: Id, attempt: attempt::Id, now: Millis) -> Vec<attempt::Id> {
+        self.allocators.get_mut(&runner).map_or_else(Vec::new, |it| it.release(attempt, now))
+    }
+
+    /// Gives up on waiters whose time is over: each with when to come back.
+    pub fn expire(&mut self, now: Millis) -> Vec<(attempt::Id, u64)> {
+        let mut over = Vec::new();
+        for allocator in self.allocators.values_mut() {
+            let retry_after = allocator.retry_after();
+            over.extend(allocator.expire(now).into_iter().map(|it| (it, retry_after)));
+        }
+        over
+    }
+
+    /// Grants what time alone has made grantable.
+    pub fn serve(&mut self, now: Millis) -> Vec<attempt::Id> {
+        self.allocators.values_mut().flat_map(|it| it.serve(now)).collect()
+    }
+
+    /// Load of the owned runners.
+    pub fn reports(&self) -> Vec<(Id, Report)> {
+        self.allocators.iter().map(|(id, it)| (*id, it.report())).collect()
+    }
+
+    /// What to do about the list of an engine that this node owns.
+    ///
+    /// Slots of attempts that the engine no longer holds, and that are older than `settle`
+    /// milliseconds, are asked about too.
+    pub fn reconcile(
+        &mut self,
+        runner: Id,
+        held: &[attempt::Id],
+        settle: u64,
+        now: Millis,
+    ) -> Option<Plan> {
+        let allocator = self.allocator(runner)?;
+        let mut all = held.to_vec();
+        let old = allocator.held().filter(|(_, since)| now.since(*since) >= settle);
+        all.extend(old.map(|(attempt, _)| attempt).filter(|it| !held.contains(it)));
+        for attempt in held {
+            allocator.adopt(*attempt, 0, now);
+        }
+        Some(reconcile::plan(&all, |origin| self.belief(origin, now)))
+    }
+
+    /// What is believed of a node.
+    pub fn belief(&self, node: Incarnation, now: Millis) -> Belief {
+        if node == self.options.me {
+            return Belief::Alive;
+        }
+        if self.state.roster.get(node).is_none() {
+            return Belief::Dead;
+        }
+        self.detector.belief(node, now)
+    }
+
+    /// Where a keyed request is to be handled.
+    pub fn route(&self, key: &Key, now: Millis) -> Route {
+        let me = self.options.me;
+        if let Some(owner) = key.minted_by() {
+            return if owner == me { Route::Here { ask: Vec::new() } } else { Route::There(owner) };
+        }
+        let ranked = self.state.roster.ranked(key.hash());
+        match ranked.iter().find(|it| !self.member_leaving(**it)) {
+            Some(owner) if *owner == me => Route::Here { ask: self.predecessors(&ranked, now) },
+            Some(owner) => Route::There(*owner),
+            None => Route::Here { ask: Vec::new() },
+        }
+    }
+
+    /// Members that may have owned a key before this node did.
+    fn predecessors(&self, ranked: &[Incarnation], now: Millis) -> Vec<Incarnation> {
+        let me = self.options.me;
+        let window = self.options.ledger.window_millis;
+        let recent = |it: &Incarnation| {
+            self.joined.get(it).is_none_or(|joined| now.since(*joined) < window)
+        };
+        let place = ranked.iter().position(|it| *it == me).unwrap_or(ranked.len());
+        let mut ask = ranked[..place].to_vec();
+        if recent(&me) {
+            for member in ranked.iter().skip(place + 1) {
+                ask.push(*member);
+                if !recent(member) {
+                    break;
+                }
+            }
+        }
+        ask
+    }
+
+    /// Takes a claim from the log or a peer.
+    pub fn claim(&mut self, key: u64, by: Incarnation) {
+        self.claims.entry(key).or_insert(by);
+    }
+
+    /// Whether another node, or an earlier start, claimed a key.
+    pub fn claimed_elsewhere(&self, key: u64) -> bool {
+        self.claims.get(&key).is_some_and(|by| *by != self.options.me)
+    }
+
+    /// Takes note of the version in force at a node.
+    pub fn saw_version(&mut self, node: Incarnation, version: Version) {
+        self.versions.insert(node, version);
+    }
+
+    /// A version that this node is to confirm for its failure domain, if any.
+    ///
+    /// The member with the lowest incarnation confirms once all members of the domain have
+    /// the version in force.
+    pub fn confirmation(&self) -> Option<Version> {
+        let newest = self.state.history.back()?;
+        let domain = &self.options.domain;
+        if newest.accepted || newest.confirmed.contains(domain) {
+            return None;
+        }
+        let mut members = self.state.roster.iter().filter(|it| it.domain == *domain);
+        let all = members.clone().all(|it| {
+            it.incarnation == self.options.me
+                || self.versions.get(&it.incarnation).is_some_and(|v| *v >= newest.version)
+        });
+        let first = members.next()?.incarnation == self.options.me;
+        (first && all).then_some(newest.version)
+    }
+
+    fn allocator(&mut self, runner: Id) -> Option<&mut Allocator> {
+        if self.owner(runner) != Some(self.options.me) {
+            return None;
+        }
+        let described = self.options.table.find(runner)?;
+        let limits = slots::Limits {
+            slots: described.slots,
+            kv_tokens: described.kv_tokens,
+            hold_millis: HOLD_MILLIS,
+            ahead: self.options.ahead,
+        };
+        Some(self.allocators.entry(runner).or_insert_with(|| Allocator::new(limits)))
+    }
+}
+
+/// Holding time of a slot assumed before any is measured, in milliseconds.
+const HOLD_MILLIS: u64 = 1_000;
--- /dev/null
+++ b/crates/coordination/src/program.rs
@@ -0,0 +1,175 @@
+//! Policy programs: short Rhai scripts, compiled once, without loops and bounded in steps.
+
+use crosslane_state::request::{Class, Verdict};
+use derive_more::{Display, Error};
+use rhai::{AST, Dynamic, Engine, Map, Scope};
+
+/// Program in force before any is published.
+pub const DEFAULT: &str = r#"#{
+    class: if path.starts_with("/v1/") { "patient" } else { "quick" },
+    repeatable: method == "GET" || path.starts_with("/v1/"),
+}"#;
+
+/// Steps that an evaluation may take.
+const MAX_OPERATIONS: u64 = 10_000;
+
+/// Longest string that a program may make, in bytes.
+const MAX_STRING_BYTES: usize = 4_096;
+
+/// Most entries of an array or map in a program.
+const MAX_ENTRIES: usize = 64;
+
+/// Deepest nesting of expressions.
+const MAX_DEPTH: usize = 32;
+
+/// Words that would let a program run long.
+const FORBIDDEN: [&str; 7] = ["while", "loop", "do", "for", "fn", "eval", "import"];
+
+/// Why a program can't be used.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+pub enum Error {
+    /// It doesn't parse.
+    #[display("line {line}, column {column}: {message}")]
+    Syntax {
+        /// Line, from one.
+        line: usize,
+        /// Column, from one.
+        column: usize,
+        /// What is wrong.
+        message: String,
+    },
+    /// It failed on a request.
+    #[display("{message}")]
+    Run {
+        /// What is wrong, with its place.
+        message: String,
+    },
+    /// Its result is not what is expected.
+    #[display("{field}: expected {expected}, found {found}")]
+    Result {
+        /// Field of the result.
+        field: &'static str,
+        /// What it should be.
+        expected: &'static str,
+        /// What it is.
+        found: String,
+    },
+}
+
+/// What a program is told of a request.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Input {
+    /// Organisation of the caller.
+    pub organisation: String,
+    /// Model asked for; empty for a service.
+    pub model: String,
+    /// HTTP method.
+    pub method: String,
+    /// Path.
+    pub path: String,
+    /// Length of the prompt, in tokens.
+    pub prompt_tokens: i64,
+    /// Most tokens to generate.
+    pub max_tokens: i64,
+}
+
+/// A compiled program.
+#[derive(Debug)]
+pub struct Program {
+    engine: Engine,
+    ast: AST,
+}
+
+impl Program {
+    /// Compiles a program.
+    pub fn compile(text: &str) -> Result<Self, Error> {
+        let mut engine = Engine::new();
+        engine
+            .set_max_operations(MAX_OPERATIONS)
+            .set_max_string_size(MAX_STRING_BYTES)
+            .set_max_array_size(MAX_ENTRIES)
+            .set_max_map_size(MAX_ENTRIES)
+            .set_max_expr_depths(MAX_DEPTH, MAX_DEPTH);
+        for word in FORBIDDEN {
+            engine.disable_symbol(word);
+        }
+        engine.on_print(|_| {});
+        let ast = engine.compile(text).map_err(|error| Error::Syntax {
+            line: error.position().line().unwrap_or(1),
+            column: error.position().position().unwrap_or(1),
+            message: error.err_type().to_string(),
+        })?;
+        Ok(Self { engine, ast })
+    }
+
+    /// Compiles a program and tries it on samples.
+    pub fn check(text: &str, samples: &[Input]) -> Result<Self, Error> {
+        let program = Self::compile(text)?;
+        for sample in samples {
+            program.judge(sample)?;
+        }
+        Ok(program)
+    }
+
+    /// Judges a request.
+    pub fn judge(&self, input: &Input) -> Result<Verdict, Error> {
+        let mut scope = Scope::new();
+        scope.push_constant("organisation", input.organisation.clone());
+        scope.push_constant("model", input.model.clone());
+        scope.push_constant("method", input.method.clone());
+        scope.push_constant("path", input.path.clone());
+        scope.push_constant("prompt_tokens", input.prompt_tokens);
+        scope.push_constant("max_tokens", input.max_tokens);
+        let result: Dynamic = self
+            .engine
+            .eval_ast_with_scope(&mut scope, &self.ast)
+            .map_err(|error| Error::Run { message: error.to_string() })?;
+        verdict(result)
+    }
+}
+
+fn verdict(result: Dynamic) -> Result<Verdict, Error> {
+    let found = result.type_name();
+    let Some(map) = result.try_cast::<Map>() else {
+        return Err(Error::Result {
+            field: "result",
+            expected: "a map with class, repeatable and domains",
+            found: found.to_owned(),
+        });
+    };
+    Ok(Verdict {
+        class: class(map.get("class"))?,
+        repeatable: repeatable(map.get("repeatable"))?,
+        domains: domains(map.get("domains"))?,
+    })
+}
+
+fn class(value: Option<&Dynamic>) -> Result<Class, Error> {
+    let text = value.map(ToString::to_string).unwrap_or_default();
+    match text.as_str() {
+        "quick" => Ok(Class::Quick),
+        "patient" => Ok(Class::Patient),
+        _ => Err(Error::Result { field: "class", expected: "\"quick\" or \"patient\"", found: text }),
+    }
+}
+
+fn repeatable(value: Option<&Dynamic>) -> Result<bool, Error> {
+    value.and_then(|it| it.as_bool().ok()).ok_or_else(|| Error::Result {
+        field: "repeatable",
+        expected: "true or false",
+        found: value.map(ToString::to_string).unwrap_or_default(),
+    })
+}
+
+fn domains(value: Option<&Dynamic>) -> Result<Vec<String>, Error> {
+    let Some(value) = value else {
+        return Ok(Vec::new());
+    };
+    let mismatch = || Error::Result {
+        field: "domains",
+        expected: "an array of failure domains",
+        found: value.to_string(),
+    };
+    let array = value.clone().into_array().map_err(|_| mismatch())?;
+    array.into_iter().map(|it| it.into_string().map_err(|_| mismatch())).collect()
+}
--- /dev/null
+++ b/crates/coordination/src/slots.rs
@@ -0,0 +1,269 @@
+//! Slots of one runner, granted by the one node that owns the runner.
+//!
+//! Requests that find no slot wait here, before any prefill is spent on them: quick before
+//! patient, organisations with fewer slots first, then by deadline. A patient request that
+//! has waited long counts as quick, so none is starved. One that can't start in time is
+//! refused at once.
+
+use crosslane_state::attempt::Id;
+use crosslane_state::load::Report;
+use crosslane_state::request::{Class, Organisation};
+use crosslane_state::time::Millis;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, HashMap};
+
+/// Weight of a new sample in the mean holding time, as one over this.
+const SMOOTHING: u64 = 16;
+
+/// Wait after which a patient request counts as quick, in milliseconds.
+const AGED_MILLIS: u64 = 5_000;
+
+/// Shortest advice on when to come back, in milliseconds.
+const RETRY_FLOOR_MILLIS: u64 = 100;
+
+/// Waiting requests per slot.
+const QUEUE_PER_SLOT: usize = 8;
+
+/// A request for a slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ask {
+    /// Who will hold it.
+    pub attempt: Id,
+    /// Urgency.
+    pub class: Class,
+    /// On whose behalf.
+    pub organisation: Organisation,
+    /// KV cache needed, in tokens.
+    pub kv_tokens: u64,
+    /// How long it may wait, in milliseconds.
+    pub patience: u64,
+    /// How long before use it is needed, in milliseconds: a prefill runs in between.
+    pub lead: u64,
+}
+
+/// Answer to an ask.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Grant {
+    /// The slot is held.
+    Granted,
+    /// No slot in time; coming back after this many milliseconds helps.
+    Refused {
+        /// Milliseconds.
+        retry_after: u64,
+    },
+    /// This node does not own the runner.
+    NotOwner,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Holder {
+    organisation: Organisation,
+    kv_tokens: u64,
+    since: Millis,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Waiter {
+    ask: Ask,
+    since: Millis,
+    order: u64,
+}
+
+impl Waiter {
+    fn deadline(&self) -> Millis {
+        self.since + self.ask.patience
+    }
+
+    fn class(&self, now: Millis) -> Class {
+        if now.since(self.since) >= AGED_MILLIS { Class::Quick } else { self.ask.class }
+    }
+}
+
+/// Limits of a runner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Requests held at once.
+    pub slots: u32,
+    /// KV cache, in tokens; zero for no bound.
+    pub kv_tokens: u64,
+    /// Holding time assumed before any is measured, in milliseconds.
+    pub hold_millis: u64,
+    /// Whether a slot is granted ahead of a predicted release, by at most the ask's lead.
+    pub ahead: bool,
+}
+
+/// Grants the slots of one runner.
+#[derive(Clone, Debug)]
+pub struct Allocator {
+    limits: Limits,
+    holders: HashMap<Id, Holder>,
+    kv_held: u64,
+    held_by: BTreeMap<Organisation, u32>,
+    waiters: Vec<Waiter>,
+    hold_mean: u64,
+    order: u64,
+}
+
+impl Allocator {
+    /// An allocator with every slot free.
+    pub fn new(limits: Limits) -> Self {
+        Self {
+            limits,
+            holders: HashMap::new(),
+            kv_held: 0,
+            held_by: BTreeMap::new(),
+            waiters: Vec::new(),
+            hold_mean: limits.hold_millis,
+            order: 0,
+        }
+    }
+
+    /// Grants, refuses, or with `None` queues an ask; asking twice changes nothing.
+    pub fn ask(&mut self, ask: Ask, now: Millis) -> Option<Grant> {
+        if self.holders.contains_key(&ask.attempt) {
+            return Some(Grant::Granted);
+        }
+        if self.waiters.iter().any(|it| it.ask.attempt == ask.attempt) {
+            return None;
+        }
+        let ahead = self.waiters.iter().filter(|it| it.class(now) <= ask.class).count();
+        if ahead == 0 && self.fits(&ask, now) {
+            self.hold(&ask, now);
+            return Some(Grant::Granted);
+        }
+        let wait = self.wait_millis(ahead);
+        let full = self.waiters.len() >= self.limits.slots as usize * QUEUE_PER_SLOT;
+        if wait > ask.patience.saturating_add(ask.lead) || full {
+            return Some(Grant::Refused { retry_after: wait.max(RETRY_FLOOR_MILLIS) });
+        }
+        self.order += 1;
+        self.waiters.push(Waiter { ask, since: now, order: self.order });
+        None
+    }
+
+    /// Frees what an attempt holds or waits for and returns the attempts granted in turn.
+    pub fn release(&mut self, attempt: Id, now: Millis) -> Vec<Id> {
+        self.waiters.retain(|it| it.ask.attempt != attempt);
+        if let Some(holder) = self.holders.remove(&attempt) {
+            self.kv_held -= holder.kv_tokens;
+            if let Some(count) = self.held_by.get_mut(&holder.organisation) {
+                *count -= 1;
+                if *count == 0 {
+                    self.held_by.remove(&holder.organisation);
+                }
+            }
+            let held = now.since(holder.since);
+            self.hold_mean = (self.hold_mean * (SMOOTHING - 1) + held) / SMOOTHING;
+        }
+        self.serve(now)
+    }
+
+    /// Grants what now fits, in order, and returns the attempts.
+    pub fn serve(&mut self, now: Millis) -> Vec<Id> {
+        let mut granted = Vec::new();
+        while let Some(place) = self.first(now) {
+            if !self.fits(&self.waiters[place].ask.clone(), now) {
+                break;
+            }
+            let waiter = self.waiters.swap_remove(place);
+            self.hold(&waiter.ask, now);
+            granted.push(waiter.ask.attempt);
+        }
+        granted
+    }
+
+    /// Gives up on waiters whose time is over and returns them.
+    pub fn expire(&mut self, now: Millis) -> Vec<Id> {
+        let (over, rest) = self.waiters.iter().partition(|it| it.deadline() <= now);
+        self.waiters = rest;
+        let over: Vec<Waiter> = over;
+        over.into_iter().map(|it| it.ask.attempt).collect()
+    }
+
+    /// Counts an attempt that the engine already holds, after a change of owner.
+    pub fn adopt(&mut self, attempt: Id, kv_tokens: u64, now: Millis) {
+        if self.holders.contains_key(&attempt) {
+            return;
+        }
+        let ask = Ask {
+            attempt,
+            class: Class::Patient,
+            organisation: Organisation(0),
+            kv_tokens,
+            patience: 0,
+            lead: 0,
+        };
+        self.hold(&ask, now);
+    }
+
+    /// Whether an attempt holds a slot.
+    pub fn holds(&self, attempt: Id) -> bool {
+        self.holders.contains_key(&attempt)
+    }
+
+    /// Attempts that hold slots, with the time each was granted.
+    pub fn held(&self) -> impl Iterator<Item = (Id, Millis)> {
+        self.holders.iter().map(|(attempt, holder)| (*attempt, holder.since))
+    }
+
+    /// How busy the runner is.
+    pub fn report(&self) -> Report {
+        let wait = self.wait_millis(self.waiters.len());
+        Report {
+            busy: self.holders.len() as u32,
+            waiting: self.waiters.len() as u32,
+            wait_millis: u32::try_from(wait).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// Advice on when to come back, in milliseconds.
+    pub fn retry_after(&self) -> u64 {
+        self.wait_millis(self.waiters.len()).max(RETRY_FLOOR_MILLIS)
+    }
+
+    fn wait_millis(&self, ahead: usize) -> u64 {
+        if ahead == 0 && (self.holders.len() as u32) < self.limits.slots {
+            return 0;
+        }
+        (ahead as u64 + 1) * self.hold_mean / u64::from(self.limits.slots.max(1))
+    }
+
+    fn fits(&self, ask: &Ask, now: Millis) -> bool {
+        let kv = self.limits.kv_tokens;
+        if kv > 0 && self.kv_held > 0 && self.kv_held + ask.kv_tokens > kv {
+            return false;
+        }
+        let held = self.holders.len() as u32;
+        held < self.limits.slots + self.predicted(ask.lead, now)
+    }
+
+    /// Releases expected within half of a lead.
+    fn predicted(&self, lead: u64, now: Millis) -> u32 {
+        if !self.limits.ahead || lead == 0 {
+            return 0;
+        }
+        let horizon = now + lead / 2;
+        let due = |holder: &&Holder| holder.since + self.hold_mean <= horizon;
+        let count = self.holders.values().filter(due).count() as u32;
+        count.min(self.limits.slots / AHEAD_SHARE)
+    }
+
+    fn first(&self, now: Millis) -> Option<usize> {
+        let rank = |waiter: &Waiter| {
+            let share = self.held_by.get(&waiter.ask.organisation).copied().unwrap_or(0);
+            (waiter.class(now), share, waiter.deadline(), waiter.order)
+        };
+        (0..self.waiters.len()).min_by_key(|place| rank(&self.waiters[*place]))
+    }
+
+    fn hold(&mut self, ask: &Ask, now: Millis) {
+        self.kv_held += ask.kv_tokens;
+        *self.held_by.entry(ask.organisation).or_default() += 1;
+        let holder =
+            Holder { organisation: ask.organisation, kv_tokens: ask.kv_tokens, since: now };
+        self.holders.insert(ask.attempt, holder);
+    }
+}
+
+/// At most one over this of the slots is granted ahead.
+const AHEAD_SHARE: u32 = 4;
--- /dev/null
+++ b/crates/protocol/src/lib.rs
@@ -0,0 +1,1 @@
+//! Typed messages of crosslane, checked from raw input.
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins for engines, services and the platform.
--- /dev/null
+++ b/crates/state/src/lib.rs
@@ -0,0 +1,14 @@
+//! What a crosslane node knows: plain data in arenas keyed by small `Copy` keys.
+//!
+//! Nothing here decides, does I/O, reads a clock or draws a random number.
+
+pub mod answer;
+pub mod attempt;
+pub mod hash;
+pub mod incarnation;
+pub mod load;
+pub mod member;
+pub mod policy;
+pub mod request;
+pub mod runner;
+pub mod time;
--- /dev/null
+++ b/crates/transport/src/lib.rs
@@ -0,0 +1,1 @@
+//! Sockets, actors and clocks of a crosslane node.
