Serve a request end to end over three nodes

The thin whole path: caller, node, prefill engine, KV transfer, decode engine, caller. Two binaries, checked settings, engine client, control messages by tarpc, keyed requests forwarded to the owner of the key, claims in the log, heartbeats, reconciliation, draining, operators' port, stand-ins and the demo.

--- a/crates/coordination/src/fold.rs
+++ b/crates/coordination/src/fold.rs
@@ -81,7 +81,9 @@
 
     /// Version in force, or about to be everywhere.
     pub fn version(&self) -> Version {
-        self.history.back().map_or_else(Version::default, |it| it.version)
+        self.history
+            .back()
+            .map_or_else(Version::default, |it| it.version)
     }
 
     /// Program in force, if any was published.
@@ -91,7 +93,11 @@
 
     /// What became of a publication.
     pub fn verdict(&self, id: &str) -> Option<&Verdict> {
-        self.verdicts.iter().rev().find(|(it, _)| it == id).map(|(_, verdict)| verdict)
+        self.verdicts
+            .iter()
+            .rev()
+            .find(|(it, _)| it == id)
+            .map(|(_, verdict)| verdict)
     }
 
     /// Failure domains that have not confirmed the newest version.
@@ -99,7 +105,10 @@
         let Some(newest) = self.history.back().filter(|it| !it.accepted) else {
             return BTreeSet::new();
         };
-        self.domains().difference(&newest.confirmed).cloned().collect()
+        self.domains()
+            .difference(&newest.confirmed)
+            .cloned()
+            .collect()
     }
 
     /// Failure domains that have members.
@@ -114,7 +123,10 @@
                 *self = *state;
                 Ok(())
             }
-            _ => Err(Error::Gap { expected: self.next, found: offset }),
+            _ => Err(Error::Gap {
+                expected: self.next,
+                found: offset,
+            }),
         }
     }
 
@@ -141,7 +153,12 @@
                     self.ended.insert(leave.id);
                 }
             }
-            Record::Publish { id, base, program, author } => {
+            Record::Publish {
+                id,
+                base,
+                program,
+                author,
+            } => {
                 self.publish(id, base, program, author);
             }
             Record::Withdraw { publication } => self.withdraw(&publication),
@@ -177,7 +194,12 @@
         };
         let version = Version(newest.version.0 + 1);
         let author = newest.author.clone();
-        let before = self.history.iter().rev().nth(1).map(|it| it.program.clone());
+        let before = self
+            .history
+            .iter()
+            .rev()
+            .nth(1)
+            .map(|it| it.program.clone());
         if let Some(entry) = self.verdicts.iter_mut().find(|(it, _)| it == id) {
             entry.1 = Verdict::Withdrawn;
         }
--- a/crates/coordination/src/ledger.rs
+++ b/crates/coordination/src/ledger.rs
@@ -102,14 +102,30 @@
         if !repeatable && self.buried.len() >= self.limits.tombstones {
             return Begin::Full;
         }
-        let entry = Entry { fingerprint, repeatable, phase: Phase::Running, at: now };
+        let entry = Entry {
+            fingerprint,
+            repeatable,
+            phase: Phase::Running,
+            at: now,
+        };
         self.entries.insert(key.clone(), entry);
         Begin::Run
     }
 
+    /// Whether a key runs, has an answer or may have run here.
+    pub fn knows(&self, key: &Key) -> bool {
+        self.entries
+            .get(key)
+            .is_some_and(|it| !matches!(it.phase, Phase::Released(_)))
+    }
+
     /// Records how a run ended.
     pub fn finish(&mut self, key: &Key, end: End, now: Millis) {
-        let Some(entry) = self.entries.get_mut(key).filter(|it| it.phase == Phase::Running) else {
+        let Some(entry) = self
+            .entries
+            .get_mut(key)
+            .filter(|it| it.phase == Phase::Running)
+        else {
             return;
         };
         entry.at = now;
@@ -132,7 +148,12 @@
         match self.entries.get_mut(key) {
             None => {
                 let phase = Phase::Released(to);
-                let entry = Entry { fingerprint: 0, repeatable: true, phase, at: now };
+                let entry = Entry {
+                    fingerprint: 0,
+                    repeatable: true,
+                    phase,
+                    at: now,
+                };
                 self.entries.insert(key.clone(), entry);
                 self.buried.push_back((now, key.clone()));
                 true
@@ -147,10 +168,19 @@
 
     /// Takes in an answer handed over by a node that stops.
     pub fn adopt(&mut self, key: &Key, fingerprint: u64, answer: Option<Arc<Answer>>, now: Millis) {
-        if self.entries.get(key).is_some_and(|it| !matches!(it.phase, Phase::Released(_))) {
+        if self
+            .entries
+            .get(key)
+            .is_some_and(|it| !matches!(it.phase, Phase::Released(_)))
+        {
             return;
         }
-        let entry = Entry { fingerprint, repeatable: false, phase: Phase::Running, at: now };
+        let entry = Entry {
+            fingerprint,
+            repeatable: false,
+            phase: Phase::Running,
+            at: now,
+        };
         self.entries.insert(key.clone(), entry);
         self.finish(key, answer.map_or(End::Unknown, End::Done), now);
     }
--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -9,6 +9,7 @@
 use crate::retry::Budget;
 use crate::slots::{self, Allocator, Ask, Grant};
 use crosslane_state::attempt;
+use crosslane_state::hash;
 use crosslane_state::incarnation::Incarnation;
 use crosslane_state::load::{Board, Report};
 use crosslane_state::member::Member;
@@ -16,7 +17,11 @@
 use crosslane_state::request::Key;
 use crosslane_state::runner::{Id, Role, Runner, Table};
 use crosslane_state::time::Millis;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::hash_map::Entry;
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+
+/// Age up to which a load report counts, in milliseconds.
+const KNOWN_MILLIS: u64 = 5_000;
 
 /// Time for which a failed runner is left alone, in milliseconds.
 const SHUN_MILLIS: u64 = 1_000;
@@ -42,14 +47,20 @@
     pub neighbours: usize,
     /// Whether slots are granted ahead of predicted releases.
     pub ahead: bool,
-    /// Whether slots are granted by owners at all; off only as a baseline.
-    pub reserve: bool,
     /// Bounds of the ledger.
     pub ledger: ledger::Limits,
     /// Seed of every random choice.
     pub seed: u64,
 }
 
+/// A member that the log says is no more.
+#[derive(Clone, Copy, Debug)]
+struct Departed {
+    incarnation: Incarnation,
+    at: Millis,
+    settled: bool,
+}
+
 /// Where a keyed request is to be handled.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Route {
@@ -81,6 +92,8 @@
     told: BTreeMap<String, Leave>,
     joined: HashMap<Incarnation, Millis>,
     claims: HashMap<u64, Incarnation>,
+    claim_ages: VecDeque<(Millis, u64)>,
+    departed: Vec<Departed>,
     versions: HashMap<Incarnation, Version>,
 }
 
@@ -98,6 +111,8 @@
             told: BTreeMap::new(),
             joined: HashMap::new(),
             claims: HashMap::new(),
+            claim_ages: VecDeque::new(),
+            departed: Vec::new(),
             versions: HashMap::new(),
             options,
         }
@@ -111,7 +126,20 @@
     /// Brings what follows from the folded log up to date.
     pub fn refresh(&mut self, now: Millis) {
         let members: Vec<_> = self.state.roster.iter().map(|it| it.incarnation).collect();
-        self.joined.retain(|it, _| self.state.roster.get(*it).is_some());
+        let gone = |it: &Incarnation| self.state.roster.get(*it).is_none();
+        let left: Vec<_> = self.joined.keys().copied().filter(gone).collect();
+        for incarnation in left {
+            self.joined.remove(&incarnation);
+            self.versions.remove(&incarnation);
+            self.detector.forget(incarnation);
+            self.departed.push(Departed {
+                incarnation,
+                at: now,
+                settled: false,
+            });
+        }
+        let window = self.options.ledger.window_millis;
+        self.departed.retain(|it| now.since(it.at) < window);
         for member in members {
             self.joined.entry(member).or_insert(now);
             self.detector.watch(member, now);
@@ -149,17 +177,38 @@
 
     /// Whether a member's VM is announced as leaving.
     pub fn member_leaving(&self, incarnation: Incarnation) -> bool {
-        self.state.roster.get(incarnation).is_some_and(|it| self.is_leaving(&it.vm))
+        self.state
+            .roster
+            .get(incarnation)
+            .is_some_and(|it| self.is_leaving(&it.vm))
+    }
+
+    /// How long ago a member was first seen, in milliseconds.
+    pub fn member_age(&self, member: Incarnation, now: Millis) -> u64 {
+        self.joined
+            .get(&member)
+            .map_or(0, |joined| now.since(*joined))
+    }
+
+    /// Whether this node is to record the departure of a member whose VM is gone.
+    pub fn departure_due(&self, gone: Incarnation, now: Millis) -> bool {
+        let alive = |it| it != gone && self.belief(it, now) == Belief::Alive;
+        self.belief(gone, now) != Belief::Alive
+            && self.state.roster.owner(gone.0, alive) == Some(self.options.me)
     }
 
     /// Nodes that heartbeats go to.
     pub fn neighbours(&self) -> Vec<&Member> {
-        self.state.roster.neighbours(self.options.me, self.options.neighbours)
+        self.state
+            .roster
+            .neighbours(self.options.me, self.options.neighbours)
     }
 
     /// The node that grants a runner's slots.
     pub fn owner(&self, runner: Id) -> Option<Incarnation> {
-        self.state.roster.owner(runner.0, |it| !self.member_leaving(it))
+        self.state
+            .roster
+            .owner(runner.0, |it| !self.member_leaving(it))
     }
 
     /// Engines whose slots this node grants.
@@ -182,13 +231,26 @@
     ) -> Option<Id> {
         let (told, leaving) = (&self.told, &self.state.leaving);
         let table = &self.options.table;
-        let query = Query { pool: table.pool(role, serves), table, board: &self.board, now };
-        let chosen = self.chooser.choose(query, |runner| {
+        let board = &self.board;
+        let query = Query {
+            pool: table.pool(role, serves),
+            table,
+            board,
+            now,
+        };
+        let allowed = |runner: &Runner| {
             !told.contains_key(&runner.vm)
                 && !leaving.contains_key(&runner.vm)
                 && !avoid.contains(&runner.id)
                 && (domains.is_empty() || domains.contains(&runner.domain))
-        })?;
+        };
+        let known = |runner: &Runner| {
+            role == Role::Service || now.since(board.get(runner.id).at) < KNOWN_MILLIS
+        };
+        let chosen = self
+            .chooser
+            .choose(query, |runner| allowed(runner) && known(runner))
+            .or_else(|| self.chooser.choose(query, allowed))?;
         self.board.sent(chosen);
         Some(chosen)
     }
@@ -208,7 +270,9 @@
 
     /// Frees a slot and returns the attempts granted in turn.
     pub fn release(&mut self, runner: Id, attempt: attempt::Id, now: Millis) -> Vec<attempt::Id> {
-        self.allocators.get_mut(&runner).map_or_else(Vec::new, |it| it.release(attempt, now))
+        self.allocators
+            .get_mut(&runner)
+            .map_or_else(Vec::new, |it| it.release(attempt, now))
     }
 
     /// Gives up on waiters whose time is over: each with when to come back.
@@ -216,39 +280,39 @@
         let mut over = Vec::new();
         for allocator in self.allocators.values_mut() {
             let retry_after = allocator.retry_after();
-            over.extend(allocator.expire(now).into_iter().map(|it| (it, retry_after)));
+            over.extend(
+                allocator
+                    .expire(now)
+                    .into_iter()
+                    .map(|it| (it, retry_after)),
+            );
         }
         over
     }
 
     /// Grants what time alone has made grantable.
     pub fn serve(&mut self, now: Millis) -> Vec<attempt::Id> {
-        self.allocators.values_mut().flat_map(|it| it.serve(now)).collect()
+        self.allocators
+            .values_mut()
+            .flat_map(|it| it.serve(now))
+            .collect()
     }
 
     /// Load of the owned runners.
     pub fn reports(&self) -> Vec<(Id, Report)> {
-        self.allocators.iter().map(|(id, it)| (*id, it.report())).collect()
+        self.allocators
+            .iter()
+            .map(|(id, it)| (*id, it.report()))
+            .collect()
     }
 
     /// What to do about the list of an engine that this node owns.
-    ///
-    /// Slots of attempts that the engine no longer holds, and that are older than `settle`
-    /// milliseconds, are asked about too.
-    pub fn reconcile(
-        &mut self,
-        runner: Id,
-        held: &[attempt::Id],
-        settle: u64,
-        now: Millis,
-    ) -> Option<Plan> {
+    pub fn reconcile(&mut self, runner: Id, held: &[attempt::Id], now: Millis) -> Option<Plan> {
         let allocator = self.allocator(runner)?;
-        let mut all = held.to_vec();
-        let old = allocator.held().filter(|(_, since)| now.since(*since) >= settle);
-        all.extend(old.map(|(attempt, _)| attempt).filter(|it| !held.contains(it)));
         for attempt in held {
             allocator.adopt(*attempt, 0, now);
         }
+        let all = allocator.verify(now);
         Some(reconcile::plan(&all, |origin| self.belief(origin, now)))
     }
 
@@ -267,11 +331,17 @@
     pub fn route(&self, key: &Key, now: Millis) -> Route {
         let me = self.options.me;
         if let Some(owner) = key.minted_by() {
-            return if owner == me { Route::Here { ask: Vec::new() } } else { Route::There(owner) };
+            return if owner == me {
+                Route::Here { ask: Vec::new() }
+            } else {
+                Route::There(owner)
+            };
         }
         let ranked = self.state.roster.ranked(key.hash());
         match ranked.iter().find(|it| !self.member_leaving(**it)) {
-            Some(owner) if *owner == me => Route::Here { ask: self.predecessors(&ranked, now) },
+            Some(owner) if *owner == me => Route::Here {
+                ask: self.predecessors(&ranked, now),
+            },
             Some(owner) => Route::There(*owner),
             None => Route::Here { ask: Vec::new() },
         }
@@ -282,9 +352,14 @@
         let me = self.options.me;
         let window = self.options.ledger.window_millis;
         let recent = |it: &Incarnation| {
-            self.joined.get(it).is_none_or(|joined| now.since(*joined) < window)
+            self.joined
+                .get(it)
+                .is_none_or(|joined| now.since(*joined) < window)
         };
-        let place = ranked.iter().position(|it| *it == me).unwrap_or(ranked.len());
+        let place = ranked
+            .iter()
+            .position(|it| *it == me)
+            .unwrap_or(ranked.len());
         let mut ask = ranked[..place].to_vec();
         if recent(&me) {
             for member in ranked.iter().skip(place + 1) {
@@ -297,14 +372,65 @@
         ask
     }
 
-    /// Takes a claim from the log or a peer.
-    pub fn claim(&mut self, key: u64, by: Incarnation) {
-        self.claims.entry(key).or_insert(by);
+    /// Takes a claim from the log or a peer; the first one of a key stands.
+    pub fn claim(&mut self, key: u64, by: Incarnation, now: Millis) {
+        let window = self.options.ledger.window_millis;
+        while let Some((at, old)) = self.claim_ages.front().copied() {
+            if now.since(at) < window {
+                break;
+            }
+            self.claim_ages.pop_front();
+            self.claims.remove(&old);
+        }
+        if let Entry::Vacant(vacant) = self.claims.entry(key) {
+            vacant.insert(by);
+            self.claim_ages.push_back((now, key));
+        }
+    }
+
+    /// Departed nodes whose copied claims have not been collected.
+    pub fn unsettled(&self) -> Vec<Incarnation> {
+        self.departed
+            .iter()
+            .filter(|it| !it.settled)
+            .map(|it| it.incarnation)
+            .collect()
+    }
+
+    /// Notes that a departed node's claims are all known here.
+    pub fn settle(&mut self, incarnation: Incarnation) {
+        for departed in self
+            .departed
+            .iter_mut()
+            .filter(|it| it.incarnation == incarnation)
+        {
+            departed.settled = true;
+        }
+    }
+
+    /// Whether a key may have been run by another node: one claimed it, or one that owned
+    /// it has departed and its claims are not all known here.
+    pub fn in_doubt(&self, key: &Key) -> bool {
+        let key = key.hash();
+        let mine = hash::weight(key, self.options.me.0);
+        let owned = |it: &Departed| hash::weight(key, it.incarnation.0) > mine;
+        self.claimed_by_other(key, self.options.me)
+            || self.departed.iter().any(|it| !it.settled && owned(it))
+    }
+
+    /// The member that owns a key next, should this node depart.
+    pub fn successor(&self, key: &Key) -> Option<&Member> {
+        let me = self.options.me;
+        let next = self
+            .state
+            .roster
+            .owner(key.hash(), |it| it != me && !self.member_leaving(it))?;
+        self.state.roster.get(next)
     }
 
-    /// Whether another node, or an earlier start, claimed a key.
-    pub fn claimed_elsewhere(&self, key: u64) -> bool {
-        self.claims.get(&key).is_some_and(|by| *by != self.options.me)
+    /// Whether a node other than `by` claimed a key first.
+    pub fn claimed_by_other(&self, key: u64, by: Incarnation) -> bool {
+        self.claims.get(&key).is_some_and(|first| *first != by)
     }
 
     /// Takes note of the version in force at a node.
@@ -325,7 +451,10 @@
         let mut members = self.state.roster.iter().filter(|it| it.domain == *domain);
         let all = members.clone().all(|it| {
             it.incarnation == self.options.me
-                || self.versions.get(&it.incarnation).is_some_and(|v| *v >= newest.version)
+                || self
+                    .versions
+                    .get(&it.incarnation)
+                    .is_some_and(|v| *v >= newest.version)
         });
         let first = members.next()?.incarnation == self.options.me;
         (first && all).then_some(newest.version)
@@ -342,7 +471,11 @@
             hold_millis: HOLD_MILLIS,
             ahead: self.options.ahead,
         };
-        Some(self.allocators.entry(runner).or_insert_with(|| Allocator::new(limits)))
+        Some(
+            self.allocators
+                .entry(runner)
+                .or_insert_with(|| Allocator::new(limits)),
+        )
     }
 }
 
--- a/crates/coordination/src/placement.rs
+++ b/crates/coordination/src/placement.rs
@@ -26,19 +26,6 @@
     LeastReported,
 }
 
-impl Mode {
-    /// Name of the mode in settings.
-    pub fn parse(name: &str) -> Option<Self> {
-        match name {
-            "best_of_two" => Some(Self::BestOfTwo),
-            "round_robin" => Some(Self::RoundRobin),
-            "random" => Some(Self::Random),
-            "least_reported" => Some(Self::LeastReported),
-            _ => None,
-        }
-    }
-}
-
 /// What is asked of the pool.
 #[derive(Clone, Copy)]
 pub struct Query<'a> {
@@ -63,7 +50,11 @@
 impl Chooser {
     /// A chooser whose choices repeat for the same seed.
     pub fn new(mode: Mode, seed: u64) -> Self {
-        Self { mode, random: SmallRng::seed_from_u64(seed), turn: 0 }
+        Self {
+            mode,
+            random: SmallRng::seed_from_u64(seed),
+            turn: 0,
+        }
     }
 
     /// A runner of the pool that passes a check, if there is one.
@@ -117,7 +108,11 @@
     usable: &impl Fn(&Runner) -> bool,
 ) -> Option<&'a Runner> {
     (0..query.pool.len())
-        .filter_map(|step| query.table.get(query.pool[(start + step) % query.pool.len()]))
+        .filter_map(|step| {
+            query
+                .table
+                .get(query.pool[(start + step) % query.pool.len()])
+        })
         .find(|runner| usable(runner))
 }
 
@@ -127,7 +122,11 @@
         let slots = runner.slots.max(1);
         (entry.report.wait_millis, entry.depth() * COST_SCALE / slots)
     };
-    if cost(second) < cost(first) { second.id } else { first.id }
+    if cost(second) < cost(first) {
+        second.id
+    } else {
+        first.id
+    }
 }
 
 /// Fixed-point scale for load per slot.
--- a/crates/coordination/src/reconcile.rs
+++ b/crates/coordination/src/reconcile.rs
@@ -18,13 +18,17 @@
 }
 
 /// Sorts held attempts by what is believed of the nodes that made them.
-pub fn plan(held: &[Id], belief: impl Fn(Incarnation) -> Belief) -> Plan {
+///
+/// Live nodes are asked only about attempts that are due.
+pub fn plan(held: &[(Id, bool)], belief: impl Fn(Incarnation) -> Belief) -> Plan {
     let mut plan = Plan::default();
-    for attempt in held {
+    for (attempt, due) in held {
         match belief(attempt.origin) {
             Belief::Dead => plan.cancel.push(*attempt),
-            Belief::Alive => plan.ask.entry(attempt.origin).or_default().push(*attempt),
-            Belief::Suspect => {}
+            Belief::Alive if *due => {
+                plan.ask.entry(attempt.origin).or_default().push(*attempt);
+            }
+            Belief::Alive | Belief::Suspect => {}
         }
     }
     plan
--- a/crates/coordination/src/retry.rs
+++ b/crates/coordination/src/retry.rs
@@ -56,7 +56,11 @@
     /// A budget of retries as a percentage of fresh requests.
     pub fn new(percent: u32, seed: u64) -> Self {
         let saved = RETRY_COST * SAVED_RETRIES;
-        Self { percent, saved, random: SmallRng::seed_from_u64(seed) }
+        Self {
+            percent,
+            saved,
+            random: SmallRng::seed_from_u64(seed),
+        }
     }
 
     /// Counts a fresh request.
@@ -69,8 +73,8 @@
         if failure.ran && !failure.repeatable {
             return Err(Denial::NotRepeatable);
         }
-        let ceiling = (BACKOFF_MILLIS << u32::from(failure.round).min(DOUBLINGS))
-            .min(BACKOFF_LIMIT_MILLIS);
+        let ceiling =
+            (BACKOFF_MILLIS << u32::from(failure.round).min(DOUBLINGS)).min(BACKOFF_LIMIT_MILLIS);
         let backoff = self.random.random_range(ceiling / 2..=ceiling);
         if backoff + failure.needs > failure.left {
             return Err(Denial::Deadline);
--- a/crates/coordination/src/slots.rs
+++ b/crates/coordination/src/slots.rs
@@ -21,6 +21,12 @@
 /// Shortest advice on when to come back, in milliseconds.
 const RETRY_FLOOR_MILLIS: u64 = 100;
 
+/// Time after which a holder's maker is asked whether it still wants the slot, in milliseconds.
+const VERIFY_MILLIS: u64 = 3_000;
+
+/// Time for which a released attempt is not adopted again, in milliseconds.
+const RELEASED_MILLIS: u64 = 3_000;
+
 /// Waiting requests per slot.
 const QUEUE_PER_SLOT: usize = 8;
 
@@ -60,6 +66,7 @@
     organisation: Organisation,
     kv_tokens: u64,
     since: Millis,
+    checked: Millis,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -75,7 +82,11 @@
     }
 
     fn class(&self, now: Millis) -> Class {
-        if now.since(self.since) >= AGED_MILLIS { Class::Quick } else { self.ask.class }
+        if now.since(self.since) >= AGED_MILLIS {
+            Class::Quick
+        } else {
+            self.ask.class
+        }
     }
 }
 
@@ -102,6 +113,7 @@
     waiters: Vec<Waiter>,
     hold_mean: u64,
     order: u64,
+    released: HashMap<Id, Millis>,
 }
 
 impl Allocator {
@@ -115,6 +127,7 @@
             waiters: Vec::new(),
             hold_mean: limits.hold_millis,
             order: 0,
+            released: HashMap::new(),
         }
     }
 
@@ -126,7 +139,11 @@
         if self.waiters.iter().any(|it| it.ask.attempt == ask.attempt) {
             return None;
         }
-        let ahead = self.waiters.iter().filter(|it| it.class(now) <= ask.class).count();
+        let ahead = self
+            .waiters
+            .iter()
+            .filter(|it| it.class(now) <= ask.class)
+            .count();
         if ahead == 0 && self.fits(&ask, now) {
             self.hold(&ask, now);
             return Some(Grant::Granted);
@@ -134,16 +151,23 @@
         let wait = self.wait_millis(ahead);
         let full = self.waiters.len() >= self.limits.slots as usize * QUEUE_PER_SLOT;
         if wait > ask.patience.saturating_add(ask.lead) || full {
-            return Some(Grant::Refused { retry_after: wait.max(RETRY_FLOOR_MILLIS) });
+            return Some(Grant::Refused {
+                retry_after: wait.max(RETRY_FLOOR_MILLIS),
+            });
         }
         self.order += 1;
-        self.waiters.push(Waiter { ask, since: now, order: self.order });
+        self.waiters.push(Waiter {
+            ask,
+            since: now,
+            order: self.order,
+        });
         None
     }
 
     /// Frees what an attempt holds or waits for and returns the attempts granted in turn.
     pub fn release(&mut self, attempt: Id, now: Millis) -> Vec<Id> {
         self.waiters.retain(|it| it.ask.attempt != attempt);
+        self.released.insert(attempt, now);
         if let Some(holder) = self.holders.remove(&attempt) {
             self.kv_held -= holder.kv_tokens;
             if let Some(count) = self.held_by.get_mut(&holder.organisation) {
@@ -181,8 +205,12 @@
     }
 
     /// Counts an attempt that the engine already holds, after a change of owner.
+    ///
+    /// One released a moment ago may still be in an engine's list that was asked for before.
     pub fn adopt(&mut self, attempt: Id, kv_tokens: u64, now: Millis) {
-        if self.holders.contains_key(&attempt) {
+        self.released
+            .retain(|_, at| now.since(*at) < RELEASED_MILLIS);
+        if self.holders.contains_key(&attempt) || self.released.contains_key(&attempt) {
             return;
         }
         let ask = Ask {
@@ -196,14 +224,18 @@
         self.hold(&ask, now);
     }
 
-    /// Whether an attempt holds a slot.
-    pub fn holds(&self, attempt: Id) -> bool {
-        self.holders.contains_key(&attempt)
-    }
-
-    /// Attempts that hold slots, with the time each was granted.
-    pub fn held(&self) -> impl Iterator<Item = (Id, Millis)> {
-        self.holders.iter().map(|(attempt, holder)| (*attempt, holder.since))
+    /// Attempts that hold slots, each with whether its maker is to be asked again now.
+    pub fn verify(&mut self, now: Millis) -> Vec<(Id, bool)> {
+        let mut held = Vec::with_capacity(self.holders.len());
+        for (attempt, holder) in &mut self.holders {
+            let due = now.since(holder.checked) >= VERIFY_MILLIS;
+            if due {
+                holder.checked = now;
+            }
+            held.push((*attempt, due));
+        }
+        held.sort_unstable();
+        held
     }
 
     /// How busy the runner is.
@@ -250,7 +282,11 @@
 
     fn first(&self, now: Millis) -> Option<usize> {
         let rank = |waiter: &Waiter| {
-            let share = self.held_by.get(&waiter.ask.organisation).copied().unwrap_or(0);
+            let share = self
+                .held_by
+                .get(&waiter.ask.organisation)
+                .copied()
+                .unwrap_or(0);
             (waiter.class(now), share, waiter.deadline(), waiter.order)
         };
         (0..self.waiters.len()).min_by_key(|place| rank(&self.waiters[*place]))
@@ -259,8 +295,12 @@
     fn hold(&mut self, ask: &Ask, now: Millis) {
         self.kv_held += ask.kv_tokens;
         *self.held_by.entry(ask.organisation).or_default() += 1;
-        let holder =
-            Holder { organisation: ask.organisation, kv_tokens: ask.kv_tokens, since: now };
+        let holder = Holder {
+            organisation: ask.organisation,
+            kv_tokens: ask.kv_tokens,
+            since: now,
+            checked: now,
+        };
         self.holders.insert(ask.attempt, holder);
     }
 }
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -1,1 +1,10 @@
 //! Typed messages of crosslane, checked from raw input.
+
+pub mod completion;
+pub mod engine;
+pub mod envelope;
+pub mod peer;
+pub mod platform;
+pub mod refusal;
+mod section;
+pub mod settings;
--- a/crates/state/src/policy.rs
+++ b/crates/state/src/policy.rs
@@ -6,7 +6,18 @@
 
 /// Number of a policy; only rises.
 #[derive(
-    Clone, Copy, Debug, Default, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Display,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
 )]
 #[display("{_0}")]
 pub struct Version(pub u64);
--- a/crates/state/src/request.rs
+++ b/crates/state/src/request.rs
@@ -71,7 +71,18 @@
 
 /// How urgent a request is.
 #[derive(
-    Clone, Copy, Debug, Display, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+    Clone,
+    Copy,
+    Debug,
+    Display,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
 )]
 pub enum Class {
     /// Served first.
--- /dev/null
+++ b/crates/transport/src/pulse.rs
@@ -0,0 +1,301 @@
+//! The heartbeat of a node, and the duties that come with time.
+
+use crate::follower;
+use crate::metrics::Counter;
+use crate::node::{Phase, Shared};
+use crosslane_coordination::detector::Belief;
+use crosslane_coordination::node::Node;
+use crosslane_coordination::record::{Leave, Record};
+use crosslane_protocol::peer::{Beat, PeerClient};
+use crosslane_protocol::platform::{CLAIMS, State, Vm};
+use crosslane_state::incarnation::Incarnation;
+use crosslane_state::member::Member;
+use log::{info, warn};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time for a node to say whether it hears another.
+const HEARS: Duration = Duration::from_millis(500);
+
+/// Nodes asked about a suspect.
+const WITNESSES: usize = 3;
+
+/// Heartbeats between two looks at slower duties.
+const SLOW_BEATS: u64 = 4;
+
+/// Age below which a member is not taken as leaving from the lagging list, in milliseconds.
+const LIST_LAG_MILLIS: u64 = 10_000;
+
+/// Records after which the fold is appended as a checkpoint.
+const CHECKPOINT_RECORDS: u64 = 500;
+
+/// Beats until the process ends.
+pub async fn run(shared: Arc<Shared>) {
+    let period = Duration::from_millis(shared.settings.timing.beat_millis);
+    let mut ticks = tokio::time::interval(period);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    for count in 0u64.. {
+        ticks.tick().await;
+        if shared.paused() {
+            wake(&shared).await;
+        }
+        shared.tick();
+        shared.keeper.tick();
+        let neighbours = shared.keeper.visit(|node, _| neighbours(node)).await;
+        for neighbour in neighbours {
+            tokio::spawn(exchange(shared.clone(), neighbour));
+        }
+        tokio::spawn(suspects(shared.clone()));
+        if count % SLOW_BEATS == 0 && !shared.busy_with_duties() {
+            tokio::spawn(duties(shared.clone()));
+        }
+    }
+}
+
+/// After a pause: nothing is believed until log or peers have been heard again.
+async fn wake(shared: &Arc<Shared>) {
+    shared.metrics.count(Counter::Paused);
+    warn!(event = "paused"; "this process stood still and catches up first");
+    shared
+        .keeper
+        .visit(|node, now| node.detector.restart(now))
+        .await;
+    if !follower::catch_up(shared).await {
+        snapshot(shared).await;
+    }
+}
+
+/// Takes the furthest folded log of the nodes that answer.
+pub async fn snapshot(shared: &Arc<Shared>) -> bool {
+    let limit = Duration::from_millis(shared.settings.timing.platform_millis);
+    let members = shared.keeper.visit(|node, _| neighbours(node)).await;
+    let known = members.iter().map(|it| it.control);
+    let mut found = false;
+    for address in known.chain(shared.settings.seeds.iter().copied()) {
+        if address == shared.member.control {
+            continue;
+        }
+        let call = |client: PeerClient, context| async move { client.snapshot(context).await };
+        let Ok(state) = shared.peers.call(address, limit, call).await else {
+            continue;
+        };
+        found = true;
+        let take = move |node: &mut Node, now| {
+            if state.next > node.state.next {
+                node.state = state;
+                node.refresh(now);
+            }
+        };
+        shared.keeper.visit(take).await;
+        follower::folded(shared).await;
+    }
+    found
+}
+
+fn neighbours(node: &mut Node) -> Vec<Member> {
+    node.neighbours().into_iter().cloned().collect()
+}
+
+/// What this node tells its neighbours.
+pub async fn beat(shared: &Arc<Shared>) -> Beat {
+    let (from, version) = (shared.me, shared.policy().version);
+    shared
+        .keeper
+        .visit(move |node, now| {
+            let loads = node.reports();
+            for (id, report) in &loads {
+                node.board.report(*id, *report, now);
+            }
+            Beat {
+                from,
+                version,
+                loads,
+                leaves: node.told().cloned().collect(),
+            }
+        })
+        .await
+}
+
+/// Takes in what a node told.
+pub async fn heard(shared: &Arc<Shared>, beat: Beat) {
+    let news = move |node: &mut Node, now| {
+        node.detector.heard(beat.from, now);
+        node.saw_version(beat.from, beat.version);
+        for (id, report) in beat.loads {
+            node.board.report(id, report, now);
+        }
+        beat.leaves
+            .into_iter()
+            .filter(|it| node.tell(it.clone()))
+            .count()
+    };
+    let new = shared.keeper.visit(news).await;
+    if new > 0 {
+        info!(event = "leave_heard", count = new; "");
+    }
+}
+
+/// Whether this node hears another.
+pub async fn hears(shared: &Arc<Shared>, other: Incarnation) -> bool {
+    let member = shared
+        .keeper
+        .visit(move |node, _| node.state.roster.get(other).cloned())
+        .await;
+    let Some(member) = member else {
+        return false;
+    };
+    let beat = beat(shared).await;
+    let call = |client: PeerClient, context| async move { client.beat(context, beat).await };
+    shared
+        .peers
+        .call(member.control, HEARS / 2, call)
+        .await
+        .is_ok()
+}
+
+async fn exchange(shared: Arc<Shared>, neighbour: Member) {
+    let beat = beat(&shared).await;
+    let limit = Duration::from_millis(shared.settings.timing.suspect_millis / 2);
+    let call = |client: PeerClient, context| async move { client.beat(context, beat).await };
+    match shared.peers.call(neighbour.control, limit, call).await {
+        Ok(answer) => heard(&shared, answer).await,
+        Err(_) => shared.metrics.count(Counter::BeatFailed),
+    }
+}
+
+/// Asks others about silent nodes.
+async fn suspects(shared: Arc<Shared>) {
+    let me = shared.me;
+    let suspects = shared
+        .keeper
+        .visit(|node, now| node.detector.suspects(now))
+        .await;
+    for suspect in suspects {
+        let witnesses = move |node: &mut Node, now| {
+            let mut witnesses = neighbours(node);
+            witnesses.retain(|it| {
+                it.incarnation != suspect && node.belief(it.incarnation, now) == Belief::Alive
+            });
+            witnesses.truncate(WITNESSES);
+            witnesses
+        };
+        let witnesses = shared.keeper.visit(witnesses).await;
+        let asked = witnesses.iter().map(|witness| {
+            let call = move |client: PeerClient, context| async move {
+                client.hears(context, suspect).await
+            };
+            shared.peers.call(witness.control, HEARS, call)
+        });
+        if futures::future::join_all(asked).await.contains(&Ok(true)) {
+            shared
+                .keeper
+                .visit(move |node, now| node.detector.heard(suspect, now))
+                .await;
+            continue;
+        }
+        shared.metrics.count(Counter::NodesDead);
+        warn!(event = "node_dead", node:% = suspect, by:% = me; "");
+        shared
+            .keeper
+            .visit(move |node, now| node.detector.confirm(suspect, now))
+            .await;
+    }
+}
+
+/// Duties that may wait: the VM list, departures, confirmations, checkpoints.
+async fn duties(shared: Arc<Shared>) {
+    if let Ok(list) = shared.platform.vms().await {
+        listed(&shared, list.vms).await;
+    }
+    if shared.log_answers() && *shared.phase.borrow() != Phase::Fenced {
+        confirm(&shared).await;
+        checkpoint(&shared).await;
+        settle(&shared).await;
+    }
+    shared.done_with_duties();
+}
+
+async fn listed(shared: &Arc<Shared>, vms: Vec<Vm>) {
+    let judge = move |node: &mut Node, now| {
+        let mut gone = Vec::new();
+        for vm in vms {
+            let member = node.state.roster.iter().find(|it| it.vm == vm.name);
+            let incarnation = member.map(|it| it.incarnation);
+            match (vm.state, incarnation) {
+                (State::Live, _) => {}
+                (State::Leaving, Some(it)) if node.member_age(it, now) < LIST_LAG_MILLIS => {}
+                (State::Gone, Some(it)) if node.departure_due(it, now) => gone.push(it),
+                (State::Gone, Some(_)) => {}
+                (State::Leaving | State::Gone, _) => {
+                    let start = incarnation.map(|it| it.to_string()).unwrap_or_default();
+                    let id = format!("list/{}/{start}", vm.name);
+                    node.tell(Leave { id, vm: vm.name });
+                }
+            }
+        }
+        gone
+    };
+    for incarnation in shared.keeper.visit(judge).await {
+        info!(event = "member_gone", node:% = incarnation; "");
+        follower::append(shared, &Record::Depart { incarnation }).await;
+    }
+}
+
+async fn confirm(shared: &Arc<Shared>) {
+    let in_force = shared.policy().version;
+    if let Some(version) = shared.keeper.visit(|node, _| node.confirmation()).await
+        && version == in_force
+    {
+        let domain = shared.settings.domain.clone();
+        follower::append(shared, &Record::Confirm { version, domain }).await;
+    }
+}
+
+async fn checkpoint(shared: &Arc<Shared>) {
+    let due = |node: &mut Node, _| {
+        let first = node.state.roster.iter().next().map(|it| it.incarnation);
+        let due = node.state.next - node.state.checkpoint >= CHECKPOINT_RECORDS;
+        (due && first == Some(node.options().me)).then(|| Box::new(node.state.clone()))
+    };
+    if let Some(state) = shared.keeper.visit(due).await {
+        follower::append(shared, &Record::Checkpoint { state }).await;
+    }
+}
+
+/// Collects the claims that departed nodes left with others.
+async fn settle(shared: &Arc<Shared>) {
+    for departed in shared.keeper.visit(|node, _| node.unsettled()).await {
+        let holders = move |node: &mut Node, _| {
+            let holders = node
+                .state
+                .roster
+                .neighbours(departed, node.options().neighbours);
+            holders.into_iter().cloned().collect::<Vec<_>>()
+        };
+        let mut complete = follower::catch_up_claims(shared).await;
+        for holder in shared.keeper.visit(holders).await {
+            if holder.incarnation == shared.me {
+                continue;
+            }
+            let call = move |client: PeerClient, context| async move {
+                client.copied_claims(context, departed).await
+            };
+            match shared.peers.call(holder.control, HEARS, call).await {
+                Ok(keys) => {
+                    let note = move |node: &mut Node, now| {
+                        keys.iter().for_each(|key| node.claim(*key, departed, now));
+                    };
+                    shared.keeper.visit(note).await;
+                }
+                Err(_) => complete = false,
+            }
+        }
+        if complete {
+            shared
+                .keeper
+                .visit(move |node, _| node.settle(departed))
+                .await;
+            info!(event = "settled", node:% = departed, stream = CLAIMS; "");
+        }
+    }
+}
--- /dev/null
+++ b/crates/transport/src/rpc.rs
@@ -0,0 +1,105 @@
+//! The control port: answers other nodes' calls.
+
+use crate::metered::Metered;
+use crate::node::Shared;
+use crate::peers::FRAME_BYTES;
+use crosslane_coordination::fold;
+use crosslane_coordination::slots::{Ask, Grant};
+use crosslane_protocol::peer::{Beat, Ending, Peer};
+use crosslane_state::attempt;
+use crosslane_state::incarnation::Incarnation;
+use crosslane_state::request::Key;
+use crosslane_state::runner;
+use futures::StreamExt;
+use std::sync::Arc;
+use tarpc::context::Context;
+use tarpc::serde_transport::Transport;
+use tarpc::server::{BaseChannel, Channel};
+use tarpc::tokio_serde::formats::Bincode;
+use tarpc::tokio_util::codec::LengthDelimitedCodec;
+use tokio::net::TcpListener;
+
+/// Answers calls with a node's decisions.
+#[derive(Clone)]
+struct Server {
+    shared: Arc<Shared>,
+}
+
+/// Serves the control port until the process ends.
+pub async fn serve(listener: TcpListener, shared: Arc<Shared>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let framed = LengthDelimitedCodec::builder()
+            .max_frame_length(FRAME_BYTES)
+            .new_framed(Metered::new(stream, shared.peers.meter()));
+        let transport: Transport<_, _, _, Bincode<_, _>> =
+            tarpc::serde_transport::new(framed, Bincode::default());
+        let server = Server {
+            shared: shared.clone(),
+        };
+        let requests = BaseChannel::with_defaults(transport).execute(server.serve());
+        tokio::spawn(requests.for_each(|answer| async {
+            tokio::spawn(answer);
+        }));
+    }
+}
+
+impl Peer for Server {
+    async fn beat(self, _: Context, beat: Beat) -> Beat {
+        crate::pulse::heard(&self.shared, beat).await;
+        crate::pulse::beat(&self.shared).await
+    }
+
+    async fn reserve(self, _: Context, runner: runner::Id, ask: Ask) -> Grant {
+        self.shared.keeper.ask(runner, ask).await
+    }
+
+    async fn release(self, _: Context, runner: runner::Id, attempt: attempt::Id) {
+        self.shared.keeper.release(runner, attempt);
+    }
+
+    async fn wanted(self, _: Context, attempts: Vec<attempt::Id>) -> Vec<bool> {
+        self.shared.flights.wanted(&attempts)
+    }
+
+    async fn inquire(self, _: Context, key: Key, by: Incarnation) -> bool {
+        self.shared
+            .keeper
+            .visit(move |node, now| node.ledger.release(&key, by, now))
+            .await
+    }
+
+    async fn hears(self, _: Context, node: Incarnation) -> bool {
+        crate::pulse::hears(&self.shared, node).await
+    }
+
+    async fn copy_claims(self, _: Context, by: Incarnation, keys: Vec<u64>) -> bool {
+        self.shared.claims.take_copies(&self.shared, by, keys).await
+    }
+
+    async fn copied_claims(self, _: Context, by: Incarnation) -> Vec<u64> {
+        self.shared.claims.copies_of(by)
+    }
+
+    async fn handover(self, _: Context, endings: Vec<Ending>) {
+        let adopt = move |node: &mut crosslane_coordination::node::Node, now| {
+            for ending in endings {
+                let answer = ending.answer.map(Arc::new);
+                node.ledger
+                    .adopt(&ending.key, ending.fingerprint, answer, now);
+            }
+        };
+        self.shared.keeper.visit(adopt).await;
+    }
+
+    async fn snapshot(self, _: Context) -> fold::State {
+        self.shared.keeper.visit(|node, _| node.state.clone()).await
+    }
+
+    async fn busy(self, _: Context, vm: String) -> u32 {
+        self.shared.flights.touching(&vm)
+    }
+}
--- /dev/null
+++ b/crates/transport/src/serve.rs
@@ -0,0 +1,82 @@
+//! HTTP servers by hyper, with limits on heads, connections and waiting.
+
+use crate::http::Reply;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::{Semaphore, watch};
+
+/// Limits of a server.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Bytes of a request's head.
+    pub header_bytes: usize,
+    /// Connections at once; more wait in the system's queue.
+    pub connections: usize,
+    /// Time for a head to arrive, also on an idle connection.
+    pub header: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            header_bytes: 16_384,
+            connections: 10_000,
+            header: Duration::from_secs(60),
+        }
+    }
+}
+
+/// Serves until `stop` turns true, then lets open connections finish their requests.
+pub async fn serve<H, F>(
+    listener: TcpListener,
+    limits: Limits,
+    mut stop: watch::Receiver<bool>,
+    handler: H,
+) where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<Reply>> + Send + 'static,
+{
+    let permits = Arc::new(Semaphore::new(limits.connections));
+    loop {
+        let Ok(permit) = permits.clone().acquire_owned().await else {
+            return;
+        };
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stop.wait_for(|it| *it) => return,
+        };
+        let Ok((stream, _)) = accepted else {
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let handler = handler.clone();
+        let mut stop = stop.clone();
+        tokio::spawn(async move {
+            let service = service_fn(move |request| {
+                let answer = handler(request);
+                async move { Ok::<_, Infallible>(answer.await) }
+            });
+            let connection = hyper::server::conn::http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(limits.header)
+                .max_buf_size(limits.header_bytes)
+                .serve_connection(TokioIo::new(stream), service);
+            let mut connection = std::pin::pin!(connection);
+            let finished = tokio::select! {
+                _ = connection.as_mut() => true,
+                _ = stop.wait_for(|it| *it) => false,
+            };
+            if !finished {
+                connection.as_mut().graceful_shutdown();
+                let _ = connection.await;
+            }
+            drop(permit);
+        });
+    }
+}
