--- a/crates/coordination/src/detector.rs
+++ b/crates/coordination/src/detector.rs
@@ -31,29 +31,17 @@
 impl Detector {
     /// A detector that suspects after a silence in milliseconds.
     pub fn new(suspect_millis: u64) -> Self {
-        Self {
-            suspect_millis,
-            sights: HashMap::new(),
-        }
+        Self { suspect_millis, sights: HashMap::new() }
     }
 
     /// Starts watching a node as if it had just been heard.
     pub fn watch(&mut self, node: Incarnation, now: Millis) {
-        self.sights.entry(node).or_insert(Sight {
-            heard: now,
-            confirmed: None,
-        });
+        self.sights.entry(node).or_insert(Sight { heard: now, confirmed: None });
     }
 
     /// Counts a sign of life.
     pub fn heard(&mut self, node: Incarnation, now: Millis) {
-        self.sights.insert(
-            node,
-            Sight {
-                heard: now,
-                confirmed: None,
-            },
-        );
+        self.sights.insert(node, Sight { heard: now, confirmed: None });
     }
 
     /// Takes the word of others that a suspect is silent for them too.
@@ -73,9 +61,7 @@
         match self.sights.get(&node) {
             None => Belief::Dead,
             Some(sight) if now.since(sight.heard) < self.suspect_millis => Belief::Alive,
-            Some(Sight {
-                confirmed: Some(_), ..
-            }) => Belief::Dead,
+            Some(Sight { confirmed: Some(_), .. }) => Belief::Dead,
             Some(_) => Belief::Suspect,
         }
     }
@@ -95,10 +81,7 @@
     /// Gives every node a fresh start, after this process itself was paused.
     pub fn restart(&mut self, now: Millis) {
         for sight in self.sights.values_mut() {
-            *sight = Sight {
-                heard: now,
-                confirmed: None,
-            };
+            *sight = Sight { heard: now, confirmed: None };
         }
     }
 }
--- a/crates/coordination/src/fold.rs
+++ b/crates/coordination/src/fold.rs
@@ -4,6 +4,7 @@
 //! and so comes to the same state; a doubled record changes nothing.
 
 use crate::record::{Leave, Record};
+use crosslane_state::incarnation::Incarnation;
 use crosslane_state::member::Roster;
 use crosslane_state::policy::{Publication, Version};
 use derive_more::{Display, Error};
@@ -55,6 +56,8 @@
     pub leaving: BTreeMap<String, Leave>,
     /// Announcements that no longer hold.
     pub ended: BTreeSet<String>,
+    /// Departed nodes that handed everything over.
+    pub released: BTreeSet<Incarnation>,
     /// Publications that counted, oldest first.
     pub history: VecDeque<Publication>,
     /// What became of each publication, oldest first.
@@ -81,9 +84,7 @@
 
     /// Version in force, or about to be everywhere.
     pub fn version(&self) -> Version {
-        self.history
-            .back()
-            .map_or_else(Version::default, |it| it.version)
+        self.history.back().map_or_else(Version::default, |it| it.version)
     }
 
     /// Program in force, if any was published.
@@ -93,11 +94,19 @@
 
     /// What became of a publication.
     pub fn verdict(&self, id: &str) -> Option<&Verdict> {
-        self.verdicts
-            .iter()
-            .rev()
-            .find(|(it, _)| it == id)
-            .map(|(_, verdict)| verdict)
+        self.verdicts.iter().rev().find(|(it, _)| it == id).map(|(_, verdict)| verdict)
+    }
+
+    /// An announcement with the node that it holds for, if its VM has one.
+    pub fn stamped(&self, leave: Leave) -> Leave {
+        let member = self.roster.iter().find(|it| it.vm == leave.vm);
+        let node = leave.node.or(member.map(|it| it.incarnation));
+        Leave { node, ..leave }
+    }
+
+    /// Whether an announcement still holds: not once its node was replaced.
+    pub fn stands(&self, leave: &Leave) -> bool {
+        leave.node.is_none_or(|it| self.roster.get(it).is_some())
     }
 
     /// Failure domains that have not confirmed the newest version.
@@ -105,10 +114,7 @@
         let Some(newest) = self.history.back().filter(|it| !it.accepted) else {
             return BTreeSet::new();
         };
-        self.domains()
-            .difference(&newest.confirmed)
-            .cloned()
-            .collect()
+        self.domains().difference(&newest.confirmed).cloned().collect()
     }
 
     /// Failure domains that have members.
@@ -123,10 +129,7 @@
                 *self = *state;
                 Ok(())
             }
-            _ => Err(Error::Gap {
-                expected: self.next,
-                found: offset,
-            }),
+            _ => Err(Error::Gap { expected: self.next, found: offset }),
         }
     }
 
@@ -139,11 +142,17 @@
                 self.roster.join(member);
                 self.accept();
             }
-            Record::Depart { incarnation } => {
-                self.roster.depart(incarnation);
+            Record::Depart { incarnation, released } => {
+                if self.roster.depart(incarnation).is_some() && released {
+                    self.released.insert(incarnation);
+                    while self.released.len() > HISTORY {
+                        self.released.pop_first();
+                    }
+                }
                 self.accept();
             }
             Record::Leave { leave } => {
+                let leave = self.stamped(leave);
                 if !self.ended.contains(&leave.id) {
                     self.leaving.insert(leave.vm.clone(), leave);
                 }
@@ -153,12 +162,7 @@
                     self.ended.insert(leave.id);
                 }
             }
-            Record::Publish {
-                id,
-                base,
-                program,
-                author,
-            } => {
+            Record::Publish { id, base, program, author } => {
                 self.publish(id, base, program, author);
             }
             Record::Withdraw { publication } => self.withdraw(&publication),
@@ -194,12 +198,7 @@
         };
         let version = Version(newest.version.0 + 1);
         let author = newest.author.clone();
-        let before = self
-            .history
-            .iter()
-            .rev()
-            .nth(1)
-            .map(|it| it.program.clone());
+        let before = self.history.iter().rev().nth(1).map(|it| it.program.clone());
         if let Some(entry) = self.verdicts.iter_mut().find(|(it, _)| it == id) {
             entry.1 = Verdict::Withdrawn;
         }
--- a/crates/coordination/src/ledger.rs
+++ b/crates/coordination/src/ledger.rs
@@ -102,30 +102,19 @@
         if !repeatable && self.buried.len() >= self.limits.tombstones {
             return Begin::Full;
         }
-        let entry = Entry {
-            fingerprint,
-            repeatable,
-            phase: Phase::Running,
-            at: now,
-        };
+        let entry = Entry { fingerprint, repeatable, phase: Phase::Running, at: now };
         self.entries.insert(key.clone(), entry);
         Begin::Run
     }
 
     /// Whether a key runs, has an answer or may have run here.
     pub fn knows(&self, key: &Key) -> bool {
-        self.entries
-            .get(key)
-            .is_some_and(|it| !matches!(it.phase, Phase::Released(_)))
+        self.entries.get(key).is_some_and(|it| !matches!(it.phase, Phase::Released(_)))
     }
 
     /// Records how a run ended.
     pub fn finish(&mut self, key: &Key, end: End, now: Millis) {
-        let Some(entry) = self
-            .entries
-            .get_mut(key)
-            .filter(|it| it.phase == Phase::Running)
-        else {
+        let Some(entry) = self.entries.get_mut(key).filter(|it| it.phase == Phase::Running) else {
             return;
         };
         entry.at = now;
@@ -148,12 +137,7 @@
         match self.entries.get_mut(key) {
             None => {
                 let phase = Phase::Released(to);
-                let entry = Entry {
-                    fingerprint: 0,
-                    repeatable: true,
-                    phase,
-                    at: now,
-                };
+                let entry = Entry { fingerprint: 0, repeatable: true, phase, at: now };
                 self.entries.insert(key.clone(), entry);
                 self.buried.push_back((now, key.clone()));
                 true
@@ -166,21 +150,20 @@
         }
     }
 
+    /// Takes a key back that was given up to a node which has given it up in turn, or is gone.
+    pub fn reclaim(&mut self, key: &Key, given_up: impl Fn(Incarnation) -> bool) {
+        let back = |it: &Entry| matches!(it.phase, Phase::Released(to) if given_up(to));
+        if self.entries.get(key).is_some_and(back) {
+            self.entries.remove(key);
+        }
+    }
+
     /// Takes in an answer handed over by a node that stops.
     pub fn adopt(&mut self, key: &Key, fingerprint: u64, answer: Option<Arc<Answer>>, now: Millis) {
-        if self
-            .entries
-            .get(key)
-            .is_some_and(|it| !matches!(it.phase, Phase::Released(_)))
-        {
+        if self.entries.get(key).is_some_and(|it| !matches!(it.phase, Phase::Released(_))) {
             return;
         }
-        let entry = Entry {
-            fingerprint,
-            repeatable: false,
-            phase: Phase::Running,
-            at: now,
-        };
+        let entry = Entry { fingerprint, repeatable: false, phase: Phase::Running, at: now };
         self.entries.insert(key.clone(), entry);
         self.finish(key, answer.map_or(End::Unknown, End::Done), now);
     }
--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -53,6 +53,15 @@
     pub seed: u64,
 }
 
+/// Why a key that the ledger does not know may have been run all the same.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Doubt {
+    /// Another node claimed it.
+    Claimed,
+    /// A node that owned it has departed, and its claims are not all known here yet.
+    Unsettled,
+}
+
 /// A member that the log says is no more.
 #[derive(Clone, Copy, Debug)]
 struct Departed {
@@ -132,11 +141,8 @@
             self.joined.remove(&incarnation);
             self.versions.remove(&incarnation);
             self.detector.forget(incarnation);
-            self.departed.push(Departed {
-                incarnation,
-                at: now,
-                settled: false,
-            });
+            let settled = self.state.released.contains(&incarnation);
+            self.departed.push(Departed { incarnation, at: now, settled });
         }
         let window = self.options.ledger.window_millis;
         self.departed.retain(|it| now.since(it.at) < window);
@@ -144,14 +150,15 @@
             self.joined.entry(member).or_insert(now);
             self.detector.watch(member, now);
         }
-        let ended = &self.state.ended;
-        self.told.retain(|_, leave| !ended.contains(&leave.id));
+        let state = &self.state;
+        self.told.retain(|_, it| !state.ended.contains(&it.id) && state.stands(it));
         let mine: BTreeSet<_> = self.owned().map(|it| it.id).collect();
         self.allocators.retain(|id, _| mine.contains(id));
     }
 
     /// Takes an announcement that came past the log; true when it was new.
     pub fn tell(&mut self, leave: Leave) -> bool {
+        let leave = self.state.stamped(leave);
         if self.state.ended.contains(&leave.id) || self.is_leaving(&leave.vm) {
             return false;
         }
@@ -159,6 +166,12 @@
         true
     }
 
+    /// Whether a VM has a runner or a member of its own.
+    pub fn has_vm(&self, vm: &str) -> bool {
+        self.options.table.iter().any(|it| it.vm == vm)
+            || self.state.roster.iter().any(|it| it.vm == vm)
+    }
+
     /// Announcements to pass on.
     pub fn told(&self) -> impl Iterator<Item = &Leave> {
         self.told.values().chain(self.state.leaving.values())
@@ -172,22 +185,18 @@
 
     /// Whether a VM is announced as leaving.
     pub fn is_leaving(&self, vm: &str) -> bool {
-        self.told.contains_key(vm) || self.state.leaving.contains_key(vm)
+        let announced = self.told.get(vm).or_else(|| self.state.leaving.get(vm));
+        announced.is_some_and(|it| self.state.stands(it))
     }
 
     /// Whether a member's VM is announced as leaving.
     pub fn member_leaving(&self, incarnation: Incarnation) -> bool {
-        self.state
-            .roster
-            .get(incarnation)
-            .is_some_and(|it| self.is_leaving(&it.vm))
+        self.state.roster.get(incarnation).is_some_and(|it| self.is_leaving(&it.vm))
     }
 
     /// How long ago a member was first seen, in milliseconds.
     pub fn member_age(&self, member: Incarnation, now: Millis) -> u64 {
-        self.joined
-            .get(&member)
-            .map_or(0, |joined| now.since(*joined))
+        self.joined.get(&member).map_or(0, |joined| now.since(*joined))
     }
 
     /// Whether this node is to record the departure of a member whose VM is gone.
@@ -199,16 +208,12 @@
 
     /// Nodes that heartbeats go to.
     pub fn neighbours(&self) -> Vec<&Member> {
-        self.state
-            .roster
-            .neighbours(self.options.me, self.options.neighbours)
+        self.state.roster.neighbours(self.options.me, self.options.neighbours)
     }
 
     /// The node that grants a runner's slots.
     pub fn owner(&self, runner: Id) -> Option<Incarnation> {
-        self.state
-            .roster
-            .owner(runner.0, |it| !self.member_leaving(it))
+        self.state.roster.owner(runner.0, |it| !self.member_leaving(it))
     }
 
     /// Engines whose slots this node grants.
@@ -229,18 +234,13 @@
         avoid: &[Id],
         now: Millis,
     ) -> Option<Id> {
-        let (told, leaving) = (&self.told, &self.state.leaving);
+        let (told, state) = (&self.told, &self.state);
         let table = &self.options.table;
         let board = &self.board;
-        let query = Query {
-            pool: table.pool(role, serves),
-            table,
-            board,
-            now,
-        };
+        let query = Query { pool: table.pool(role, serves), table, board, now };
         let allowed = |runner: &Runner| {
             !told.contains_key(&runner.vm)
-                && !leaving.contains_key(&runner.vm)
+                && !state.leaving.contains_key(&runner.vm)
                 && !avoid.contains(&runner.id)
                 && (domains.is_empty() || domains.contains(&runner.domain))
         };
@@ -250,7 +250,8 @@
         let chosen = self
             .chooser
             .choose(query, |runner| allowed(runner) && known(runner))
-            .or_else(|| self.chooser.choose(query, allowed))?;
+            .or_else(|| self.chooser.choose(query, allowed))
+            .or_else(|| self.chooser.choose(Query { now: Millis(u64::MAX), ..query }, allowed))?;
         self.board.sent(chosen);
         Some(chosen)
     }
@@ -270,52 +271,54 @@
 
     /// Frees a slot and returns the attempts granted in turn.
     pub fn release(&mut self, runner: Id, attempt: attempt::Id, now: Millis) -> Vec<attempt::Id> {
-        self.allocators
-            .get_mut(&runner)
-            .map_or_else(Vec::new, |it| it.release(attempt, now))
+        self.allocators.get_mut(&runner).map_or_else(Vec::new, |it| it.release(attempt, now))
     }
 
     /// Gives up on waiters whose time is over: each with when to come back.
     pub fn expire(&mut self, now: Millis) -> Vec<(attempt::Id, u64)> {
         let mut over = Vec::new();
+        let leaving = |id: &Id| {
+            self.options.table.find(*id).is_some_and(|runner| self.is_leaving(&runner.vm))
+        };
+        let closed: Vec<_> = self.allocators.keys().copied().filter(leaving).collect();
+        for id in closed {
+            self.allocators.entry(id).and_modify(|it| it.answers(false));
+        }
         for allocator in self.allocators.values_mut() {
-            let retry_after = allocator.retry_after();
-            over.extend(
-                allocator
-                    .expire(now)
-                    .into_iter()
-                    .map(|it| (it, retry_after)),
-            );
+            let retry_after = allocator.retry_after(now);
+            over.extend(allocator.expire(now).into_iter().map(|it| (it, retry_after)));
         }
         over
     }
 
     /// Grants what time alone has made grantable.
     pub fn serve(&mut self, now: Millis) -> Vec<attempt::Id> {
-        self.allocators
-            .values_mut()
-            .flat_map(|it| it.serve(now))
-            .collect()
+        self.allocators.values_mut().flat_map(|it| it.serve(now)).collect()
     }
 
     /// Load of the owned runners.
-    pub fn reports(&self) -> Vec<(Id, Report)> {
-        self.allocators
-            .iter()
-            .map(|(id, it)| (*id, it.report()))
-            .collect()
+    pub fn reports(&self, now: Millis) -> Vec<(Id, Report)> {
+        self.allocators.iter().map(|(id, it)| (*id, it.report(now))).collect()
     }
 
     /// What to do about the list of an engine that this node owns.
     pub fn reconcile(&mut self, runner: Id, held: &[attempt::Id], now: Millis) -> Option<Plan> {
+        let vm = self.options.table.find(runner)?.vm.clone();
+        let leaving = self.is_leaving(&vm);
         let allocator = self.allocator(runner)?;
-        for attempt in held {
-            allocator.adopt(*attempt, 0, now);
-        }
+        allocator.answers(!leaving);
+        allocator.adopt(held, now);
         let all = allocator.verify(now);
         Some(reconcile::plan(&all, |origin| self.belief(origin, now)))
     }
 
+    /// Notes that an owned engine does not answer.
+    pub fn silent(&mut self, runner: Id) {
+        if let Some(allocator) = self.allocator(runner) {
+            allocator.answers(false);
+        }
+    }
+
     /// What is believed of a node.
     pub fn belief(&self, node: Incarnation, now: Millis) -> Belief {
         if node == self.options.me {
@@ -327,21 +330,16 @@
         self.detector.belief(node, now)
     }
 
-    /// Where a keyed request is to be handled.
-    pub fn route(&self, key: &Key, now: Millis) -> Route {
+    /// Where a keyed request is to be handled; nodes in `passed` have given the key up.
+    pub fn route(&self, key: &Key, passed: &[Incarnation], now: Millis) -> Route {
         let me = self.options.me;
         if let Some(owner) = key.minted_by() {
-            return if owner == me {
-                Route::Here { ask: Vec::new() }
-            } else {
-                Route::There(owner)
-            };
+            return if owner == me { Route::Here { ask: Vec::new() } } else { Route::There(owner) };
         }
         let ranked = self.state.roster.ranked(key.hash());
-        match ranked.iter().find(|it| !self.member_leaving(**it)) {
-            Some(owner) if *owner == me => Route::Here {
-                ask: self.predecessors(&ranked, now),
-            },
+        let eligible = |it: &&Incarnation| !self.member_leaving(**it) && !passed.contains(it);
+        match ranked.iter().find(eligible) {
+            Some(owner) if *owner == me => Route::Here { ask: self.predecessors(&ranked, now) },
             Some(owner) => Route::There(*owner),
             None => Route::Here { ask: Vec::new() },
         }
@@ -351,15 +349,9 @@
     fn predecessors(&self, ranked: &[Incarnation], now: Millis) -> Vec<Incarnation> {
         let me = self.options.me;
         let window = self.options.ledger.window_millis;
-        let recent = |it: &Incarnation| {
-            self.joined
-                .get(it)
-                .is_none_or(|joined| now.since(*joined) < window)
-        };
-        let place = ranked
-            .iter()
-            .position(|it| *it == me)
-            .unwrap_or(ranked.len());
+        let recent =
+            |it: &Incarnation| self.joined.get(it).is_none_or(|joined| now.since(*joined) < window);
+        let place = ranked.iter().position(|it| *it == me).unwrap_or(ranked.len());
         let mut ask = ranked[..place].to_vec();
         if recent(&me) {
             for member in ranked.iter().skip(place + 1) {
@@ -390,41 +382,33 @@
 
     /// Departed nodes whose copied claims have not been collected.
     pub fn unsettled(&self) -> Vec<Incarnation> {
-        self.departed
-            .iter()
-            .filter(|it| !it.settled)
-            .map(|it| it.incarnation)
-            .collect()
+        self.departed.iter().filter(|it| !it.settled).map(|it| it.incarnation).collect()
     }
 
     /// Notes that a departed node's claims are all known here.
     pub fn settle(&mut self, incarnation: Incarnation) {
-        for departed in self
-            .departed
-            .iter_mut()
-            .filter(|it| it.incarnation == incarnation)
-        {
+        for departed in self.departed.iter_mut().filter(|it| it.incarnation == incarnation) {
             departed.settled = true;
         }
     }
 
-    /// Whether a key may have been run by another node: one claimed it, or one that owned
-    /// it has departed and its claims are not all known here.
-    pub fn in_doubt(&self, key: &Key) -> bool {
+    /// What else than the ledger says that a key may have been run by another node.
+    pub fn doubt(&self, key: &Key) -> Option<Doubt> {
         let key = key.hash();
+        if self.claimed_by_other(key, self.options.me) {
+            return Some(Doubt::Claimed);
+        }
         let mine = hash::weight(key, self.options.me.0);
-        let owned = |it: &Departed| hash::weight(key, it.incarnation.0) > mine;
-        self.claimed_by_other(key, self.options.me)
-            || self.departed.iter().any(|it| !it.settled && owned(it))
+        let owned = |it: &&Departed| hash::weight(key, it.incarnation.0) > mine;
+        let unsettled = self.departed.iter().filter(|it| !it.settled);
+        unsettled.into_iter().find(owned).map(|_| Doubt::Unsettled)
     }
 
     /// The member that owns a key next, should this node depart.
     pub fn successor(&self, key: &Key) -> Option<&Member> {
         let me = self.options.me;
-        let next = self
-            .state
-            .roster
-            .owner(key.hash(), |it| it != me && !self.member_leaving(it))?;
+        let next =
+            self.state.roster.owner(key.hash(), |it| it != me && !self.member_leaving(it))?;
         self.state.roster.get(next)
     }
 
@@ -451,10 +435,7 @@
         let mut members = self.state.roster.iter().filter(|it| it.domain == *domain);
         let all = members.clone().all(|it| {
             it.incarnation == self.options.me
-                || self
-                    .versions
-                    .get(&it.incarnation)
-                    .is_some_and(|v| *v >= newest.version)
+                || self.versions.get(&it.incarnation).is_some_and(|v| *v >= newest.version)
         });
         let first = members.next()?.incarnation == self.options.me;
         (first && all).then_some(newest.version)
@@ -468,16 +449,8 @@
         let limits = slots::Limits {
             slots: described.slots,
             kv_tokens: described.kv_tokens,
-            hold_millis: HOLD_MILLIS,
             ahead: self.options.ahead,
         };
-        Some(
-            self.allocators
-                .entry(runner)
-                .or_insert_with(|| Allocator::new(limits)),
-        )
+        Some(self.allocators.entry(runner).or_insert_with(|| Allocator::new(limits)))
     }
 }
-
-/// Holding time of a slot assumed before any is measured, in milliseconds.
-const HOLD_MILLIS: u64 = 1_000;
--- a/crates/coordination/src/placement.rs
+++ b/crates/coordination/src/placement.rs
@@ -50,11 +50,7 @@
 impl Chooser {
     /// A chooser whose choices repeat for the same seed.
     pub fn new(mode: Mode, seed: u64) -> Self {
-        Self {
-            mode,
-            random: SmallRng::seed_from_u64(seed),
-            turn: 0,
-        }
+        Self { mode, random: SmallRng::seed_from_u64(seed), turn: 0 }
     }
 
     /// A runner of the pool that passes a check, if there is one.
@@ -108,11 +104,7 @@
     usable: &impl Fn(&Runner) -> bool,
 ) -> Option<&'a Runner> {
     (0..query.pool.len())
-        .filter_map(|step| {
-            query
-                .table
-                .get(query.pool[(start + step) % query.pool.len()])
-        })
+        .filter_map(|step| query.table.get(query.pool[(start + step) % query.pool.len()]))
         .find(|runner| usable(runner))
 }
 
@@ -122,11 +114,7 @@
         let slots = runner.slots.max(1);
         (entry.report.wait_millis, entry.depth() * COST_SCALE / slots)
     };
-    if cost(second) < cost(first) {
-        second.id
-    } else {
-        first.id
-    }
+    if cost(second) < cost(first) { second.id } else { first.id }
 }
 
 /// Fixed-point scale for load per slot.
--- a/crates/coordination/src/program.rs
+++ b/crates/coordination/src/program.rs
@@ -123,9 +123,7 @@
         let result: Dynamic = self
             .engine
             .eval_ast_with_scope(&mut scope, &self.ast)
-            .map_err(|error| Error::Run {
-                message: error.to_string(),
-            })?;
+            .map_err(|error| Error::Run { message: error.to_string() })?;
         verdict(result)
     }
 }
@@ -151,22 +149,18 @@
     match text.as_str() {
         "quick" => Ok(Class::Quick),
         "patient" => Ok(Class::Patient),
-        _ => Err(Error::Result {
-            field: "class",
-            expected: "\"quick\" or \"patient\"",
-            found: text,
-        }),
+        _ => {
+            Err(Error::Result { field: "class", expected: "\"quick\" or \"patient\"", found: text })
+        }
     }
 }
 
 fn repeatable(value: Option<&Dynamic>) -> Result<bool, Error> {
-    value
-        .and_then(|it| it.as_bool().ok())
-        .ok_or_else(|| Error::Result {
-            field: "repeatable",
-            expected: "true or false",
-            found: value.map(ToString::to_string).unwrap_or_default(),
-        })
+    value.and_then(|it| it.as_bool().ok()).ok_or_else(|| Error::Result {
+        field: "repeatable",
+        expected: "true or false",
+        found: value.map(ToString::to_string).unwrap_or_default(),
+    })
 }
 
 fn domains(value: Option<&Dynamic>) -> Result<Vec<String>, Error> {
@@ -179,8 +173,5 @@
         found: value.to_string(),
     };
     let array = value.clone().into_array().map_err(|_| mismatch())?;
-    array
-        .into_iter()
-        .map(|it| it.into_string().map_err(|_| mismatch()))
-        .collect()
+    array.into_iter().map(|it| it.into_string().map_err(|_| mismatch())).collect()
 }
--- a/crates/coordination/src/record.rs
+++ b/crates/coordination/src/record.rs
@@ -12,6 +12,8 @@
     pub id: String,
     /// VM that leaves.
     pub vm: String,
+    /// Node that it holds for; `None` for an endpoint VM.
+    pub node: Option<Incarnation>,
 }
 
 /// One record.
@@ -23,10 +25,12 @@
         /// The node.
         member: Member,
     },
-    /// A node has released everything, or its VM is gone.
+    /// A node has ended.
     Depart {
         /// The node.
         incarnation: Incarnation,
+        /// Whether it handed everything over; else its VM is gone.
+        released: bool,
     },
     /// A VM is leaving.
     Leave {
--- a/crates/coordination/src/retry.rs
+++ b/crates/coordination/src/retry.rs
@@ -56,11 +56,7 @@
     /// A budget of retries as a percentage of fresh requests.
     pub fn new(percent: u32, seed: u64) -> Self {
         let saved = RETRY_COST * SAVED_RETRIES;
-        Self {
-            percent,
-            saved,
-            random: SmallRng::seed_from_u64(seed),
-        }
+        Self { percent, saved, random: SmallRng::seed_from_u64(seed) }
     }
 
     /// Counts a fresh request.
--- a/crates/coordination/src/slots.rs
+++ b/crates/coordination/src/slots.rs
@@ -12,9 +12,15 @@
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap};
 
-/// Weight of a new sample in the mean holding time, as one over this.
+/// Weight of a new sample in the mean ratio of actual to expected holding, as one over this.
 const SMOOTHING: u64 = 16;
 
+/// Fixed-point one of that ratio.
+const RATIO_ONE: u64 = 1_024;
+
+/// Bounds of one sample of that ratio.
+const RATIO_BOUNDS: (u64, u64) = (RATIO_ONE / 8, RATIO_ONE * 8);
+
 /// Wait after which a patient request counts as quick, in milliseconds.
 const AGED_MILLIS: u64 = 5_000;
 
@@ -27,8 +33,11 @@
 /// Time for which a released attempt is not adopted again, in milliseconds.
 const RELEASED_MILLIS: u64 = 3_000;
 
+/// Advice on when to come back to a runner that is down, in milliseconds.
+const DOWN_MILLIS: u64 = 1_000;
+
 /// Waiting requests per slot.
-const QUEUE_PER_SLOT: usize = 8;
+const QUEUE_PER_SLOT: usize = 64;
 
 /// A request for a slot.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -45,6 +54,8 @@
     pub patience: u64,
     /// How long before use it is needed, in milliseconds: a prefill runs in between.
     pub lead: u64,
+    /// How long it will be held, as far as the asker can tell, in milliseconds.
+    pub hold: u64,
 }
 
 /// Answer to an ask.
@@ -65,8 +76,10 @@
 struct Holder {
     organisation: Organisation,
     kv_tokens: u64,
+    hold: u64,
     since: Millis,
     checked: Millis,
+    adopted: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -82,11 +95,7 @@
     }
 
     fn class(&self, now: Millis) -> Class {
-        if now.since(self.since) >= AGED_MILLIS {
-            Class::Quick
-        } else {
-            self.ask.class
-        }
+        if now.since(self.since) >= AGED_MILLIS { Class::Quick } else { self.ask.class }
     }
 }
 
@@ -97,8 +106,6 @@
     pub slots: u32,
     /// KV cache, in tokens; zero for no bound.
     pub kv_tokens: u64,
-    /// Holding time assumed before any is measured, in milliseconds.
-    pub hold_millis: u64,
     /// Whether a slot is granted ahead of a predicted release, by at most the ask's lead.
     pub ahead: bool,
 }
@@ -111,9 +118,10 @@
     kv_held: u64,
     held_by: BTreeMap<Organisation, u32>,
     waiters: Vec<Waiter>,
-    hold_mean: u64,
+    ratio: u64,
     order: u64,
     released: HashMap<Id, Millis>,
+    down: bool,
 }
 
 impl Allocator {
@@ -125,9 +133,10 @@
             kv_held: 0,
             held_by: BTreeMap::new(),
             waiters: Vec::new(),
-            hold_mean: limits.hold_millis,
+            ratio: RATIO_ONE,
             order: 0,
             released: HashMap::new(),
+            down: false,
         }
     }
 
@@ -136,31 +145,24 @@
         if self.holders.contains_key(&ask.attempt) {
             return Some(Grant::Granted);
         }
+        if self.down {
+            return Some(Grant::Refused { retry_after: DOWN_MILLIS });
+        }
         if self.waiters.iter().any(|it| it.ask.attempt == ask.attempt) {
             return None;
         }
-        let ahead = self
-            .waiters
-            .iter()
-            .filter(|it| it.class(now) <= ask.class)
-            .count();
+        let ahead = self.waiters.iter().filter(|it| it.class(now) <= ask.class).count();
         if ahead == 0 && self.fits(&ask, now) {
             self.hold(&ask, now);
             return Some(Grant::Granted);
         }
-        let wait = self.wait_millis(ahead);
+        let wait = self.wait_millis(|it| it.class(now) <= ask.class, now);
         let full = self.waiters.len() >= self.limits.slots as usize * QUEUE_PER_SLOT;
         if wait > ask.patience.saturating_add(ask.lead) || full {
-            return Some(Grant::Refused {
-                retry_after: wait.max(RETRY_FLOOR_MILLIS),
-            });
+            return Some(Grant::Refused { retry_after: wait.max(RETRY_FLOOR_MILLIS) });
         }
         self.order += 1;
-        self.waiters.push(Waiter {
-            ask,
-            since: now,
-            order: self.order,
-        });
+        self.waiters.push(Waiter { ask, since: now, order: self.order });
         None
     }
 
@@ -168,17 +170,7 @@
     pub fn release(&mut self, attempt: Id, now: Millis) -> Vec<Id> {
         self.waiters.retain(|it| it.ask.attempt != attempt);
         self.released.insert(attempt, now);
-        if let Some(holder) = self.holders.remove(&attempt) {
-            self.kv_held -= holder.kv_tokens;
-            if let Some(count) = self.held_by.get_mut(&holder.organisation) {
-                *count -= 1;
-                if *count == 0 {
-                    self.held_by.remove(&holder.organisation);
-                }
-            }
-            let held = now.since(holder.since);
-            self.hold_mean = (self.hold_mean * (SMOOTHING - 1) + held) / SMOOTHING;
-        }
+        self.free(attempt, now);
         self.serve(now)
     }
 
@@ -196,32 +188,47 @@
         granted
     }
 
-    /// Gives up on waiters whose time is over and returns them.
+    /// Notes whether the runner answers; while it doesn't, nothing is granted.
+    pub fn answers(&mut self, answers: bool) {
+        self.down = !answers;
+    }
+
+    /// Gives up on waiters whose time is over, or whose runner is down, and returns them.
     pub fn expire(&mut self, now: Millis) -> Vec<Id> {
-        let (over, rest) = self.waiters.iter().partition(|it| it.deadline() <= now);
+        let (over, rest) = self.waiters.iter().partition(|it| self.down || it.deadline() <= now);
         self.waiters = rest;
         let over: Vec<Waiter> = over;
         over.into_iter().map(|it| it.ask.attempt).collect()
     }
 
-    /// Counts an attempt that the engine already holds, after a change of owner.
+    /// Counts attempts that the engine holds but that were granted by an earlier owner, until
+    /// the engine no longer lists them.
     ///
-    /// One released a moment ago may still be in an engine's list that was asked for before.
-    pub fn adopt(&mut self, attempt: Id, kv_tokens: u64, now: Millis) {
-        self.released
-            .retain(|_, at| now.since(*at) < RELEASED_MILLIS);
-        if self.holders.contains_key(&attempt) || self.released.contains_key(&attempt) {
-            return;
-        }
-        let ask = Ask {
-            attempt,
-            class: Class::Patient,
-            organisation: Organisation(0),
-            kv_tokens,
-            patience: 0,
-            lead: 0,
+    /// One released a moment ago may still be in a list that was asked for before.
+    pub fn adopt(&mut self, listed: &[Id], now: Millis) {
+        self.released.retain(|_, at| now.since(*at) < RELEASED_MILLIS);
+        let gone = |(attempt, holder): (&Id, &Holder)| {
+            (holder.adopted && !listed.contains(attempt)).then_some(*attempt)
         };
-        self.hold(&ask, now);
+        let ended: Vec<Id> = self.holders.iter().filter_map(gone).collect();
+        for attempt in ended {
+            self.free(attempt, now);
+        }
+        for attempt in listed {
+            if !self.holders.contains_key(attempt) && !self.released.contains_key(attempt) {
+                let unknown = Ask {
+                    attempt: *attempt,
+                    class: Class::Patient,
+                    organisation: Organisation(0),
+                    kv_tokens: 0,
+                    patience: 0,
+                    lead: 0,
+                    hold: 0,
+                };
+                self.hold(&unknown, now);
+                self.holders.entry(*attempt).and_modify(|it| it.adopted = true);
+            }
+        }
     }
 
     /// Attempts that hold slots, each with whether its maker is to be asked again now.
@@ -239,8 +246,8 @@
     }
 
     /// How busy the runner is.
-    pub fn report(&self) -> Report {
-        let wait = self.wait_millis(self.waiters.len());
+    pub fn report(&self, now: Millis) -> Report {
+        let wait = if self.down { u64::MAX } else { self.wait_millis(|_| true, now) };
         Report {
             busy: self.holders.len() as u32,
             waiting: self.waiters.len() as u32,
@@ -249,15 +256,46 @@
     }
 
     /// Advice on when to come back, in milliseconds.
-    pub fn retry_after(&self) -> u64 {
-        self.wait_millis(self.waiters.len()).max(RETRY_FLOOR_MILLIS)
+    pub fn retry_after(&self, now: Millis) -> u64 {
+        self.wait_millis(|_| true, now).max(RETRY_FLOOR_MILLIS)
     }
 
-    fn wait_millis(&self, ahead: usize) -> u64 {
-        if ahead == 0 && (self.holders.len() as u32) < self.limits.slots {
+    /// Expected wait behind the holders and some of the waiters, in milliseconds.
+    fn wait_millis(&self, before: impl Fn(&Waiter) -> bool, now: Millis) -> u64 {
+        if self.waiters.is_empty() && (self.holders.len() as u32) < self.limits.slots {
             return 0;
         }
-        (ahead as u64 + 1) * self.hold_mean / u64::from(self.limits.slots.max(1))
+        let left = |holder: &Holder| (holder.since + self.scaled(holder.hold)).since(now);
+        let held: u64 = self.holders.values().map(left).sum();
+        let queued = self.waiters.iter().filter(|it| before(it));
+        let queued: u64 = queued.map(|it| self.scaled(it.ask.hold)).sum();
+        (held + queued) / u64::from(self.limits.slots.max(1))
+    }
+
+    fn free(&mut self, attempt: Id, now: Millis) {
+        if let Some(holder) = self.holders.remove(&attempt) {
+            self.kv_held -= holder.kv_tokens;
+            if let Some(count) = self.held_by.get_mut(&holder.organisation) {
+                *count -= 1;
+                if *count == 0 {
+                    self.held_by.remove(&holder.organisation);
+                }
+            }
+            self.learn(now.since(holder.since), holder.hold);
+        }
+    }
+
+    /// Takes in how long a slot was really held.
+    fn learn(&mut self, held: u64, expected: u64) {
+        if let Some(sample) = (held * RATIO_ONE).checked_div(expected) {
+            let sample = sample.clamp(RATIO_BOUNDS.0, RATIO_BOUNDS.1);
+            self.ratio = (self.ratio * (SMOOTHING - 1) + sample) / SMOOTHING;
+        }
+    }
+
+    /// An expected holding time, corrected by how long slots have really been held.
+    fn scaled(&self, hold: u64) -> u64 {
+        hold * self.ratio / RATIO_ONE
     }
 
     fn fits(&self, ask: &Ask, now: Millis) -> bool {
@@ -275,18 +313,14 @@
             return 0;
         }
         let horizon = now + lead / 2;
-        let due = |holder: &&Holder| holder.since + self.hold_mean <= horizon;
+        let due = |holder: &&Holder| holder.since + self.scaled(holder.hold) <= horizon;
         let count = self.holders.values().filter(due).count() as u32;
         count.min(self.limits.slots / AHEAD_SHARE)
     }
 
     fn first(&self, now: Millis) -> Option<usize> {
         let rank = |waiter: &Waiter| {
-            let share = self
-                .held_by
-                .get(&waiter.ask.organisation)
-                .copied()
-                .unwrap_or(0);
+            let share = self.held_by.get(&waiter.ask.organisation).copied().unwrap_or(0);
             (waiter.class(now), share, waiter.deadline(), waiter.order)
         };
         (0..self.waiters.len()).min_by_key(|place| rank(&self.waiters[*place]))
@@ -298,8 +332,10 @@
         let holder = Holder {
             organisation: ask.organisation,
             kv_tokens: ask.kv_tokens,
+            hold: ask.hold,
             since: now,
             checked: now,
+            adopted: false,
         };
         self.holders.insert(ask.attempt, holder);
     }
--- a/crates/coordination/src/splice.rs
+++ b/crates/coordination/src/splice.rs
@@ -24,11 +24,7 @@
 impl Splice {
     /// Expects the first piece of an attempt.
     pub fn new(attempt: Id) -> Self {
-        Self {
-            attempt,
-            next: 0,
-            ended: false,
-        }
+        Self { attempt, next: 0, ended: false }
     }
 
     /// Goes on with another attempt from the same offset.
--- a/crates/crosslane/src/arguments.rs
+++ b/crates/crosslane/src/arguments.rs
@@ -11,9 +11,7 @@
 /// Parses the arguments and runs the command.
 pub fn run() -> Result<(), Error> {
     let matches = command().get_matches();
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build()?;
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
     runtime.block_on(dispatch(&matches))
 }
 
@@ -23,10 +21,7 @@
             Some(("check", check)) => {
                 let file = text(check, "file")?;
                 let settings = config::load(&file)?;
-                println!(
-                    "{file}: {} runners, settings are right",
-                    settings.runners.len()
-                );
+                println!("{file}: {} runners, settings are right", settings.runners.len());
                 Ok(())
             }
             _ => Ok(()),
@@ -44,9 +39,7 @@
 
 /// The value of a required argument.
 pub fn text(matches: &ArgMatches, name: &str) -> Result<String, Error> {
-    let missing = || Error::Argument {
-        message: format!("{name} is missing"),
-    };
+    let missing = || Error::Argument { message: format!("{name} is missing") };
     matches.get_one::<String>(name).cloned().ok_or_else(missing)
 }
 
@@ -57,13 +50,8 @@
 
 /// The value of a required address.
 pub fn address(matches: &ArgMatches, name: &str) -> Result<SocketAddr, Error> {
-    let missing = || Error::Argument {
-        message: format!("{name} is missing"),
-    };
-    matches
-        .get_one::<SocketAddr>(name)
-        .copied()
-        .ok_or_else(missing)
+    let missing = || Error::Argument { message: format!("{name} is missing") };
+    matches.get_one::<SocketAddr>(name).copied().ok_or_else(missing)
 }
 
 fn command() -> Command {
@@ -73,14 +61,9 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(
-            Command::new("config")
-                .about("Checks settings")
-                .subcommand_required(true)
-                .subcommand(
-                    Command::new("check")
-                        .about("Checks a settings file")
-                        .arg(file("file")),
-                ),
+            Command::new("config").about("Checks settings").subcommand_required(true).subcommand(
+                Command::new("check").about("Checks a settings file").arg(file("file")),
+            ),
         )
         .subcommand(
             Command::new("demo")
@@ -88,9 +71,7 @@
                 .arg(flag("keep", "Leave everything up until interrupted")),
         )
         .subcommand(load_command())
-        .subcommand(access(
-            Command::new("status").about("Shows a node's status"),
-        ))
+        .subcommand(access(Command::new("status").about("Shows a node's status")))
         .subcommand(vm_command())
         .subcommand(policy_command())
         .subcommand(
@@ -119,33 +100,14 @@
         .arg(count("max-tokens", "64", "Most tokens to generate"))
         .arg(count("first-ms", "490", "Target for the first output"))
         .arg(count("between-ms", "39", "Target between outputs"))
-        .arg(count(
-            "service-percent",
-            "0",
-            "Share of calls to the service",
-        ))
-        .arg(count(
-            "keyed-percent",
-            "0",
-            "Share of requests with an idempotency key",
-        ))
+        .arg(count("service-percent", "0", "Share of calls to the service"))
+        .arg(count("keyed-percent", "0", "Share of requests with an idempotency key"))
         .arg(count("deadline-ms", "0", "Deadline to send; zero for none"))
-        .arg(count(
-            "organisations",
-            "8",
-            "Organisations that the requests come from",
-        ))
+        .arg(count("organisations", "8", "Organisations that the requests come from"))
         .arg(count("seed", "1", "Seed of arrivals and prompts"))
         .arg(option("model", "reply", "Model to ask"))
-        .arg(option(
-            "service-path",
-            "/booking/confirm",
-            "Path of the service",
-        ))
-        .arg(flag(
-            "verify",
-            "Compare each answer with the stand-ins' definition",
-        ))
+        .arg(option("service-path", "/booking/confirm", "Path of the service"))
+        .arg(flag("verify", "Compare each answer with the stand-ins' definition"))
         .arg(flag("json", "Print the report as JSON"))
         .arg(flag("quiet", "Print no progress"))
 }
@@ -156,25 +118,13 @@
         .about("Announces VMs as leaving and shows when they are safe to stop")
         .subcommand_required(true)
         .subcommand(
-            access(
-                Command::new("leave")
-                    .about("Announces a VM as leaving")
-                    .arg(name()),
-            )
-            .arg(flag("wait", "Wait until it is safe to stop")),
+            access(Command::new("leave").about("Announces a VM as leaving").arg(name()))
+                .arg(flag("wait", "Wait until it is safe to stop")),
         )
-        .subcommand(access(
-            Command::new("back")
-                .about("Takes a VM back into use")
-                .arg(name()),
-        ))
+        .subcommand(access(Command::new("back").about("Takes a VM back into use").arg(name())))
         .subcommand(
-            access(
-                Command::new("status")
-                    .about("Shows what is in progress on a VM")
-                    .arg(name()),
-            )
-            .arg(flag("wait", "Wait until it is safe to stop")),
+            access(Command::new("status").about("Shows what is in progress on a VM").arg(name()))
+                .arg(flag("wait", "Wait until it is safe to stop")),
         )
 }
 
@@ -189,11 +139,7 @@
     Command::new("policy")
         .about("Checks, publishes and shows policies")
         .subcommand_required(true)
-        .subcommand(
-            Command::new("check")
-                .about("Checks a policy program")
-                .arg(file("file")),
-        )
+        .subcommand(Command::new("check").about("Checks a policy program").arg(file("file")))
         .subcommand(
             Command::new("publish")
                 .about("Publishes a policy program")
@@ -214,10 +160,7 @@
                 )
                 .arg(option("author", "operator", "Who publishes"))
                 .arg(count("patience-ms", "30000", "Time to wait with --wait"))
-                .arg(flag(
-                    "wait",
-                    "Wait until it is accepted, and show who is missing",
-                )),
+                .arg(flag("wait", "Wait until it is accepted, and show who is missing")),
         )
         .subcommand(
             Command::new("withdraw")
@@ -225,16 +168,8 @@
                 .arg(Arg::new("id").value_name("ID").required(true))
                 .arg(log()),
         )
-        .subcommand(
-            Command::new("show")
-                .about("Shows the newest policy")
-                .arg(log()),
-        )
-        .subcommand(
-            Command::new("history")
-                .about("Lists the policies")
-                .arg(log()),
-        )
+        .subcommand(Command::new("show").about("Shows the newest policy").arg(log()))
+        .subcommand(Command::new("history").about("Lists the policies").arg(log()))
         .subcommand(
             Command::new("diff")
                 .about("Compares the newest policy with a file")
@@ -247,18 +182,10 @@
     Command::new("stand-in")
         .hide(true)
         .about("Runs a stand-in on a port of its own")
-        .arg(
-            Arg::new("kind")
-                .required(true)
-                .value_parser(["engine", "service", "log", "vms"]),
-        )
+        .arg(Arg::new("kind").required(true).value_parser(["engine", "service", "log", "vms"]))
         .arg(count("slots", "20", "Requests decoded at once"))
         .arg(count("kv-tokens", "200000", "KV cache, in tokens"))
-        .arg(count(
-            "prefill-rate",
-            "20000",
-            "Tokens prefilled per second",
-        ))
+        .arg(count("prefill-rate", "20000", "Tokens prefilled per second"))
         .arg(count("step-micros", "5000", "Time of a decode step"))
         .arg(count("crowd-micros", "200", "Added per further request"))
         .arg(count("link-rate", "2000000000", "Bytes per second"))
@@ -290,10 +217,7 @@
 }
 
 fn flag(name: &'static str, help: &'static str) -> Arg {
-    Arg::new(name)
-        .long(name)
-        .help(help)
-        .action(ArgAction::SetTrue)
+    Arg::new(name).long(name).help(help).action(ArgAction::SetTrue)
 }
 
 fn count(name: &'static str, default: &'static str, help: &'static str) -> Arg {
--- a/crates/crosslane/src/bin/crosslaned.rs
+++ b/crates/crosslane/src/bin/crosslaned.rs
@@ -12,16 +12,9 @@
     let matches = Command::new("crosslaned")
         .version(env!("CARGO_PKG_VERSION"))
         .about("Routes requests of callers to engines and services")
-        .arg(
-            Arg::new("config")
-                .long("config")
-                .value_name("FILE")
-                .required(true),
-        )
+        .arg(Arg::new("config").long("config").value_name("FILE").required(true))
         .get_matches();
-    let path = matches
-        .get_one::<String>("config")
-        .map_or("", String::as_str);
+    let path = matches.get_one::<String>("config").map_or("", String::as_str);
     match run(path) {
         Ok(code) => code,
         Err(error) => {
--- a/crates/crosslane/src/capacity.rs
+++ b/crates/crosslane/src/capacity.rs
@@ -31,23 +31,12 @@
 /// Prints each quantity at the planned size beside its budget.
 pub fn run(path: &str) -> Result<(), Error> {
     let text = config::read(path)?;
-    let table: Table = serde_json::from_str(&text).map_err(|error| Error::Argument {
-        message: format!("{path}: {error}"),
-    })?;
+    let table: Table = serde_json::from_str(&text)
+        .map_err(|error| Error::Argument { message: format!("{path}: {error}") })?;
     for quantity in &table.quantities {
         let sum: f64 = quantity.terms.iter().map(|it| it.slope * it.size).sum();
-        let verdict = if sum <= quantity.budget {
-            "within"
-        } else {
-            "OVER"
-        };
-        let Quantity {
-            role,
-            name,
-            unit,
-            budget,
-            ..
-        } = quantity;
+        let verdict = if sum <= quantity.budget { "within" } else { "OVER" };
+        let Quantity { role, name, unit, budget, .. } = quantity;
         println!("{role}: {name}: {sum:.2} {unit}, budget {budget} {unit}: {verdict}");
         for term in &quantity.terms {
             let Term { name, slope, size } = term;
--- a/crates/crosslane/src/demo.rs
+++ b/crates/crosslane/src/demo.rs
@@ -31,15 +31,9 @@
     let mut nodes = Vec::new();
     for place in 0..NODES {
         let text = fleet.settings(place);
-        let settings = Settings::try_from(Raw {
-            file: "demo",
-            text: &text,
-        })?;
+        let settings = Settings::try_from(Raw { file: "demo", text: &text })?;
         let handle = node::start(settings).await?;
-        println!(
-            "node entry-{place}: callers at {}",
-            handle.addresses.callers
-        );
+        println!("node entry-{place}: callers at {}", handle.addresses.callers);
         nodes.push(handle);
     }
     for handle in &nodes {
@@ -97,28 +91,17 @@
 }
 
 async fn model(node: SocketAddr, sequence: u64) -> Result<(), Error> {
-    let tokens = if sequence.is_multiple_of(2) {
-        40
-    } else {
-        1_500
-    };
+    let tokens = if sequence.is_multiple_of(2) { 40 } else { 1_500 };
     let sample = Sample::model(MODEL, sequence, tokens, 24);
     let result = load::send(&Client::default(), node, &sample).await;
-    let path = if tokens == 40 {
-        "prefilled where it decodes"
-    } else {
-        "prefill, transfer, decode"
-    };
+    let path =
+        if tokens == 40 { "prefilled where it decodes" } else { "prefill, transfer, decode" };
     println!(
         "request {sequence}: {tokens} tokens at {node}: {path}; first output after {:.1} ms, \
          {} pieces, {:.1} ms between them, complete {}",
         result.first_ms, result.pieces, result.between_ms, result.correct
     );
-    if result.correct {
-        Ok(())
-    } else {
-        Err(Error::failed("an answer was not whole"))
-    }
+    if result.correct { Ok(()) } else { Err(Error::failed("an answer was not whole")) }
 }
 
 /// Sends one confirmation twice under one key, through two nodes.
--- a/crates/crosslane/src/error.rs
+++ b/crates/crosslane/src/error.rs
@@ -70,8 +70,6 @@
 
     /// Something that did not come about.
     pub fn failed(message: impl Into<String>) -> Self {
-        Self::Failed {
-            message: message.into(),
-        }
+        Self::Failed { message: message.into() }
     }
 }
--- a/crates/crosslane/src/load.rs
+++ b/crates/crosslane/src/load.rs
@@ -102,12 +102,7 @@
             return Err(Error::Argument { message });
         }
         Ok(Self {
-            to: matches
-                .get_many::<SocketAddr>("to")
-                .into_iter()
-                .flatten()
-                .copied()
-                .collect(),
+            to: matches.get_many::<SocketAddr>("to").into_iter().flatten().copied().collect(),
             rate: number(matches, "rate").max(1),
             seconds: number(matches, "seconds"),
             prompt,
@@ -177,16 +172,9 @@
     fn call(&self, to: SocketAddr) -> Call {
         let mut call = Call::json(to, self.path.as_str(), &self.body);
         let organisation = HeaderValue::from_str(&self.organisation).ok();
-        let key = self
-            .key
-            .as_ref()
-            .and_then(|it| HeaderValue::from_str(it).ok());
+        let key = self.key.as_ref().and_then(|it| HeaderValue::from_str(it).ok());
         let deadline = (self.deadline_ms > 0).then(|| HeaderValue::from(self.deadline_ms));
-        let headers = [
-            (ORGANISATION, organisation),
-            (KEY, key),
-            (DEADLINE, deadline),
-        ];
+        let headers = [(ORGANISATION, organisation), (KEY, key), (DEADLINE, deadline)];
         for (name, value) in headers {
             if let Some(value) = value {
                 call.headers.insert(name, value);
@@ -223,8 +211,8 @@
     pub ended: bool,
     /// Whether the answer is the expected one.
     pub correct: bool,
-    /// Code and outcome of a refusal.
-    pub refusal: Option<(String, String)>,
+    /// Code, outcome and message of a refusal.
+    pub refusal: Option<(String, String, String)>,
 }
 
 /// Sends a request and reads its answer whole, as status and body.
@@ -253,10 +241,8 @@
 }
 
 fn refused(code: &str, outcome: &str) -> Outcome {
-    Outcome {
-        refusal: Some((code.to_owned(), outcome.to_owned())),
-        ..Outcome::default()
-    }
+    let refusal = (code.to_owned(), outcome.to_owned(), String::new());
+    Outcome { refusal: Some(refusal), ..Outcome::default() }
 }
 
 async fn read(
@@ -266,10 +252,7 @@
 ) -> Outcome {
     let status = response.status().as_u16();
     let mut body = response.into_body();
-    let mut outcome = Outcome {
-        status,
-        ..Outcome::default()
-    };
+    let mut outcome = Outcome { status, ..Outcome::default() };
     let mut buffer = Vec::new();
     let mut text = String::new();
     let (mut first, mut last) = (None, started);
@@ -312,7 +295,7 @@
         }
     }
     if !outcome.ended && outcome.refusal.is_none() {
-        outcome.refusal = Some(("broken".to_owned(), "unknown".to_owned()));
+        outcome.refusal = refused("broken", "unknown").refusal;
     }
     let first = first.unwrap_or(last);
     outcome.first_ms = (first - started).as_secs_f64() * 1e3;
@@ -321,12 +304,10 @@
     outcome
 }
 
-fn refusal(value: &Value) -> Option<(String, String)> {
+fn refusal(value: &Value) -> Option<(String, String, String)> {
     let body: Body = serde_json::from_value(value.clone()).ok()?;
-    Some((
-        body.error.code.name().to_owned(),
-        body.error.outcome.to_string(),
-    ))
+    let error = body.error;
+    Some((error.code.name().to_owned(), error.outcome.to_string(), error.message))
 }
 
 /// Quantiles of a latency, in milliseconds.
@@ -372,18 +353,14 @@
 impl Tally {
     fn new() -> Self {
         let histogram = || Histogram::new(DIGITS).expect("a valid precision");
-        Self {
-            report: Report::default(),
-            first: histogram(),
-            between: histogram(),
-        }
+        Self { report: Report::default(), first: histogram(), between: histogram() }
     }
 
     fn add(&mut self, outcome: &Outcome, options: &Options) {
         let report = &mut self.report;
         report.sent += 1;
         report.pieces += outcome.pieces;
-        if let Some((code, known)) = &outcome.refusal {
+        if let Some((code, known, _)) = &outcome.refusal {
             *report.refused.entry(format!("{code}/{known}")).or_default() += 1;
             return;
         }
@@ -411,11 +388,7 @@
 
 fn quantiles(histogram: &Histogram<u64>) -> Quantiles {
     let at = |quantile| histogram.value_at_quantile(quantile) as f64 / 1e3;
-    Quantiles {
-        p50: at(0.5),
-        p95: at(0.95),
-        p99: at(0.99),
-    }
+    Quantiles { p50: at(0.5), p95: at(0.95), p99: at(0.99) }
 }
 
 /// Sends the load and reports.
@@ -427,11 +400,7 @@
         format!("{:#}", json!(report))
     };
     println!("{text}");
-    if report.wrong > 0 {
-        Err(Error::failed("some answers were wrong"))
-    } else {
-        Ok(())
-    }
+    if report.wrong > 0 { Err(Error::failed("some answers were wrong")) } else { Ok(()) }
 }
 
 /// Sends the load and returns the report.
@@ -447,10 +416,7 @@
             tally.add(&outcome, &collected);
             if !collected.quiet && shown.elapsed() >= PROGRESS {
                 shown = Instant::now();
-                eprintln!(
-                    "{} answered, {} within targets",
-                    tally.report.sent, tally.report.good
-                );
+                eprintln!("{} answered, {} within targets", tally.report.sent, tally.report.good);
             }
         }
         tally
@@ -490,9 +456,6 @@
     };
     sample.key = key;
     sample.deadline_ms = options.deadline_ms;
-    sample.organisation = format!(
-        "organisation-{}",
-        random.random_range(0..options.organisations)
-    );
+    sample.organisation = format!("organisation-{}", random.random_range(0..options.organisations));
     sample
 }
--- a/crates/crosslane/src/policy.rs
+++ b/crates/crosslane/src/policy.rs
@@ -45,11 +45,7 @@
 pub fn check(text: &str) -> Result<(), Error> {
     let sample = |method: &str, path: &str, prompt_tokens: i64| Input {
         organisation: "sample".to_owned(),
-        model: if path.starts_with("/v1/") {
-            "sample".to_owned()
-        } else {
-            String::new()
-        },
+        model: if path.starts_with("/v1/") { "sample".to_owned() } else { String::new() },
         method: method.to_owned(),
         path: path.to_owned(),
         prompt_tokens,
@@ -76,10 +72,7 @@
     /// A journal that has read nothing.
     pub fn new(log: SocketAddr) -> Self {
         let platform = Platform::new(Client::default(), log, log, ANSWER);
-        Self {
-            platform,
-            state: State::default(),
-        }
+        Self { platform, state: State::default() }
     }
 
     /// Reads to the tail.
@@ -104,9 +97,7 @@
 
     /// Appends a record; an error leaves open whether it was.
     pub async fn append(&self, record: &Record) -> Result<(), Error> {
-        self.platform
-            .append(CONTROL, vec![envelope::write(record)])
-            .await?;
+        self.platform.append(CONTROL, vec![envelope::write(record)]).await?;
         Ok(())
     }
 
@@ -139,18 +130,11 @@
     let given = matches.get_one::<String>("id").cloned();
     let id = given.unwrap_or_else(|| format!("{:016x}", rand::random::<u64>()));
     let author = text(matches, "author")?;
-    let record = Record::Publish {
-        id: id.clone(),
-        base,
-        program,
-        author,
-    };
+    let record = Record::Publish { id: id.clone(), base, program, author };
     let verdict = journal.publish(&record, &id).await?;
     println!("publication {id}: {verdict}");
     let Verdict::Counted(version) = verdict else {
-        return Err(Error::failed(
-            "the policy did not count; look at the newest and try again",
-        ));
+        return Err(Error::failed("the policy did not count; look at the newest and try again"));
     };
     if matches.get_flag("wait") {
         let patience = Duration::from_millis(number(matches, "patience-ms"));
@@ -168,20 +152,14 @@
     let mut shown = None;
     loop {
         let _ = journal.read().await;
-        let found = journal
-            .state
-            .history
-            .iter()
-            .find(|it| it.version == version);
+        let found = journal.state.history.iter().find(|it| it.version == version);
         if found.is_some_and(|it| it.accepted) {
             println!("version {version}: accepted, in force in every failure domain");
             return Ok(());
         }
         let missing = journal.state.missing();
         if journal.state.version() > version {
-            return Err(Error::failed(format!(
-                "version {version} was replaced before acceptance"
-            )));
+            return Err(Error::failed(format!("version {version} was replaced before acceptance")));
         }
         if Instant::now() > deadline {
             let message = format!("version {version} is not accepted; missing: {missing:?}");
@@ -198,20 +176,14 @@
 async fn withdraw(matches: &ArgMatches) -> Result<(), Error> {
     let id = text(matches, "id")?;
     let mut journal = Journal::new(address(matches, "log")?);
-    journal
-        .append(&Record::Withdraw {
-            publication: id.clone(),
-        })
-        .await?;
+    journal.append(&Record::Withdraw { publication: id.clone() }).await?;
     journal.read().await?;
     match journal.state.verdict(&id) {
         Some(Verdict::Withdrawn) => {
             println!("publication {id}: withdrawn");
             Ok(())
         }
-        _ => Err(Error::failed(format!(
-            "publication {id} was not open, so it stands as it was"
-        ))),
+        _ => Err(Error::failed(format!("publication {id} was not open, so it stands as it was"))),
     }
 }
 
@@ -241,14 +213,7 @@
 }
 
 fn line(publication: &Publication) -> String {
-    let Publication {
-        version,
-        id,
-        author,
-        accepted,
-        confirmed,
-        ..
-    } = publication;
+    let Publication { version, id, author, accepted, confirmed, .. } = publication;
     format!("version {version}: id {id}, author {author}, accepted {accepted}, in {confirmed:?}")
 }
 
@@ -256,16 +221,10 @@
     let journal = newest(matches).await?;
     let theirs = journal.state.program().unwrap_or_default().to_owned();
     let ours = config::read(&text(matches, "file")?)?;
-    for line in theirs
-        .lines()
-        .filter(|line| !ours.lines().any(|it| it == *line))
-    {
+    for line in theirs.lines().filter(|line| !ours.lines().any(|it| it == *line)) {
         println!("- {line}");
     }
-    for line in ours
-        .lines()
-        .filter(|line| !theirs.lines().any(|it| it == *line))
-    {
+    for line in ours.lines().filter(|line| !theirs.lines().any(|it| it == *line)) {
         println!("+ {line}");
     }
     Ok(())
--- a/crates/crosslane/src/vm.rs
+++ b/crates/crosslane/src/vm.rs
@@ -33,31 +33,21 @@
             Some(path) => config::read(path)?.trim().to_owned(),
             None => std::env::var(KEY_VARIABLE).unwrap_or_default(),
         };
-        Ok(Self {
-            node: address(matches, "node")?,
-            key,
-            client: Client::default(),
-        })
+        Ok(Self { node: address(matches, "node")?, key, client: Client::default() })
     }
 }
 
 impl Access {
     /// Access to a node with a key.
     pub fn new(node: SocketAddr, key: &str) -> Self {
-        Self {
-            node,
-            key: key.to_owned(),
-            client: Client::default(),
-        }
+        Self { node, key: key.to_owned(), client: Client::default() }
     }
 
     /// Makes one call and returns the JSON answer.
     pub async fn call(&self, method: Method, path: &str) -> Result<Value, Error> {
         let mut call = Call::new(method, self.node, path);
         let header = HeaderValue::from_str(&format!("Bearer {}", self.key));
-        let wrong = |_| Error::Argument {
-            message: "the key has odd characters".to_owned(),
-        };
+        let wrong = |_| Error::Argument { message: "the key has odd characters".to_owned() };
         call.headers.insert(AUTHORIZATION, header.map_err(wrong)?);
         Ok(self.client.fetch(call, ANSWER).await?)
     }
@@ -78,23 +68,11 @@
     let vm = text(inner, "vm")?;
     match verb {
         "leave" => {
-            show(
-                &access
-                    .call(Method::POST, &format!("/vms/{vm}/leave"))
-                    .await?,
-            );
-            if inner.get_flag("wait") {
-                wait(&access, &vm).await
-            } else {
-                Ok(())
-            }
+            show(&access.call(Method::POST, &format!("/vms/{vm}/leave")).await?);
+            if inner.get_flag("wait") { wait(&access, &vm).await } else { Ok(()) }
         }
         "back" => {
-            show(
-                &access
-                    .call(Method::POST, &format!("/vms/{vm}/back"))
-                    .await?,
-            );
+            show(&access.call(Method::POST, &format!("/vms/{vm}/back")).await?);
             Ok(())
         }
         _ if inner.get_flag("wait") => wait(&access, &vm).await,
--- /dev/null
+++ b/crates/crosslane/tests/policies/all_quick.rhai
@@ -0,0 +1,1 @@
+#{ class: "quick", repeatable: path.starts_with("/v1/") || method == "GET" }
--- /dev/null
+++ b/crates/crosslane/tests/policies/endless.rhai
@@ -0,0 +1,3 @@
+let n = 0;
+while true { n += 1; }
+#{ class: "quick", repeatable: true }
--- /dev/null
+++ b/crates/crosslane/tests/policies/no_repeats.rhai
@@ -0,0 +1,1 @@
+#{ class: "patient", repeatable: false }
--- /dev/null
+++ b/crates/crosslane/tests/scenarios/engine_killed_decoding.rhai
@@ -0,0 +1,15 @@
+// A decode engine is killed in the middle of a stream; the stream goes on at the exact token.
+let site = site(#{ nodes: 2, prefill: 2, decode: 2 });
+
+let asked = [];
+for place in 0..6 {
+    asked.push(site.ask(place % 2, #{ prompt: place, tokens: 300, max_tokens: 400, deadline: 20000 }));
+}
+eventually("both engines decode", 8000, || site.look("decode-0", "/held").held.len() > 0 && site.look("decode-1", "/held").held.len() > 0);
+pause(300);
+site.kill("decode-0");
+for one in asked {
+    let answer = one.wait();
+    check(answer.correct, `whole: ${answer}`);
+}
+eventually("the live engines hold nothing", 10000, || site.held() == 0);
--- a/crates/protocol/src/completion.rs
+++ b/crates/protocol/src/completion.rs
@@ -79,9 +79,8 @@
     type Error = Error;
 
     fn try_from(raw: Raw<'_>) -> Result<Self, Error> {
-        let value: Value = serde_json::from_slice(raw.body).map_err(|error| Error::Json {
-            message: error.to_string(),
-        })?;
+        let value: Value = serde_json::from_slice(raw.body)
+            .map_err(|error| Error::Json { message: error.to_string() })?;
         let prompt = match raw.form {
             Form::Text => text(&value, "prompt")?,
             Form::Chat => messages(&value)?,
@@ -158,10 +157,7 @@
 fn text(value: &Value, field: &'static str) -> Result<String, Error> {
     match value.get(field).and_then(Value::as_str) {
         Some(text) if !text.is_empty() => Ok(text.to_owned()),
-        _ => Err(Error::Field {
-            field,
-            expected: "a string that is not empty",
-        }),
+        _ => Err(Error::Field { field, expected: "a string that is not empty" }),
     }
 }
 
@@ -170,20 +166,11 @@
         field: "messages",
         expected: "an array of objects with a string content",
     };
-    let list = value
-        .get("messages")
-        .and_then(Value::as_array)
-        .ok_or_else(wrong)?;
-    let contents: Option<Vec<&str>> = list
-        .iter()
-        .map(|it| it.get("content").and_then(Value::as_str))
-        .collect();
+    let list = value.get("messages").and_then(Value::as_array).ok_or_else(wrong)?;
+    let contents: Option<Vec<&str>> =
+        list.iter().map(|it| it.get("content").and_then(Value::as_str)).collect();
     let joined = contents.ok_or_else(wrong)?.join("\n");
-    if joined.is_empty() {
-        Err(wrong())
-    } else {
-        Ok(joined)
-    }
+    if joined.is_empty() { Err(wrong()) } else { Ok(joined) }
 }
 
 fn max_tokens(value: &Value) -> Result<u64, Error> {
@@ -192,18 +179,14 @@
     };
     raw.as_u64()
         .filter(|it| (1..=MOST_TOKENS).contains(it))
-        .ok_or(Error::Field {
-            field: "max_tokens",
-            expected: "a whole number from 1 to 16384",
-        })
+        .ok_or(Error::Field { field: "max_tokens", expected: "a whole number from 1 to 16384" })
 }
 
 fn stream(value: &Value) -> Result<bool, Error> {
     match value.get("stream") {
         None => Ok(false),
-        Some(raw) => raw.as_bool().ok_or(Error::Field {
-            field: "stream",
-            expected: "true or false",
-        }),
+        Some(raw) => {
+            raw.as_bool().ok_or(Error::Field { field: "stream", expected: "true or false" })
+        }
     }
 }
--- a/crates/protocol/src/envelope.rs
+++ b/crates/protocol/src/envelope.rs
@@ -67,22 +67,14 @@
 
 /// Writes a record.
 pub fn write(record: &impl Serialize) -> String {
-    serde_json::to_string(&Envelope {
-        format: FORMAT,
-        record,
-    })
-    .unwrap_or_default()
+    serde_json::to_string(&Envelope { format: FORMAT, record }).unwrap_or_default()
 }
 
 fn read<T: for<'de> Deserialize<'de>>(text: &str) -> Result<T, Error> {
-    let torn = |error: serde_json::Error| Error::Torn {
-        message: error.to_string(),
-    };
+    let torn = |error: serde_json::Error| Error::Torn { message: error.to_string() };
     let head: Head = serde_json::from_str(text).map_err(torn)?;
     if head.format > FORMAT {
-        return Err(Error::Newer {
-            format: head.format,
-        });
+        return Err(Error::Newer { format: head.format });
     }
     let envelope: Envelope<T> = serde_json::from_str(text).map_err(torn)?;
     Ok(envelope.record)
--- a/crates/protocol/src/refusal.rs
+++ b/crates/protocol/src/refusal.rs
@@ -21,6 +21,8 @@
     KeyMismatch,
     /// An earlier request under the key may have run.
     KeyUnknown,
+    /// A departed node may have run a request under the key; this is being found out.
+    KeyInDoubt,
     /// No room to remember the key.
     LedgerFull,
     /// The node is not ready.
@@ -51,7 +53,7 @@
 type Row = (Code, &'static str, u16);
 
 /// Every code with its name and HTTP status.
-pub const CODES: [Row; 19] = [
+pub const CODES: [Row; 20] = [
     (Code::BadBody, "bad_body", 400),
     (Code::BadHeader, "bad_header", 400),
     (Code::BodyTooLong, "body_too_long", 413),
@@ -59,6 +61,7 @@
     (Code::NoRoute, "no_route", 404),
     (Code::KeyMismatch, "key_mismatch", 422),
     (Code::KeyUnknown, "key_unknown", 409),
+    (Code::KeyInDoubt, "key_in_doubt", 503),
     (Code::LedgerFull, "ledger_full", 503),
     (Code::NotReady, "not_ready", 503),
     (Code::Leaving, "leaving", 503),
@@ -106,22 +109,12 @@
 impl Refusal {
     /// A refusal of a request of which nothing was handed to a runner.
     pub fn not_run(code: Code, message: impl Into<String>) -> Self {
-        Self {
-            code,
-            outcome: Outcome::NotRun,
-            message: message.into(),
-            retry_after_ms: None,
-        }
+        Self { code, outcome: Outcome::NotRun, message: message.into(), retry_after_ms: None }
     }
 
     /// A refusal of a request that may have run.
     pub fn unknown(code: Code, message: impl Into<String>) -> Self {
-        Self {
-            code,
-            outcome: Outcome::Unknown,
-            message: message.into(),
-            retry_after_ms: None,
-        }
+        Self { code, outcome: Outcome::Unknown, message: message.into(), retry_after_ms: None }
     }
 
     /// Says when coming back helps, in milliseconds.
--- a/crates/protocol/src/section.rs
+++ b/crates/protocol/src/section.rs
@@ -17,12 +17,7 @@
 impl Report<'_> {
     pub(crate) fn add(&self, at: usize, key: String, expected: &str, found: String) {
         let line = self.text[..at.min(self.text.len())].matches('\n').count() + 1;
-        let mistake = Mistake {
-            line,
-            key,
-            expected: expected.to_owned(),
-            found,
-        };
+        let mistake = Mistake { line, key, expected: expected.to_owned(), found };
         self.mistakes.borrow_mut().push(mistake);
     }
 }
@@ -43,13 +38,7 @@
         if object.is_none() {
             report.add(at, path.clone(), "an object", show(report.text, value));
         }
-        Self {
-            report,
-            object,
-            path,
-            at,
-            known: RefCell::default(),
-        }
+        Self { report, object, path, at, known: RefCell::default() }
     }
 
     pub(crate) fn section(&self, key: &'static str) -> Section<'a> {
@@ -75,9 +64,7 @@
         };
         let path = |place| format!("{}[{place}]", self.name(key));
         let elements = array.elements.iter().enumerate();
-        elements
-            .map(|(place, it)| Section::new(self.report, it, path(place)))
-            .collect()
+        elements.map(|(place, it)| Section::new(self.report, it, path(place))).collect()
     }
 
     pub(crate) fn text(&self, key: &'static str) -> String {
@@ -88,11 +75,7 @@
     }
 
     pub(crate) fn optional_text(&self, key: &'static str, default: &str) -> String {
-        if self.value(key).is_some() {
-            self.text(key)
-        } else {
-            default.to_owned()
-        }
+        if self.value(key).is_some() { self.text(key) } else { default.to_owned() }
     }
 
     pub(crate) fn address(&self, key: &'static str) -> SocketAddr {
@@ -107,9 +90,7 @@
         let Some(value) = self.value(key) else {
             return Vec::new();
         };
-        let parsed = value
-            .as_array()
-            .map(|it| it.elements.iter().map(address).collect());
+        let parsed = value.as_array().map(|it| it.elements.iter().map(address).collect());
         match parsed {
             Some(Some(list)) => list,
             _ => {
@@ -167,10 +148,7 @@
             }
             return fallback;
         };
-        let text = value
-            .as_string_lit()
-            .map(|it| it.value.as_ref())
-            .unwrap_or_default();
+        let text = value.as_string_lit().map(|it| it.value.as_ref()).unwrap_or_default();
         match choices.iter().find(|(name, _)| *name == text) {
             Some((_, choice)) => *choice,
             None => {
@@ -184,19 +162,11 @@
     pub(crate) fn close(self) {
         let known = self.known.borrow();
         let properties = self.object.map_or(&[][..], |it| &it.properties);
-        for property in properties
-            .iter()
-            .filter(|it| !known.contains(it.name.as_str()))
-        {
+        for property in properties.iter().filter(|it| !known.contains(it.name.as_str())) {
             let names: Vec<_> = known.iter().copied().collect();
             let expected = format!("one of the keys {}", names.join(", "));
             let name = property.name.as_str();
-            self.report.add(
-                property.start(),
-                self.name(name),
-                &expected,
-                "another key".into(),
-            );
+            self.report.add(property.start(), self.name(name), &expected, "another key".into());
         }
     }
 
@@ -219,29 +189,20 @@
     fn value(&self, key: &'static str) -> Option<&'a Value<'a>> {
         self.known.borrow_mut().insert(key);
         let properties = &self.object?.properties;
-        properties
-            .iter()
-            .find(|it| it.name.as_str() == key)
-            .map(|it| &it.value)
+        properties.iter().find(|it| it.name.as_str() == key).map(|it| &it.value)
     }
 
     fn name(&self, key: &str) -> String {
-        if self.path.is_empty() {
-            key.to_owned()
-        } else {
-            format!("{}.{key}", self.path)
-        }
+        if self.path.is_empty() { key.to_owned() } else { format!("{}.{key}", self.path) }
     }
 
     fn wrong(&self, key: &str, value: &Value<'_>, expected: &str) {
         let found = show(self.report.text, value);
-        self.report
-            .add(value.start(), self.name(key), expected, found);
+        self.report.add(value.start(), self.name(key), expected, found);
     }
 
     fn missing(&self, key: &str, expected: &str) {
-        self.report
-            .add(self.at, self.name(key), expected, "nothing".to_owned());
+        self.report.add(self.at, self.name(key), expected, "nothing".to_owned());
     }
 }
 
@@ -273,9 +234,5 @@
 
 fn show(text: &str, value: &Value<'_>) -> String {
     let range = value.range();
-    text.get(range.start..range.end)
-        .unwrap_or_default()
-        .chars()
-        .take(SHOWN)
-        .collect()
+    text.get(range.start..range.end).unwrap_or_default().chars().take(SHOWN).collect()
 }
--- a/crates/protocol/src/settings.rs
+++ b/crates/protocol/src/settings.rs
@@ -38,11 +38,7 @@
 
 impl Error {
     fn lines(&self) -> String {
-        let lines: Vec<_> = self
-            .mistakes
-            .iter()
-            .map(|it| format!("{}: {it}", self.file))
-            .collect();
+        let lines: Vec<_> = self.mistakes.iter().map(|it| format!("{}: {it}", self.file)).collect();
         lines.join("\n")
     }
 }
@@ -106,6 +102,8 @@
     pub local_prefill_tokens: u64,
     /// Assumed prefill rate, in tokens per second.
     pub prefill_rate: u64,
+    /// Assumed time of one output token, in milliseconds.
+    pub token_millis: u64,
     /// Retries as a percentage of fresh requests.
     pub retry_percent: u32,
 }
@@ -173,11 +171,8 @@
     ("least_reported", Mode::LeastReported),
 ];
 
-const ROLES: [(&str, Role); 3] = [
-    ("prefill", Role::Prefill),
-    ("decode", Role::Decode),
-    ("service", Role::Service),
-];
+const ROLES: [(&str, Role); 3] =
+    [("prefill", Role::Prefill), ("decode", Role::Decode), ("service", Role::Service)];
 
 const LOG_FORMATS: [(&str, bool); 2] = [("text", false), ("json", true)];
 
@@ -188,25 +183,13 @@
     type Error = Error;
 
     fn try_from(raw: Raw<'_>) -> Result<Self, Error> {
-        let parsed = parse_to_ast(
-            raw.text,
-            &CollectOptions::default(),
-            &ParseOptions::default(),
-        );
-        let report = Report {
-            text: raw.text,
-            mistakes: RefCell::default(),
-        };
+        let parsed = parse_to_ast(raw.text, &CollectOptions::default(), &ParseOptions::default());
+        let report = Report { text: raw.text, mistakes: RefCell::default() };
         let settings = match &parsed {
             Ok(result) => result.value.as_ref().map(|value| root(&report, value)),
             Err(error) => {
                 let found = error.kind().to_string();
-                report.add(
-                    error.range().start,
-                    "file".to_owned(),
-                    "JSON with comments",
-                    found,
-                );
+                report.add(error.range().start, "file".to_owned(), "JSON with comments", found);
                 None
             }
         };
@@ -217,10 +200,7 @@
         mistakes.sort_by(|a, b| (a.line, &a.key).cmp(&(b.line, &b.key)));
         match settings {
             Some(settings) if mistakes.is_empty() => Ok(settings),
-            _ => Err(Error {
-                file: raw.file.to_owned(),
-                mistakes,
-            }),
+            _ => Err(Error { file: raw.file.to_owned(), mistakes }),
         }
     }
 }
@@ -289,6 +269,7 @@
         ahead: section.flag("ahead", false),
         local_prefill_tokens: section.number("local_prefill_tokens", 0..=1 << 20, 64),
         prefill_rate: section.number("prefill_rate", 1..=1 << 30, 20_000),
+        token_millis: section.number("token_millis", 1..=10_000, 10),
         retry_percent: section.number("retry_percent", 0..=100, 10) as u32,
     };
     section.close();
@@ -325,16 +306,8 @@
     let runners: Vec<_> = sections.into_iter().map(runner).collect();
     for runner in &runners {
         if !runner.name.is_empty() && !names.insert(runner.name.clone()) {
-            let at = report
-                .text
-                .rfind(&format!("\"{}\"", runner.name))
-                .unwrap_or(0);
-            report.add(
-                at,
-                "runners.name".into(),
-                "a name used once",
-                runner.name.clone(),
-            );
+            let at = report.text.rfind(&format!("\"{}\"", runner.name)).unwrap_or(0);
+            report.add(at, "runners.name".into(), "a name used once", runner.name.clone());
         }
     }
     runners
--- a/crates/state/src/attempt.rs
+++ b/crates/state/src/attempt.rs
@@ -25,18 +25,11 @@
         let origin = Incarnation::parse(parts.next()?)?;
         let sequence = u64::from_str_radix(parts.next()?, 16).ok()?;
         let round = u16::from_str_radix(parts.next()?, 16).ok()?;
-        parts.next().is_none().then_some(Self {
-            origin,
-            sequence,
-            round,
-        })
+        parts.next().is_none().then_some(Self { origin, sequence, round })
     }
 
     /// The same request's following try.
     pub fn next(self) -> Self {
-        Self {
-            round: self.round.saturating_add(1),
-            ..self
-        }
+        Self { round: self.round.saturating_add(1), ..self }
     }
 }
--- a/crates/state/src/member.rs
+++ b/crates/state/src/member.rs
@@ -70,11 +70,8 @@
 
     /// Members from the highest rendezvous weight for a hash downwards.
     pub fn ranked(&self, key: u64) -> Vec<Incarnation> {
-        let mut ranked: Vec<_> = self
-            .members
-            .keys()
-            .map(|it| (hash::weight(key, it.0), *it))
-            .collect();
+        let mut ranked: Vec<_> =
+            self.members.keys().map(|it| (hash::weight(key, it.0), *it)).collect();
         ranked.sort_unstable_by(|a, b| b.cmp(a));
         ranked.into_iter().map(|(_, it)| it).collect()
     }
@@ -91,11 +88,7 @@
     /// The next `count` members after one on the ring of incarnation hashes.
     pub fn neighbours(&self, of: Incarnation, count: usize) -> Vec<&Member> {
         let place = |it: Incarnation| (hash::weight(RING, it.0), it);
-        let mut ring: Vec<_> = self
-            .members
-            .values()
-            .filter(|it| it.incarnation != of)
-            .collect();
+        let mut ring: Vec<_> = self.members.values().filter(|it| it.incarnation != of).collect();
         let here = place(of);
         ring.sort_unstable_by_key(|it| (place(it.incarnation) < here, place(it.incarnation)));
         ring.truncate(count);
--- a/crates/state/src/runner.rs
+++ b/crates/state/src/runner.rs
@@ -100,9 +100,7 @@
 
     /// Keys of the runners with a role that serve a model or prefix.
     pub fn pool(&self, role: Role, serves: &str) -> &[Key] {
-        self.pools
-            .get(&(role, serves.to_owned()))
-            .map_or(&[], Vec::as_slice)
+        self.pools.get(&(role, serves.to_owned())).map_or(&[], Vec::as_slice)
     }
 
     /// All runners.
--- a/crates/transport/src/call.rs
+++ b/crates/transport/src/call.rs
@@ -67,10 +67,7 @@
         match shared.claims.claim(key).await {
             Claimed::Mine => {}
             Claimed::Elsewhere => {
-                return Err(Refusal::unknown(
-                    Code::KeyUnknown,
-                    "another node claimed this key",
-                ));
+                return Err(Refusal::unknown(Code::KeyUnknown, "another node claimed this key"));
             }
             Claimed::Unavailable => {
                 let message = "neither the log nor a peer took the claim";
@@ -80,16 +77,10 @@
             }
         }
     }
-    let mut attempt = attempt::Id {
-        origin: shared.me,
-        sequence: job.sequence,
-        round: 0,
-    };
+    let mut attempt = attempt::Id { origin: shared.me, sequence: job.sequence, round: 0 };
     let mut ran = false;
     loop {
-        let runner = place(shared, job)
-            .await
-            .ok_or_else(|| refuse(ran, "no usable runner"))?;
+        let runner = place(shared, job).await.ok_or_else(|| refuse(ran, "no usable runner"))?;
         if !shared.fresh().await {
             return Err(refuse(ran, "this node was replaced"));
         }
@@ -98,10 +89,7 @@
         let result = once(shared, job, &runner).await;
         shared.flights.end(attempt);
         let id = runner.id;
-        shared
-            .keeper
-            .visit(move |node, _| node.board.unsent(id))
-            .await;
+        shared.keeper.visit(move |node, _| node.board.unsent(id)).await;
         let error = match result {
             Ok(response) => return answer(shared, response, tape),
             Err(error) => error,
@@ -137,20 +125,12 @@
 fn answer(shared: &Shared, response: Response<Bytes>, tape: &Tape) -> Result<(), Refusal> {
     let (head, body) = response.into_parts();
     if body.len() > shared.settings.limits.answer_bytes {
-        return Err(Refusal::unknown(
-            Code::AnswerTooLong,
-            "the service's answer is too long",
-        ));
+        return Err(Refusal::unknown(Code::AnswerTooLong, "the service's answer is too long"));
     }
-    let content_type = head
-        .headers
-        .get(CONTENT_TYPE)
-        .and_then(|it| it.to_str().ok());
+    let content_type = head.headers.get(CONTENT_TYPE).and_then(|it| it.to_str().ok());
     tape.head(Head {
         status: head.status.as_u16(),
-        content_type: content_type
-            .unwrap_or("application/octet-stream")
-            .to_owned(),
+        content_type: content_type.unwrap_or("application/octet-stream").to_owned(),
     });
     tape.push(body);
     Ok(())
@@ -193,11 +173,7 @@
 }
 
 fn refuse(ran: bool, message: &str) -> Refusal {
-    let outcome = if ran {
-        Outcome::Unknown
-    } else {
-        Outcome::NotRun
-    };
+    let outcome = if ran { Outcome::Unknown } else { Outcome::NotRun };
     Refusal {
         code: Code::NoRunner,
         outcome,
--- a/crates/transport/src/claims.rs
+++ b/crates/transport/src/claims.rs
@@ -62,14 +62,7 @@
 impl Writer {
     /// Starts the actor that appends.
     pub async fn start(shared: Arc<Shared>) -> Result<(), SpawnErr> {
-        let (actor, _) = Actor::spawn(
-            None,
-            Task {
-                shared: shared.clone(),
-            },
-            (),
-        )
-        .await?;
+        let (actor, _) = Actor::spawn(None, Task { shared: shared.clone() }, ()).await?;
         let _ = shared.claims.actor.set(actor);
         Ok(())
     }
@@ -85,8 +78,7 @@
 
     /// Notes that the claims before an offset have been read.
     pub fn read_to(&self, next: u64) {
-        self.read
-            .send_if_modified(|it| std::mem::replace(it, next) != next);
+        self.read.send_if_modified(|it| std::mem::replace(it, next) != next);
     }
 
     /// Offset up to which claims have been read.
@@ -104,10 +96,7 @@
         if !shared.keeper.visit(stands).await {
             return false;
         }
-        self.lock()
-            .entry(by)
-            .or_default()
-            .extend(keys.iter().copied());
+        self.lock().entry(by).or_default().extend(keys.iter().copied());
         let note = move |node: &mut Node, now| {
             keys.iter().for_each(|key| node.claim(*key, by, now));
         };
@@ -117,30 +106,15 @@
 
     /// Copies held of a node's claims.
     pub fn copies_of(&self, by: Incarnation) -> Vec<u64> {
-        self.lock()
-            .get(&by)
-            .map(|it| it.iter().copied().collect())
-            .unwrap_or_default()
+        self.lock().get(&by).map(|it| it.iter().copied().collect()).unwrap_or_default()
     }
 
     /// Appends all copies to the log and drops them; called when the log answers again.
     pub async fn flush_copies(&self, shared: &Shared) {
-        let copies: Vec<_> = self
-            .lock()
-            .iter()
-            .map(|(by, keys)| (*by, keys.clone()))
-            .collect();
+        let copies: Vec<_> = self.lock().iter().map(|(by, keys)| (*by, keys.clone())).collect();
         for (by, keys) in copies {
-            let record = Claims {
-                by,
-                keys: keys.iter().copied().collect(),
-            };
-            if shared
-                .platform
-                .append(CLAIMS, vec![envelope::write(&record)])
-                .await
-                .is_err()
-            {
+            let record = Claims { by, keys: keys.iter().copied().collect() };
+            if shared.platform.append(CLAIMS, vec![envelope::write(&record)]).await.is_err() {
                 return;
             }
             let mut held = self.lock();
@@ -195,12 +169,7 @@
     let logged = append(shared, &keys).await;
     let copied = !logged && copy(shared, &keys).await;
     if copied {
-        shared
-            .claims
-            .lock()
-            .entry(me)
-            .or_default()
-            .extend(keys.iter().copied());
+        shared.claims.lock().entry(me).or_default().extend(keys.iter().copied());
     }
     let judge = move |node: &mut Node, now| {
         if copied {
@@ -225,16 +194,9 @@
     if !shared.log_answers() {
         return false;
     }
-    let record = Claims {
-        by: shared.me,
-        keys: keys.to_vec(),
-    };
+    let record = Claims { by: shared.me, keys: keys.to_vec() };
     shared.metrics.count(Counter::ClaimAppends);
-    let Ok(offset) = shared
-        .platform
-        .append(CLAIMS, vec![envelope::write(&record)])
-        .await
-    else {
+    let Ok(offset) = shared.platform.append(CLAIMS, vec![envelope::write(&record)]).await else {
         shared.metrics.count(Counter::LogFailed);
         return false;
     };
--- a/crates/transport/src/clock.rs
+++ b/crates/transport/src/clock.rs
@@ -13,9 +13,7 @@
 impl Clock {
     /// A clock that starts now.
     pub fn start() -> Self {
-        Self {
-            start: Instant::now(),
-        }
+        Self { start: Instant::now() }
     }
 
     /// Time since the start.
@@ -26,9 +24,7 @@
 
 /// A new incarnation, later than those made before on this VM.
 pub fn incarnation() -> Incarnation {
-    let unix = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let millis = u64::try_from(unix.as_millis()).unwrap_or_default();
     Incarnation::new(millis, rand::random())
 }
--- a/crates/transport/src/drain.rs
+++ b/crates/transport/src/drain.rs
@@ -39,6 +39,7 @@
         let me = Leave {
             id: format!("self/{}", shared.me),
             vm: shared.settings.vm.clone(),
+            node: Some(shared.me),
         };
         let keeper = shared.keeper.clone();
         tokio::spawn(async move { keeper.visit(move |node, _| node.tell(me)).await });
@@ -50,11 +51,7 @@
     let vm = shared.settings.vm.clone();
     loop {
         let vm = vm.clone();
-        if shared
-            .keeper
-            .visit(move |node, _| node.is_leaving(&vm))
-            .await
-        {
+        if shared.keeper.visit(move |node, _| node.is_leaving(&vm)).await {
             announce(&shared);
         }
         if let Phase::Leaving { since } = *shared.phase.borrow() {
@@ -65,8 +62,8 @@
         }
         tokio::time::sleep(LOOK).await;
     }
-    hand_over(&shared).await;
-    depart(&shared).await;
+    let released = hand_over(&shared).await;
+    depart(&shared, released).await;
     info!(event = "safe_to_stop"; "");
     shared.phase.send_replace(Phase::Stopped);
 }
@@ -75,8 +72,8 @@
     shared.in_progress() == 0 && shared.flights.is_empty()
 }
 
-/// Gives every ending to the node that owns its key next.
-async fn hand_over(shared: &Arc<Shared>) {
+/// Gives every ending to the node that owns its key next; true when all were taken.
+async fn hand_over(shared: &Arc<Shared>) -> bool {
     let collect = |node: &mut Node, _| {
         let mut by_owner: BTreeMap<SocketAddr, Vec<Ending>> = BTreeMap::new();
         for (key, fingerprint, answer) in node.ledger.handover() {
@@ -84,14 +81,11 @@
                 continue;
             };
             let answer = answer.map(|it| it.as_ref().clone());
-            by_owner.entry(next).or_default().push(Ending {
-                key,
-                fingerprint,
-                answer,
-            });
+            by_owner.entry(next).or_default().push(Ending { key, fingerprint, answer });
         }
         by_owner
     };
+    let mut taken = true;
     for (owner, endings) in shared.keeper.visit(collect).await {
         for chunk in endings.chunks(CHUNK) {
             let chunk = chunk.to_vec();
@@ -99,26 +93,21 @@
                 |client: PeerClient, context| async move { client.handover(context, chunk).await };
             if shared.peers.call(owner, HANDOVER, call).await.is_err() {
                 warn!(event = "handover_failed", to:% = owner; "");
+                taken = false;
             }
         }
     }
+    taken
 }
 
 /// Records that this node holds nothing more.
-async fn depart(shared: &Arc<Shared>) {
+async fn depart(shared: &Arc<Shared>, released: bool) {
     if !shared.is_member() {
         return;
     }
     for _ in 0..DEPART_TRIES {
-        shared.phase.send_replace(Phase::Stopped);
-        if follower::append(
-            shared,
-            &Record::Depart {
-                incarnation: shared.me,
-            },
-        )
-        .await
-        {
+        let record = Record::Depart { incarnation: shared.me, released };
+        if follower::append(shared, &record).await {
             return;
         }
         tokio::time::sleep(LOOK).await;
--- a/crates/transport/src/engine.rs
+++ b/crates/transport/src/engine.rs
@@ -70,9 +70,9 @@
                 Self::Refused { status }
             }
             http::Error::Status { status, .. } if GONE.contains(&status) => Self::Gone,
-            http::Error::Status { status, body, .. } => Self::Broken {
-                message: format!("status {status}: {body}"),
-            },
+            http::Error::Status { status, body, .. } => {
+                Self::Broken { message: format!("status {status}: {body}") }
+            }
         }
     }
 }
@@ -97,10 +97,7 @@
 
     /// Computes a prompt's KV cache.
     pub async fn prefill(&self, body: &Prefill, limit: Duration) -> Result<Prefilled, Error> {
-        Ok(self
-            .client
-            .fetch(Call::json(self.address, "/prefill", body), limit)
-            .await?)
+        Ok(self.client.fetch(Call::json(self.address, "/prefill", body), limit).await?)
     }
 
     /// Makes the engine fetch an attempt's KV cache from another.
@@ -124,38 +121,22 @@
     pub async fn cancel(&self, attempt: attempt::Id) -> bool {
         let call = Call::new(Method::DELETE, self.address, format!("/attempts/{attempt}"));
         let confirmed = |status: hyper::StatusCode| status.is_success() || status == GONE[0];
-        self.client
-            .whole(call, SHORT)
-            .await
-            .is_ok_and(|it| confirmed(it.status()))
+        self.client.whole(call, SHORT).await.is_ok_and(|it| confirmed(it.status()))
     }
 
     /// Attempts that hold memory.
     pub async fn held(&self) -> Result<HeldList, Error> {
-        Ok(self
-            .client
-            .fetch(Call::new(Method::GET, self.address, "/held"), SHORT)
-            .await?)
+        Ok(self.client.fetch(Call::new(Method::GET, self.address, "/held"), SHORT).await?)
     }
 
     async fn stream(&self, path: &str, body: &impl Serialize) -> Result<Stream, Error> {
-        let response = self
-            .client
-            .send(Call::json(self.address, path, body), STALL)
-            .await?;
+        let response = self.client.send(Call::json(self.address, path, body), STALL).await?;
         let status = response.status().as_u16();
         if status != 200 {
-            let error = http::Error::Status {
-                to: self.address,
-                status,
-                body: String::new(),
-            };
+            let error = http::Error::Status { to: self.address, status, body: String::new() };
             return Err(error.into());
         }
-        Ok(Stream {
-            body: response.into_body(),
-            buffer: BytesMut::new(),
-        })
+        Ok(Stream { body: response.into_body(), buffer: BytesMut::new() })
     }
 }
 
@@ -171,14 +152,11 @@
     pub async fn next(&mut self) -> Result<Line, Error> {
         loop {
             if let Some(line) = self.line() {
-                return serde_json::from_slice(&line).map_err(|error| Error::Broken {
-                    message: error.to_string(),
-                });
+                return serde_json::from_slice(&line)
+                    .map_err(|error| Error::Broken { message: error.to_string() });
             }
             if self.buffer.len() > LINE_BYTES {
-                return Err(Error::Broken {
-                    message: "line too long".to_owned(),
-                });
+                return Err(Error::Broken { message: "line too long".to_owned() });
             }
             let frame = tokio::time::timeout(STALL, self.body.frame()).await;
             match frame.map_err(|_| Error::Stalled)? {
@@ -201,7 +179,5 @@
 }
 
 fn broken(error: BodyError) -> Error {
-    Error::Broken {
-        message: error.to_string(),
-    }
+    Error::Broken { message: error.to_string() }
 }
--- a/crates/transport/src/entry.rs
+++ b/crates/transport/src/entry.rs
@@ -8,7 +8,7 @@
 use crate::{call, run};
 use bytes::Bytes;
 use crosslane_coordination::ledger::{self, Begin};
-use crosslane_coordination::node::{Node, Route};
+use crosslane_coordination::node::{Doubt, Node, Route};
 use crosslane_coordination::program::Input;
 use crosslane_protocol::completion::{Completion, Form, Raw};
 use crosslane_protocol::peer::{Ending, PeerClient};
@@ -48,6 +48,9 @@
 /// Owner to forward to instead.
 pub const OWNER: HeaderName = HeaderName::from_static("crosslane-owner");
 
+/// Nodes that have given the key of a forwarded request up.
+pub const PASSED: HeaderName = HeaderName::from_static("crosslane-passed");
+
 /// Nodes that a request may pass.
 pub const MOST_HOPS: u32 = 4;
 
@@ -82,6 +85,8 @@
     pub deadline: Millis,
     /// Nodes passed so far.
     pub hops: u32,
+    /// Nodes that have given its key up.
+    pub passed: Vec<Incarnation>,
 }
 
 /// What a request asks for.
@@ -110,10 +115,7 @@
     let phase = *shared.phase.borrow();
     let ready = phase == Phase::Serving && !shared.paused();
     let status = if ready { 200 } else { 503 };
-    http::json(
-        status,
-        &json!({ "live": true, "ready": ready, "phase": format!("{phase:?}") }),
-    )
+    http::json(status, &json!({ "live": true, "ready": ready, "phase": format!("{phase:?}") }))
 }
 
 async fn handle(shared: Arc<Shared>, request: Request<Incoming>, inner: bool) -> Response<Reply> {
@@ -143,22 +145,17 @@
     let limits = shared.settings.limits;
     let (head, body) = request.into_parts();
     let limit = Duration::from_millis(limits.read_millis);
-    let body = http::read(body, limits.body_bytes, limit)
-        .await
-        .map_err(|error| {
-            let code = match error {
-                ReadError::TooLong => Code::BodyTooLong,
-                ReadError::Incomplete => Code::BodyIncomplete,
-            };
-            Refusal::not_run(code, error.to_string())
-        })?;
+    let body = http::read(body, limits.body_bytes, limit).await.map_err(|error| {
+        let code = match error {
+            ReadError::TooLong => Code::BodyTooLong,
+            ReadError::Incomplete => Code::BodyIncomplete,
+        };
+        Refusal::not_run(code, error.to_string())
+    })?;
     admit(shared, inner)?;
     let target = target(shared, &head, &body)?;
-    let hops = if inner {
-        number(&head.headers, &HOPS)?.unwrap_or(1) as u32
-    } else {
-        0
-    };
+    let hops = if inner { number(&head.headers, &HOPS)?.unwrap_or(1) as u32 } else { 0 };
+    let passed = if inner { passed(&head.headers) } else { Vec::new() };
     let organisation = organisation(&head.headers)?;
     let verdict = judge(shared, &head, &target, organisation)?;
     let class = match verdict.class {
@@ -169,9 +166,7 @@
         Target::Model(_) => class.first_millis,
         Target::Service(_) => class.service_millis,
     };
-    let wished = number(&head.headers, &DEADLINE)?
-        .unwrap_or(usual)
-        .min(LONGEST_DEADLINE);
+    let wished = number(&head.headers, &DEADLINE)?.unwrap_or(usual).min(LONGEST_DEADLINE);
     Ok(Asked {
         organisation: Organisation(hash::of(organisation.as_bytes())),
         deadline: shared.clock.now() + wished,
@@ -180,6 +175,7 @@
         target,
         verdict,
         hops,
+        passed,
     })
 }
 
@@ -190,10 +186,7 @@
     let (code, message) = match *shared.phase.borrow() {
         Phase::Serving => return Ok(()),
         Phase::Leaving { since } if inner || now.since(since) < drain => return Ok(()),
-        Phase::Starting => (
-            Code::NotReady,
-            "this node does not hold the policy in force yet",
-        ),
+        Phase::Starting => (Code::NotReady, "this node does not hold the policy in force yet"),
         Phase::Leaving { .. } | Phase::Stopped => (Code::Leaving, "this node is leaving"),
         Phase::Fenced => (Code::NotReady, "this node was replaced"),
     };
@@ -204,10 +197,7 @@
     let path = head.uri.path();
     if let Some(form) = Form::at(path) {
         if head.method != hyper::Method::POST {
-            return Err(Refusal::not_run(
-                Code::NoRoute,
-                "completions are asked for by POST",
-            ));
+            return Err(Refusal::not_run(Code::NoRoute, "completions are asked for by POST"));
         }
         let completion = Completion::try_from(Raw { form, body })
             .map_err(|error| Refusal::not_run(Code::BadBody, error.to_string()))?;
@@ -219,11 +209,7 @@
         return Ok(Target::Model(completion));
     }
     let service = crosslane_state::runner::Role::Service;
-    let prefixes = shared
-        .settings
-        .runners
-        .iter()
-        .filter(|it| it.role == service);
+    let prefixes = shared.settings.runners.iter().filter(|it| it.role == service);
     prefixes
         .map(|it| it.serves.as_str())
         .filter(|prefix| path.starts_with(prefix))
@@ -236,13 +222,9 @@
     let Some(value) = headers.get(ORGANISATION) else {
         return Ok("anonymous");
     };
-    value
-        .to_str()
-        .ok()
-        .filter(|it| !it.is_empty() && it.len() <= ORGANISATION_BYTES)
-        .ok_or_else(|| {
-            bad_header("crosslane-organisation: expected 1 to 128 visible ASCII characters")
-        })
+    value.to_str().ok().filter(|it| !it.is_empty() && it.len() <= ORGANISATION_BYTES).ok_or_else(
+        || bad_header("crosslane-organisation: expected 1 to 128 visible ASCII characters"),
+    )
 }
 
 fn number(headers: &HeaderMap, name: &HeaderName) -> Result<Option<u64>, Refusal> {
@@ -254,6 +236,11 @@
     parsed.map(Some).ok_or_else(wrong)
 }
 
+fn passed(headers: &HeaderMap) -> Vec<Incarnation> {
+    let value = headers.get(PASSED).and_then(|it| it.to_str().ok()).unwrap_or_default();
+    value.split(',').filter_map(Incarnation::parse).collect()
+}
+
 fn bad_header(message: &str) -> Refusal {
     Refusal::not_run(Code::BadHeader, message)
 }
@@ -297,9 +284,7 @@
         spawn(shared, &asked, None, sequence, tape);
         return render(shared, &asked, &key, reader, progress).await;
     };
-    let key = raw
-        .to_str()
-        .map_err(|_| bad_header("idempotency-key: expected ASCII"))?;
+    let key = raw.to_str().map_err(|_| bad_header("idempotency-key: expected ASCII"))?;
     let key = Key::try_from(key).map_err(|error| bad_header(&error.to_string()))?;
     keyed(shared, asked, key, progress).await
 }
@@ -310,21 +295,31 @@
     key: Key,
     progress: Progress,
 ) -> Result<Response<Reply>, Refusal> {
-    let wanted = key.clone();
-    let route = shared
-        .keeper
-        .visit(move |node, now| {
-            if node.ledger.knows(&wanted) {
-                Route::Here { ask: Vec::new() }
-            } else {
-                node.route(&wanted, now)
-            }
-        })
-        .await;
+    let (wanted, passed, inner) = (key.clone(), asked.passed.clone(), asked.hops > 0);
+    let decide = move |node: &mut Node, now| {
+        if node.ledger.knows(&wanted) {
+            return Route::Here { ask: Vec::new() };
+        }
+        let route = node.route(&wanted, &passed, now);
+        if let (Route::There(owner), true) = (&route, inner) {
+            node.ledger.release(&wanted, *owner, now);
+        }
+        route
+    };
+    let route = shared.keeper.visit(decide).await;
     match route {
-        Route::Here { ask } => match released(shared, &asked, &key, ask).await? {
+        Route::Here { ask } => match released(shared, &asked, &key, &ask).await? {
             Some(holder) => elsewhere(shared, asked, key, holder, progress).await,
-            None => begin(shared, asked, key, progress).await,
+            None => {
+                let wanted = key.clone();
+                let reclaim = move |node: &mut Node, _| {
+                    let roster = &node.state.roster;
+                    let given_up = |it| ask.contains(&it) || roster.get(it).is_none();
+                    node.ledger.reclaim(&wanted, given_up);
+                };
+                shared.keeper.visit(reclaim).await;
+                begin(shared, asked, key, progress).await
+            }
         },
         Route::There(owner) => elsewhere(shared, asked, key, owner, progress).await,
     }
@@ -335,11 +330,11 @@
     shared: &Arc<Shared>,
     asked: &Asked,
     key: &Key,
-    ask: Vec<Incarnation>,
+    ask: &[Incarnation],
 ) -> Result<Option<Incarnation>, Refusal> {
     let by = shared.me;
     for earlier in ask {
-        let Some(member) = shared.member(earlier).await else {
+        let Some(member) = shared.member(*earlier).await else {
             continue;
         };
         let key = key.clone();
@@ -347,7 +342,7 @@
             |client: PeerClient, context| async move { client.inquire(context, key, by).await };
         match shared.peers.call(member.control, INQUIRE, call).await {
             Ok(true) => {}
-            Ok(false) => return Ok(Some(earlier)),
+            Ok(false) => return Ok(Some(*earlier)),
             Err(_) if asked.verdict.repeatable => shared.metrics.count(Counter::OwnerBypassed),
             Err(_) => return Err(unreachable()),
         }
@@ -396,27 +391,34 @@
 ) -> Result<Response<Reply>, Refusal> {
     let fingerprint = fingerprint(&asked);
     let repeatable = asked.verdict.repeatable;
+    let service = matches!(asked.target, Target::Service(_));
     let (wanted, inner) = (key.clone(), shared.clone());
     let decide = move |node: &mut Node, now| {
-        if !repeatable && !node.ledger.knows(&wanted) && node.in_doubt(&wanted) {
-            return (Begin::Unknown, None);
+        if !repeatable
+            && !node.ledger.knows(&wanted)
+            && let Some(doubt) = node.doubt(&wanted)
+        {
+            return Err(doubt);
         }
         let begin = node.ledger.begin(&wanted, fingerprint, repeatable, now);
         let mut tapes = inner.tapes.lock().unwrap_or_else(PoisonError::into_inner);
         let tape = match &begin {
             Begin::Run => {
                 node.budget.fresh();
-                tapes.insert(wanted.clone(), Arc::default());
-                tapes.get(&wanted).cloned()
+                let seen_through = service && !repeatable;
+                let tape = if seen_through { Tape::seen_through() } else { Tape::default() };
+                let tape = Arc::new(tape);
+                tapes.insert(wanted.clone(), tape.clone());
+                Some(tape)
             }
             Begin::Join => tapes.get(&wanted).cloned(),
             Begin::Replay(answer) => Some(Arc::new(Tape::replay(answer))),
             _ => None,
         };
         let reader = tape.as_ref().and_then(Tape::reader);
-        (begin, tape.zip(reader))
+        Ok((begin, tape.zip(reader)))
     };
-    let (begin, opened) = shared.keeper.visit(decide).await;
+    let (begin, opened) = shared.keeper.visit(decide).await.map_err(in_doubt)?;
     let reader = match (begin, opened) {
         (Begin::Run, Some((tape, reader))) => {
             let sequence = shared.sequence();
@@ -439,6 +441,16 @@
     render(shared, &asked, &key, Some(reader), progress).await
 }
 
+fn in_doubt(doubt: Doubt) -> Refusal {
+    match doubt {
+        Doubt::Claimed => Refusal::unknown(Code::KeyUnknown, "another node claimed this key"),
+        Doubt::Unsettled => {
+            let message = "a departed node may have run a request under this key";
+            Refusal::unknown(Code::KeyInDoubt, message).retry_after(NOT_READY_MILLIS)
+        }
+    }
+}
+
 fn not_begun(begin: &Begin) -> Refusal {
     match begin {
         Begin::Mismatch => {
@@ -448,10 +460,7 @@
             .retry_after(NOT_READY_MILLIS),
         Begin::Join => Refusal::unknown(Code::CallerLeft, "the earlier request is being abandoned")
             .retry_after(NOT_READY_MILLIS),
-        _ => Refusal::unknown(
-            Code::KeyUnknown,
-            "an earlier request under this key may have run",
-        ),
+        _ => Refusal::unknown(Code::KeyUnknown, "an earlier request under this key may have run"),
     }
 }
 
@@ -464,10 +473,7 @@
 /// Runs a request on its own, so that it ends whatever becomes of the caller's connection.
 fn spawn(shared: &Arc<Shared>, asked: &Asked, key: Option<Key>, sequence: u64, tape: Arc<Tape>) {
     let shared = shared.clone();
-    let claim = key
-        .as_ref()
-        .filter(|_| !asked.verdict.repeatable)
-        .map(Key::hash);
+    let claim = key.as_ref().filter(|_| !asked.verdict.repeatable).map(Key::hash);
     let verdict = asked.verdict.clone();
     let deadline = asked.deadline;
     let fingerprint = fingerprint(asked);
@@ -475,25 +481,14 @@
         Target::Model(completion) => {
             let completion = completion.clone();
             let organisation = asked.organisation;
-            let job = run::Job {
-                completion,
-                verdict,
-                organisation,
-                deadline,
-                claim,
-                sequence,
-            };
+            let job = run::Job { completion, verdict, organisation, deadline, claim, sequence };
             tokio::spawn(async move {
                 let result = run::run(shared.clone(), job, tape.clone()).await;
                 conclude(&shared, key, fingerprint, &tape, result).await;
             });
         }
         Target::Service(prefix) => {
-            let path = asked
-                .head
-                .uri
-                .path_and_query()
-                .map_or("/", |it| it.as_str());
+            let path = asked.head.uri.path_and_query().map_or("/", |it| it.as_str());
             let job = call::Job {
                 prefix: prefix.clone(),
                 method: asked.head.method.clone(),
@@ -534,11 +529,7 @@
         let tapes = shared.clone();
         let finish = move |node: &mut Node, now| {
             node.ledger.finish(&key, end, now);
-            tapes
-                .tapes
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner)
-                .remove(&key);
+            tapes.tapes.lock().unwrap_or_else(PoisonError::into_inner).remove(&key);
         };
         shared.keeper.visit(finish).await;
     }
@@ -555,18 +546,11 @@
     answer: crosslane_state::answer::Answer,
 ) {
     let wanted = key.clone();
-    let next = shared
-        .keeper
-        .visit(move |node, _| node.successor(&wanted).cloned())
-        .await;
+    let next = shared.keeper.visit(move |node, _| node.successor(&wanted).cloned()).await;
     let Some(next) = next else {
         return;
     };
-    let ending = Ending {
-        key: key.clone(),
-        fingerprint,
-        answer: Some(answer),
-    };
+    let ending = Ending { key: key.clone(), fingerprint, answer: Some(answer) };
     let call =
         |client: PeerClient, context| async move { client.handover(context, vec![ending]).await };
     let _ = shared.peers.call(next.control, COPY, call).await;
@@ -590,10 +574,7 @@
             let pieces = finished(shared, reader.whole().await)?;
             let text: Vec<u8> = pieces.concat();
             let text = String::from_utf8_lossy(&text);
-            http::json(
-                200,
-                &completion.whole(key.as_str(), &text, pieces.len() as u64),
-            )
+            http::json(200, &completion.whole(key.as_str(), &text, pieces.len() as u64))
         }
         Target::Service(_) => {
             let pieces = finished(shared, reader.whole().await)?;
@@ -652,9 +633,7 @@
         Step::End(End::Refused(refusal)) => return Err(refusal),
         step => step,
     };
-    shared
-        .metrics
-        .first_output(shared.clock.now().since(started));
+    shared.metrics.first_output(shared.clock.now().since(started));
     let events = Events {
         shared: shared.clone(),
         completion: completion.clone(),
@@ -707,23 +686,16 @@
 
 /// One server-sent event with a JSON body.
 pub fn event(body: &impl serde::Serialize) -> Bytes {
-    Bytes::from(format!(
-        "data: {}\n\n",
-        serde_json::to_string(body).unwrap_or_default()
-    ))
+    Bytes::from(format!("data: {}\n\n", serde_json::to_string(body).unwrap_or_default()))
 }
 
 /// The answer that tells a refusal.
 fn refuse(shared: &Shared, refusal: &Refusal) -> Response<Reply> {
     shared.metrics.refused(refusal.code);
-    let body = refusal::Body {
-        error: refusal.clone(),
-    };
+    let body = refusal::Body { error: refusal.clone() };
     let mut response = http::json(refusal.code.status(), &body);
     if let Some(millis) = refusal.retry_after_ms {
-        response
-            .headers_mut()
-            .insert(RETRY_AFTER, HeaderValue::from(millis.div_ceil(1_000)));
+        response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(millis.div_ceil(1_000)));
     }
     response
 }
--- a/crates/transport/src/follower.rs
+++ b/crates/transport/src/follower.rs
@@ -140,11 +140,7 @@
         .keeper
         .visit(move |node, _| {
             let program = node.state.program().map(str::to_owned);
-            (
-                node.state.version(),
-                program,
-                node.state.roster.get(me).is_some(),
-            )
+            (node.state.version(), program, node.state.roster.get(me).is_some())
         })
         .await;
     if version > shared.policy().version {
@@ -174,13 +170,7 @@
         append(shared, &Record::Leave { leave }).await;
     }
     if *shared.phase.borrow() == Phase::Serving && !shared.is_member() {
-        append(
-            shared,
-            &Record::Join {
-                member: shared.member.clone(),
-            },
-        )
-        .await;
+        append(shared, &Record::Join { member: shared.member.clone() }).await;
     }
 }
 
@@ -194,10 +184,7 @@
 
 /// Appends a control record; true when the log confirmed it.
 pub async fn append(shared: &Shared, record: &Record) -> bool {
-    let appended = shared
-        .platform
-        .append(CONTROL, vec![envelope::write(record)])
-        .await;
+    let appended = shared.platform.append(CONTROL, vec![envelope::write(record)]).await;
     if appended.is_err() {
         shared.metrics.count(Counter::LogFailed);
     }
@@ -209,17 +196,11 @@
     match shared.platform.read(CLAIMS, from, wait).await {
         Ok(Read::Page(page)) => {
             let next = page.from + page.records.len() as u64;
-            let claims: Vec<Claims> = page
-                .records
-                .iter()
-                .filter_map(|it| Claims::try_from(Raw(it)).ok())
-                .collect();
+            let claims: Vec<Claims> =
+                page.records.iter().filter_map(|it| Claims::try_from(Raw(it)).ok()).collect();
             let note = move |node: &mut Node, now| {
                 for claim in claims {
-                    claim
-                        .keys
-                        .iter()
-                        .for_each(|key| node.claim(*key, claim.by, now));
+                    claim.keys.iter().for_each(|key| node.claim(*key, claim.by, now));
                 }
             };
             shared.keeper.visit(note).await;
--- a/crates/transport/src/forward.rs
+++ b/crates/transport/src/forward.rs
@@ -1,6 +1,6 @@
 //! Forwarding of keyed requests to the node that owns the key.
 
-use crate::entry::{self, Asked, DEADLINE, HOPS, MOST_HOPS, OWNER};
+use crate::entry::{self, Asked, DEADLINE, HOPS, MOST_HOPS, OWNER, PASSED};
 use crate::http::{self, BodyError, Call, Reply};
 use crate::metrics::Counter;
 use crate::node::{Progress, Shared};
@@ -40,16 +40,15 @@
     owner: Incarnation,
 ) -> Result<Response<Incoming>, Error> {
     let mut owner = owner;
+    let mut passed = Vec::new();
     for hops in 1..=MOST_HOPS {
-        let response = once(shared, asked, owner, hops).await?;
+        let response = once(shared, asked, owner, hops, &passed).await?;
         if response.status() != StatusCode::MISDIRECTED_REQUEST {
             return Ok(response);
         }
+        passed.push(owner.to_string());
         shared.metrics.count(Counter::ForwardMoved);
-        let named = response
-            .headers()
-            .get(OWNER)
-            .and_then(|it| it.to_str().ok());
+        let named = response.headers().get(OWNER).and_then(|it| it.to_str().ok());
         owner = named.and_then(Incarnation::parse).ok_or(Error::Unreached)?;
     }
     Err(Error::Refused(entry::unreachable()))
@@ -60,6 +59,7 @@
     asked: &Asked,
     owner: Incarnation,
     hops: u32,
+    passed: &[String],
 ) -> Result<Response<Incoming>, Error> {
     let Some(member) = shared.member(owner).await else {
         let message = "the node that knew this key is gone";
@@ -67,14 +67,13 @@
     };
     shared.metrics.count(Counter::Forwarded);
     let left = asked.deadline.since(shared.clock.now());
-    let path = asked
-        .head
-        .uri
-        .path_and_query()
-        .map_or("/", |it| it.as_str());
+    let path = asked.head.uri.path_and_query().map_or("/", |it| it.as_str());
     let mut call = Call::new(asked.head.method.clone(), member.forward, path);
     call.headers = end_to_end(&asked.head.headers);
     call.headers.insert(HOPS, HeaderValue::from(hops));
+    if let Ok(value) = HeaderValue::from_str(&passed.join(",")) {
+        call.headers.insert(PASSED, value);
+    }
     call.headers.insert(DEADLINE, HeaderValue::from(left));
     call.body = asked.body.clone();
     let limit = GRACE + Duration::from_millis(left);
@@ -99,10 +98,7 @@
 pub fn relay(response: Response<Incoming>, progress: Progress) -> Response<Reply> {
     let (mut head, body) = response.into_parts();
     head.headers = end_to_end(&head.headers);
-    let events = head
-        .headers
-        .get(CONTENT_TYPE)
-        .is_some_and(|it| it == "text/event-stream");
+    let events = head.headers.get(CONTENT_TYPE).is_some_and(|it| it == "text/event-stream");
     let state = (Some(body), events, progress);
     let frames = stream::unfold(state, |(body, events, progress)| async move {
         let mut body = body?;
@@ -117,9 +113,6 @@
 }
 
 fn broken() -> Bytes {
-    let error = Refusal::unknown(
-        Code::RunnerFailed,
-        "the node that ran this request broke off",
-    );
+    let error = Refusal::unknown(Code::RunnerFailed, "the node that ran this request broke off");
     entry::event(&refusal::Body { error })
 }
--- a/crates/transport/src/http.rs
+++ b/crates/transport/src/http.rs
@@ -82,20 +82,13 @@
 impl Call {
     /// A call without body.
     pub fn new(method: Method, to: SocketAddr, path: impl Into<String>) -> Self {
-        Self {
-            to,
-            method,
-            path: path.into(),
-            headers: HeaderMap::new(),
-            body: Bytes::new(),
-        }
+        Self { to, method, path: path.into(), headers: HeaderMap::new(), body: Bytes::new() }
     }
 
     /// A call with a JSON body.
     pub fn json(to: SocketAddr, path: impl Into<String>, body: &impl Serialize) -> Self {
         let mut call = Self::new(Method::POST, to, path);
-        call.headers
-            .insert(CONTENT_TYPE, hyper::header::HeaderValue::from_static(JSON));
+        call.headers.insert(CONTENT_TYPE, hyper::header::HeaderValue::from_static(JSON));
         call.body = serde_json::to_vec(body).unwrap_or_default().into();
         call
     }
@@ -128,18 +121,12 @@
             .method(call.method)
             .uri(format!("http://{to}{}", call.path))
             .body(Full::new(call.body))
-            .map_err(|error| Error::Broken {
-                to,
-                message: error.to_string(),
-            })?;
+            .map_err(|error| Error::Broken { to, message: error.to_string() })?;
         request.headers_mut().extend(call.headers);
         match tokio::time::timeout(limit, self.inner.request(request)).await {
             Err(_) => Err(Error::Timeout { to }),
             Ok(Err(error)) if error.is_connect() => Err(Error::Connect { to }),
-            Ok(Err(error)) => Err(Error::Broken {
-                to,
-                message: error.to_string(),
-            }),
+            Ok(Err(error)) => Err(Error::Broken { to, message: error.to_string() }),
             Ok(Ok(response)) => Ok(response),
         }
     }
@@ -152,10 +139,7 @@
         let left = limit.saturating_sub(started.elapsed());
         match tokio::time::timeout(left, body.collect()).await {
             Err(_) => Err(Error::Timeout { to }),
-            Ok(Err(error)) => Err(Error::Broken {
-                to,
-                message: error.to_string(),
-            }),
+            Ok(Err(error)) => Err(Error::Broken { to, message: error.to_string() }),
             Ok(Ok(body)) => Ok(Response::from_parts(head, body.to_bytes())),
         }
     }
@@ -171,16 +155,10 @@
         let status = response.status();
         if !status.is_success() {
             let body = String::from_utf8_lossy(response.body()).into_owned();
-            return Err(Error::Status {
-                to,
-                status: status.as_u16(),
-                body,
-            });
+            return Err(Error::Status { to, status: status.as_u16(), body });
         }
-        serde_json::from_slice(response.body()).map_err(|error| Error::Broken {
-            to,
-            message: error.to_string(),
-        })
+        serde_json::from_slice(response.body())
+            .map_err(|error| Error::Broken { to, message: error.to_string() })
     }
 }
 
@@ -211,9 +189,7 @@
 
 /// A body that is there at once.
 pub fn full(bytes: impl Into<Bytes>) -> Reply {
-    Full::new(bytes.into())
-        .map_err(|never| match never {})
-        .boxed()
+    Full::new(bytes.into()).map_err(|never| match never {}).boxed()
 }
 
 /// An answer with a JSON body.
--- a/crates/transport/src/keeper.rs
+++ b/crates/transport/src/keeper.rs
@@ -91,11 +91,7 @@
         _: ActorRef<Message>,
         (node, clock): (Node, Clock),
     ) -> Result<State, ActorProcessingErr> {
-        Ok(State {
-            node,
-            clock,
-            pending: HashMap::new(),
-        })
+        Ok(State { node, clock, pending: HashMap::new() })
     }
 
     async fn handle(
--- a/crates/transport/src/metered.rs
+++ b/crates/transport/src/metered.rs
@@ -53,9 +53,7 @@
     ) -> Poll<io::Result<usize>> {
         let poll = Pin::new(&mut self.stream).poll_write(context, bytes);
         if let Poll::Ready(Ok(written)) = poll {
-            self.meter
-                .written
-                .fetch_add(written as u64, Ordering::Relaxed);
+            self.meter.written.fetch_add(written as u64, Ordering::Relaxed);
         }
         poll
     }
--- a/crates/transport/src/metrics.rs
+++ b/crates/transport/src/metrics.rs
@@ -159,10 +159,7 @@
 
     /// Counts a refusal.
     pub fn refused(&self, code: Code) {
-        let place = CODES
-            .iter()
-            .position(|row| row.0 == code)
-            .unwrap_or_default();
+        let place = CODES.iter().position(|row| row.0 == code).unwrap_or_default();
         self.refusals[place].fetch_add(1, Ordering::Relaxed);
         let _ = self.statsd.count(&format!("refused.{}", code.name()), 1);
     }
@@ -184,17 +181,10 @@
         let counts = counts.map(|((_, name), value)| ((*name).to_owned(), read(value)));
         let refusals = CODES.iter().zip(&self.refusals);
         let refusals = refusals.map(|(row, value)| (format!("refused.{}", row.1), read(value)));
-        counts
-            .chain(refusals)
-            .filter(|(_, value)| *value > 0)
-            .collect()
+        counts.chain(refusals).filter(|(_, value)| *value > 0).collect()
     }
 }
 
 fn unspecified(peer: SocketAddr) -> SocketAddr {
-    if peer.is_ipv4() {
-        ([0, 0, 0, 0], 0).into()
-    } else {
-        ([0u16; 8], 0).into()
-    }
+    if peer.is_ipv4() { ([0, 0, 0, 0], 0).into() } else { ([0u16; 8], 0).into() }
 }
--- a/crates/transport/src/node.rs
+++ b/crates/transport/src/node.rs
@@ -127,10 +127,7 @@
 
     /// How many attempts touch a VM.
     pub fn touching(&self, vm: &str) -> u32 {
-        self.lock()
-            .values()
-            .filter(|vms| vms.iter().any(|it| it == vm))
-            .count() as u32
+        self.lock().values().filter(|vms| vms.iter().any(|it| it == vm)).count() as u32
     }
 
     /// How many attempts there are.
@@ -201,9 +198,7 @@
     /// Counts a request as in progress.
     pub fn progress(self: &Arc<Self>) -> Progress {
         self.in_progress.fetch_add(1, Ordering::Relaxed);
-        Progress {
-            shared: self.clone(),
-        }
+        Progress { shared: self.clone() }
     }
 
     /// Requests in progress.
@@ -218,10 +213,7 @@
 
     /// Policy in force here.
     pub fn policy(&self) -> Arc<Policy> {
-        self.policy
-            .read()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
+        self.policy.read().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
     /// Puts a policy in force; an older version changes nothing.
@@ -247,10 +239,12 @@
         self.member_now.load(Ordering::Relaxed)
     }
 
-    /// Notes whether the log has this node as a member; one that was removed is fenced.
+    /// Notes whether the log has this node as a member; one that was removed, and did not
+    /// leave by itself, is fenced.
     pub fn note_membership(&self, member: bool) {
         let before = self.member_now.swap(member, Ordering::Relaxed);
-        if before && !member && !matches!(*self.phase.borrow(), Phase::Stopped) {
+        let leaving = matches!(*self.phase.borrow(), Phase::Leaving { .. } | Phase::Stopped);
+        if before && !member && !leaving {
             self.fence("replaced");
         }
     }
@@ -299,9 +293,7 @@
 
     /// The member with an incarnation.
     pub async fn member(&self, incarnation: Incarnation) -> Option<Member> {
-        self.keeper
-            .visit(move |node, _| node.state.roster.get(incarnation).cloned())
-            .await
+        self.keeper.visit(move |node, _| node.state.roster.get(incarnation).cloned()).await
     }
 }
 
@@ -337,9 +329,7 @@
         control: local(&control)?,
     };
     let shared = share(settings, addresses.control, local(&forward)?).await?;
-    Writer::start(shared.clone())
-        .await
-        .map_err(|source| StartError::Actor { source })?;
+    Writer::start(shared.clone()).await.map_err(|source| StartError::Actor { source })?;
     let (stop, stopped) = watch::channel(false);
 
     let limits = serve::Limits {
@@ -349,29 +339,17 @@
     };
     let from_callers = handler(shared.clone(), entry::caller);
     tokio::spawn(serve::serve(callers, limits, stopped.clone(), from_callers));
-    let inner = serve::Limits {
-        header_bytes: limits.header_bytes * 2,
-        ..Default::default()
-    };
+    let inner = serve::Limits { header_bytes: limits.header_bytes * 2, ..Default::default() };
     let from_nodes = handler(shared.clone(), entry::forwarded);
     tokio::spawn(serve::serve(forward, inner, stopped.clone(), from_nodes));
     let from_operators = handler(shared.clone(), operator::handle);
-    tokio::spawn(serve::serve(
-        operators,
-        serve::Limits::default(),
-        stopped,
-        from_operators,
-    ));
+    tokio::spawn(serve::serve(operators, serve::Limits::default(), stopped, from_operators));
     tokio::spawn(rpc::serve(control, shared.clone()));
     tokio::spawn(join(shared.clone()));
     tokio::spawn(pulse::run(shared.clone()));
     tokio::spawn(sweep::run(shared.clone()));
     tokio::spawn(drain::watch(shared.clone()));
-    Ok(Handle {
-        shared,
-        addresses,
-        stop,
-    })
+    Ok(Handle { shared, addresses, stop })
 }
 
 impl Handle {
@@ -379,9 +357,7 @@
     pub async fn leave(&self) {
         drain::announce(&self.shared);
         let mut phase = self.shared.phase.subscribe();
-        let _ = phase
-            .wait_for(|it| matches!(it, Phase::Stopped | Phase::Fenced))
-            .await;
+        let _ = phase.wait_for(|it| matches!(it, Phase::Stopped | Phase::Fenced)).await;
         self.stop.send_replace(true);
     }
 
@@ -400,9 +376,7 @@
     let clock = Clock::start();
     let me = clock::incarnation();
     let node = Node::new(options(&settings, me));
-    let keeper = Keeper::start(node, clock)
-        .await
-        .map_err(|source| StartError::Actor { source })?;
+    let keeper = Keeper::start(node, clock).await.map_err(|source| StartError::Actor { source })?;
     let metrics = Metrics::new(settings.statsd).map_err(|source| StartError::Metrics { source })?;
     let client = Client::default();
     let limit = Duration::from_millis(settings.timing.platform_millis);
@@ -426,10 +400,7 @@
         flights: Flights::default(),
         tapes: Mutex::default(),
         phase: watch::Sender::new(Phase::Starting),
-        policy: RwLock::new(Arc::new(Policy {
-            version: Version(0),
-            program: default,
-        })),
+        policy: RwLock::new(Arc::new(Policy { version: Version(0), program: default })),
         in_progress: AtomicUsize::new(0),
         sequence: AtomicU64::new(0),
         ticked: AtomicU64::new(0),
@@ -468,9 +439,7 @@
         }
         tokio::time::sleep(START_PAUSE).await;
     }
-    let record = Record::Join {
-        member: shared.member.clone(),
-    };
+    let record = Record::Join { member: shared.member.clone() };
     if follower::append(&shared, &record).await {
         shared.set_log_answers(true);
         while !shared.is_member() && follower::catch_up(&shared).await {}
@@ -499,15 +468,10 @@
 }
 
 async fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
-    TcpListener::bind(address)
-        .await
-        .map_err(|source| StartError::Listen { address, source })
+    TcpListener::bind(address).await.map_err(|source| StartError::Listen { address, source })
 }
 
 fn local(listener: &TcpListener) -> Result<SocketAddr, StartError> {
     let unknown = SocketAddr::from(([0, 0, 0, 0], 0));
-    listener.local_addr().map_err(|source| StartError::Listen {
-        address: unknown,
-        source,
-    })
+    listener.local_addr().map_err(|source| StartError::Listen { address: unknown, source })
 }
--- a/crates/transport/src/operator.rs
+++ b/crates/transport/src/operator.rs
@@ -40,17 +40,9 @@
 }
 
 fn allowed(shared: &Shared, request: &Request<Incoming>) -> bool {
-    let shown = request
-        .headers()
-        .get(AUTHORIZATION)
-        .and_then(|it| it.to_str().ok());
-    let shown = shown
-        .and_then(|it| it.strip_prefix("Bearer "))
-        .unwrap_or_default();
-    shown
-        .as_bytes()
-        .ct_eq(shared.settings.operator_key.as_bytes())
-        .into()
+    let shown = request.headers().get(AUTHORIZATION).and_then(|it| it.to_str().ok());
+    let shown = shown.and_then(|it| it.strip_prefix("Bearer ")).unwrap_or_default();
+    shown.as_bytes().ct_eq(shared.settings.operator_key.as_bytes()).into()
 }
 
 async fn status(shared: &Arc<Shared>) -> serde_json::Value {
@@ -74,7 +66,7 @@
             "members": members,
             "leaving": node.told().map(|it| it.vm.clone()).collect::<std::collections::BTreeSet<_>>(),
             "owned": node.owned().map(|it| it.name.clone()).collect::<Vec<_>>(),
-            "loads": node.reports().iter().map(|(id, load)| json!({"runner": id, "load": load})).collect::<Vec<_>>(),
+            "loads": node.reports(now).iter().map(|(id, load)| json!({"runner": id, "load": load})).collect::<Vec<_>>(),
             "accepted": newest.as_ref().is_none_or(|it| it.accepted),
             "missing": node.state.missing(),
             "keys": node.ledger.len(),
@@ -132,12 +124,13 @@
 /// Announces a VM as leaving, here and, if it answers, in the log.
 async fn leave(shared: &Arc<Shared>, vm: &str) -> serde_json::Value {
     let id = format!("operator/{}/{vm}/{}", shared.me, shared.sequence());
-    let leave = Leave {
-        id,
-        vm: vm.to_owned(),
-    };
+    let leave = Leave { id, vm: vm.to_owned(), node: None };
     let told = leave.clone();
-    shared.keeper.visit(move |node, _| node.tell(told)).await;
+    let stamp = move |node: &mut Node, _| {
+        node.tell(told.clone());
+        node.state.stamped(told)
+    };
+    let leave = shared.keeper.visit(stamp).await;
     let logged = follower::append(shared, &Record::Leave { leave }).await;
     json!({ "vm": vm, "leaving": true, "logged": logged })
 }
--- a/crates/transport/src/peers.rs
+++ b/crates/transport/src/peers.rs
@@ -66,9 +66,7 @@
             return Ok(client.clone());
         }
         let connected = tokio::time::timeout(CONNECT, TcpStream::connect(to)).await;
-        let stream = connected
-            .map_err(|_| Error::Unreachable)?
-            .map_err(|_| Error::Unreachable)?;
+        let stream = connected.map_err(|_| Error::Unreachable)?.map_err(|_| Error::Unreachable)?;
         let _ = stream.set_nodelay(true);
         let framed = LengthDelimitedCodec::builder()
             .max_frame_length(FRAME_BYTES)
--- a/crates/transport/src/platform.rs
+++ b/crates/transport/src/platform.rs
@@ -33,21 +33,13 @@
 impl Platform {
     /// A client that waits this long for an answer.
     pub fn new(client: Client, log: SocketAddr, vms: SocketAddr, limit: Duration) -> Self {
-        Self {
-            client,
-            log,
-            vms,
-            limit,
-        }
+        Self { client, log, vms, limit }
     }
 
     /// Appends records; an error leaves open whether they were.
     pub async fn append(&self, stream: &str, records: Vec<String>) -> Result<u64, Error> {
         let call = Call::json(self.log, format!("/streams/{stream}"), &Append { records });
-        self.client
-            .fetch(call, self.limit)
-            .await
-            .map(|it: Appended| it.offset)
+        self.client.fetch(call, self.limit).await.map(|it: Appended| it.offset)
     }
 
     /// Reads records from an offset on, waiting up to `wait` for the first.
@@ -56,15 +48,9 @@
         let call = Call::new(Method::GET, self.log, path);
         match self.client.fetch(call, self.limit + wait).await {
             Ok(page) => Ok(Read::Page(page)),
-            Err(Error::Status {
-                status: GONE,
-                body,
-                to,
-            }) => {
-                let page: Page = serde_json::from_str(&body).map_err(|error| Error::Broken {
-                    to,
-                    message: error.to_string(),
-                })?;
+            Err(Error::Status { status: GONE, body, to }) => {
+                let page: Page = serde_json::from_str(&body)
+                    .map_err(|error| Error::Broken { to, message: error.to_string() })?;
                 Ok(Read::Trimmed { first: page.first })
             }
             Err(error) => Err(error),
@@ -73,8 +59,6 @@
 
     /// The platform's list of VMs.
     pub async fn vms(&self) -> Result<List, Error> {
-        self.client
-            .fetch(Call::new(Method::GET, self.vms, "/vms"), self.limit)
-            .await
+        self.client.fetch(Call::new(Method::GET, self.vms, "/vms"), self.limit).await
     }
 }
--- a/crates/transport/src/pulse.rs
+++ b/crates/transport/src/pulse.rs
@@ -56,10 +56,7 @@
 async fn wake(shared: &Arc<Shared>) {
     shared.metrics.count(Counter::Paused);
     warn!(event = "paused"; "this process stood still and catches up first");
-    shared
-        .keeper
-        .visit(|node, now| node.detector.restart(now))
-        .await;
+    shared.keeper.visit(|node, now| node.detector.restart(now)).await;
     if !follower::catch_up(shared).await {
         snapshot(shared).await;
     }
@@ -102,16 +99,11 @@
     shared
         .keeper
         .visit(move |node, now| {
-            let loads = node.reports();
+            let loads = node.reports(now);
             for (id, report) in &loads {
                 node.board.report(*id, *report, now);
             }
-            Beat {
-                from,
-                version,
-                loads,
-                leaves: node.told().cloned().collect(),
-            }
+            Beat { from, version, loads, leaves: node.told().cloned().collect() }
         })
         .await
 }
@@ -124,10 +116,7 @@
         for (id, report) in beat.loads {
             node.board.report(id, report, now);
         }
-        beat.leaves
-            .into_iter()
-            .filter(|it| node.tell(it.clone()))
-            .count()
+        beat.leaves.into_iter().filter(|it| node.tell(it.clone())).count()
     };
     let new = shared.keeper.visit(news).await;
     if new > 0 {
@@ -137,20 +126,13 @@
 
 /// Whether this node hears another.
 pub async fn hears(shared: &Arc<Shared>, other: Incarnation) -> bool {
-    let member = shared
-        .keeper
-        .visit(move |node, _| node.state.roster.get(other).cloned())
-        .await;
+    let member = shared.keeper.visit(move |node, _| node.state.roster.get(other).cloned()).await;
     let Some(member) = member else {
         return false;
     };
     let beat = beat(shared).await;
     let call = |client: PeerClient, context| async move { client.beat(context, beat).await };
-    shared
-        .peers
-        .call(member.control, HEARS / 2, call)
-        .await
-        .is_ok()
+    shared.peers.call(member.control, HEARS / 2, call).await.is_ok()
 }
 
 async fn exchange(shared: Arc<Shared>, neighbour: Member) {
@@ -166,10 +148,7 @@
 /// Asks others about silent nodes.
 async fn suspects(shared: Arc<Shared>) {
     let me = shared.me;
-    let suspects = shared
-        .keeper
-        .visit(|node, now| node.detector.suspects(now))
-        .await;
+    let suspects = shared.keeper.visit(|node, now| node.detector.suspects(now)).await;
     for suspect in suspects {
         let witnesses = move |node: &mut Node, now| {
             let mut witnesses = neighbours(node);
@@ -187,18 +166,12 @@
             shared.peers.call(witness.control, HEARS, call)
         });
         if futures::future::join_all(asked).await.contains(&Ok(true)) {
-            shared
-                .keeper
-                .visit(move |node, now| node.detector.heard(suspect, now))
-                .await;
+            shared.keeper.visit(move |node, now| node.detector.heard(suspect, now)).await;
             continue;
         }
         shared.metrics.count(Counter::NodesDead);
         warn!(event = "node_dead", node:% = suspect, by:% = me; "");
-        shared
-            .keeper
-            .visit(move |node, now| node.detector.confirm(suspect, now))
-            .await;
+        shared.keeper.visit(move |node, now| node.detector.confirm(suspect, now)).await;
     }
 }
 
@@ -226,18 +199,19 @@
                 (State::Leaving, Some(it)) if node.member_age(it, now) < LIST_LAG_MILLIS => {}
                 (State::Gone, Some(it)) if node.departure_due(it, now) => gone.push(it),
                 (State::Gone, Some(_)) => {}
-                (State::Leaving | State::Gone, _) => {
+                (State::Leaving | State::Gone, _) if node.has_vm(&vm.name) => {
                     let start = incarnation.map(|it| it.to_string()).unwrap_or_default();
                     let id = format!("list/{}/{start}", vm.name);
-                    node.tell(Leave { id, vm: vm.name });
+                    node.tell(Leave { id, vm: vm.name, node: incarnation });
                 }
+                (State::Leaving | State::Gone, _) => {}
             }
         }
         gone
     };
     for incarnation in shared.keeper.visit(judge).await {
         info!(event = "member_gone", node:% = incarnation; "");
-        follower::append(shared, &Record::Depart { incarnation }).await;
+        follower::append(shared, &Record::Depart { incarnation, released: false }).await;
     }
 }
 
@@ -266,10 +240,7 @@
 async fn settle(shared: &Arc<Shared>) {
     for departed in shared.keeper.visit(|node, _| node.unsettled()).await {
         let holders = move |node: &mut Node, _| {
-            let holders = node
-                .state
-                .roster
-                .neighbours(departed, node.options().neighbours);
+            let holders = node.state.roster.neighbours(departed, node.options().neighbours);
             holders.into_iter().cloned().collect::<Vec<_>>()
         };
         let mut complete = follower::catch_up_claims(shared).await;
@@ -291,10 +262,7 @@
             }
         }
         if complete {
-            shared
-                .keeper
-                .visit(move |node, _| node.settle(departed))
-                .await;
+            shared.keeper.visit(move |node, _| node.settle(departed)).await;
             info!(event = "settled", node:% = departed, stream = CLAIMS; "");
         }
     }
--- a/crates/transport/src/rpc.rs
+++ b/crates/transport/src/rpc.rs
@@ -37,9 +37,7 @@
             .new_framed(Metered::new(stream, shared.peers.meter()));
         let transport: Transport<_, _, _, Bincode<_, _>> =
             tarpc::serde_transport::new(framed, Bincode::default());
-        let server = Server {
-            shared: shared.clone(),
-        };
+        let server = Server { shared: shared.clone() };
         let requests = BaseChannel::with_defaults(transport).execute(server.serve());
         tokio::spawn(requests.for_each(|answer| async {
             tokio::spawn(answer);
@@ -66,10 +64,7 @@
     }
 
     async fn inquire(self, _: Context, key: Key, by: Incarnation) -> bool {
-        self.shared
-            .keeper
-            .visit(move |node, now| node.ledger.release(&key, by, now))
-            .await
+        self.shared.keeper.visit(move |node, now| node.ledger.release(&key, by, now)).await
     }
 
     async fn hears(self, _: Context, node: Incarnation) -> bool {
@@ -88,8 +83,7 @@
         let adopt = move |node: &mut crosslane_coordination::node::Node, now| {
             for ending in endings {
                 let answer = ending.answer.map(Arc::new);
-                node.ledger
-                    .adopt(&ending.key, ending.fingerprint, answer, now);
+                node.ledger.adopt(&ending.key, ending.fingerprint, answer, now);
             }
         };
         self.shared.keeper.visit(adopt).await;
--- a/crates/transport/src/run.rs
+++ b/crates/transport/src/run.rs
@@ -105,24 +105,10 @@
 
 /// Runs a request; its pieces go to the tape.
 pub async fn run(shared: Arc<Shared>, job: Job, tape: Arc<Tape>) -> Result<(), Refusal> {
-    let first = attempt::Id {
-        origin: shared.me,
-        sequence: job.sequence,
-        round: 0,
-    };
-    tape.head(Head {
-        status: 200,
-        content_type: crate::http::JSON.to_owned(),
-    });
+    let first = attempt::Id { origin: shared.me, sequence: job.sequence, round: 0 };
+    tape.head(Head { status: 200, content_type: crate::http::JSON.to_owned() });
     let splice = Splice::new(first);
-    let run = Run {
-        shared,
-        job,
-        tape,
-        splice,
-        claimed: false,
-        ran: false,
-    };
+    let run = Run { shared, job, tape, splice, claimed: false, ran: false };
     run.attempts(first).await
 }
 
@@ -183,13 +169,11 @@
         holds: &mut Holds,
     ) -> Result<Runner, Failure> {
         let lead = self.prefill_millis(tokens);
-        let ask = self.ask(attempt, tokens + self.job.completion.max_tokens, lead);
+        let max_tokens = self.job.completion.max_tokens;
+        let mut ask = self.ask(attempt, tokens + max_tokens, lead);
+        ask.hold = lead + max_tokens * self.shared.settings.placement.token_millis;
         let (runner, owner) = self.take(Role::Decode, ask).await?;
-        holds.decode = Some(Hold {
-            runner: runner.clone(),
-            owner,
-            touched: false,
-        });
+        holds.decode = Some(Hold { runner: runner.clone(), owner, touched: false });
         self.shared.flights.touch(attempt, &runner.vm);
         Ok(runner)
     }
@@ -201,13 +185,10 @@
         holds: &mut Holds,
     ) -> Result<Runner, Failure> {
         let mut ask = self.ask(attempt, tokens, self.prefill_millis(tokens));
+        ask.hold = ask.lead;
         ask.lead = 0;
         let (runner, owner) = self.take(Role::Prefill, ask).await?;
-        holds.prefill = Some(Hold {
-            runner: runner.clone(),
-            owner,
-            touched: false,
-        });
+        holds.prefill = Some(Hold { runner: runner.clone(), owner, touched: false });
         self.shared.flights.touch(attempt, &runner.vm);
         Ok(runner)
     }
@@ -221,6 +202,7 @@
             kv_tokens,
             patience: self.left().saturating_sub(lead),
             lead,
+            hold: 0,
         }
     }
 
@@ -241,10 +223,7 @@
                 Err(retry_after) => {
                     refused = Some(refused.map_or(retry_after, |it| it.min(retry_after)));
                     let id = runner.id;
-                    self.shared
-                        .keeper
-                        .visit(move |node, _| node.board.unsent(id))
-                        .await;
+                    self.shared.keeper.visit(move |node, _| node.board.unsent(id)).await;
                     avoid.push(id);
                 }
             }
@@ -272,11 +251,7 @@
             return Ok(None);
         }
         let id = runner.id;
-        let owner = self
-            .shared
-            .keeper
-            .visit(move |node, _| node.owner(id))
-            .await;
+        let owner = self.shared.keeper.visit(move |node, _| node.owner(id)).await;
         let grant = match owner {
             Some(owner) if owner == self.shared.me => self.shared.keeper.ask(id, ask).await,
             Some(owner) => self.reserve_at(owner, id, ask).await,
@@ -325,11 +300,7 @@
                 other => return Err(Failure::Claim(other)),
             }
         }
-        if self.shared.fresh().await {
-            Ok(())
-        } else {
-            Err(Failure::NoRunner)
-        }
+        if self.shared.fresh().await { Ok(()) } else { Err(Failure::NoRunner) }
     }
 
     async fn prefill(
@@ -359,10 +330,7 @@
             }
             Err(error) => {
                 holds.ran = ran || error.ran();
-                Err(Failure::Engine {
-                    runner: runner.id,
-                    error,
-                })
+                Err(Failure::Engine { runner: runner.id, error })
             }
         }
     }
@@ -394,10 +362,7 @@
                     tokio::time::sleep(IMPORT_PAUSE).await;
                 }
                 Err(error) => {
-                    return Err(Failure::Engine {
-                        runner: decode.id,
-                        error,
-                    });
+                    return Err(Failure::Engine { runner: decode.id, error });
                 }
             }
         }
@@ -410,10 +375,7 @@
         holds: &mut Holds,
     ) -> Result<(), Failure> {
         let engine = self.engine(runner);
-        let failed = |error| Failure::Engine {
-            runner: runner.id,
-            error,
-        };
+        let failed = |error| Failure::Engine { runner: runner.id, error };
         let mut stream = engine.decode(&self.wanted(attempt)).await.map_err(failed)?;
         let mut resumes = 0;
         loop {
@@ -421,15 +383,27 @@
                 Ok(()) => return Ok(()),
                 Err(engine::Error::Broken { .. } | engine::Error::Stalled) if resumes < RESUMES => {
                     resumes += 1;
-                    self.shared.metrics.count(Counter::Resumed);
-                    tokio::time::sleep(RESUME_PAUSE).await;
-                    stream = engine.resume(&self.wanted(attempt)).await.map_err(failed)?;
+                    stream = self.resume(&engine, attempt).await.map_err(failed)?;
                 }
                 Err(error) => return Err(failed(error)),
             }
         }
     }
 
+    /// Reads on where a stream broke off; the connection may break more than once.
+    async fn resume(&self, engine: &Engine, attempt: attempt::Id) -> Result<Stream, engine::Error> {
+        let mut tries = 0;
+        loop {
+            self.shared.metrics.count(Counter::Resumed);
+            tokio::time::sleep(RESUME_PAUSE).await;
+            tries += 1;
+            match engine.resume(&self.wanted(attempt)).await {
+                Err(engine::Error::Broken { .. }) if tries < RESUMES => {}
+                result => return result,
+            }
+        }
+    }
+
     /// Reads a stream until its end mark.
     async fn read(
         &mut self,
@@ -504,10 +478,7 @@
                 Refusal::unknown(Code::KeyUnknown, "another node claimed this key")
             }
             Failure::Claim(_) => self
-                .refuse(
-                    Code::ClaimUnavailable,
-                    "neither the log nor a peer took the claim",
-                )
+                .refuse(Code::ClaimUnavailable, "neither the log nor a peer took the claim")
                 .retry_after(NO_RUNNER_MILLIS),
             Failure::NoRunner | Failure::Engine { .. } => self
                 .refuse(Code::NoRunner, "no usable runner for this model")
@@ -516,17 +487,8 @@
     }
 
     fn refuse(&self, code: Code, message: impl Into<String>) -> Refusal {
-        let outcome = if self.ran {
-            Outcome::Unknown
-        } else {
-            Outcome::NotRun
-        };
-        Refusal {
-            code,
-            outcome,
-            message: message.into(),
-            retry_after_ms: None,
-        }
+        let outcome = if self.ran { Outcome::Unknown } else { Outcome::NotRun };
+        Refusal { code, outcome, message: message.into(), retry_after_ms: None }
     }
 
     fn left(&self) -> u64 {
@@ -547,9 +509,7 @@
 
 impl Holds {
     fn free(self, shared: &Arc<Shared>, attempt: attempt::Id) {
-        shared
-            .metrics
-            .add(Counter::PrefillWasted, self.unused_tokens);
+        shared.metrics.add(Counter::PrefillWasted, self.unused_tokens);
         for hold in [self.decode, self.prefill].into_iter().flatten() {
             tokio::spawn(sweep::free(shared.clone(), attempt, hold));
         }
@@ -563,9 +523,7 @@
 }
 
 fn broken(message: &str) -> engine::Error {
-    engine::Error::Broken {
-        message: message.to_owned(),
-    }
+    engine::Error::Broken { message: message.to_owned() }
 }
 
 fn reason(error: &engine::Error) -> Counter {
--- a/crates/transport/src/serve.rs
+++ b/crates/transport/src/serve.rs
@@ -24,11 +24,7 @@
 
 impl Default for Limits {
     fn default() -> Self {
-        Self {
-            header_bytes: 16_384,
-            connections: 10_000,
-            header: Duration::from_secs(60),
-        }
+        Self { header_bytes: 16_384, connections: 10_000, header: Duration::from_secs(60) }
     }
 }
 
--- a/crates/transport/src/sweep.rs
+++ b/crates/transport/src/sweep.rs
@@ -78,28 +78,20 @@
     let period = Duration::from_millis(shared.settings.timing.reconcile_millis);
     loop {
         tokio::time::sleep(period).await;
-        let owned = shared
-            .keeper
-            .visit(|node, _| node.owned().cloned().collect::<Vec<_>>())
-            .await;
-        let looks = owned
-            .into_iter()
-            .map(|runner| reconcile(shared.clone(), runner));
+        let owned = shared.keeper.visit(|node, _| node.owned().cloned().collect::<Vec<_>>()).await;
+        let looks = owned.into_iter().map(|runner| reconcile(shared.clone(), runner));
         futures::future::join_all(looks).await;
     }
 }
 
 async fn reconcile(shared: Arc<Shared>, runner: Runner) {
     let engine = Engine::new(shared.client.clone(), runner.address);
+    let id = runner.id;
     let Ok(list) = engine.held().await else {
+        shared.keeper.visit(move |node, _| node.silent(id)).await;
         return;
     };
-    let held: Vec<_> = list
-        .held
-        .iter()
-        .filter_map(|it| attempt::Id::parse(&it.attempt))
-        .collect();
-    let id = runner.id;
+    let held: Vec<_> = list.held.iter().filter_map(|it| attempt::Id::parse(&it.attempt)).collect();
     let plan = move |node: &mut Node, now| node.reconcile(id, &held, now);
     let Some(plan) = shared.keeper.visit(plan).await else {
         return;
@@ -111,11 +103,7 @@
     for attempt in unwanted {
         shared.metrics.count(Counter::Reconciled);
         info!(event = "reconciled", attempt:% = attempt, runner = runner.name.as_str(); "");
-        let hold = Hold {
-            runner: runner.clone(),
-            owner: Some(shared.me),
-            touched: true,
-        };
+        let hold = Hold { runner: runner.clone(), owner: Some(shared.me), touched: true };
         tokio::spawn(free(shared.clone(), attempt, hold));
     }
 }
@@ -139,8 +127,5 @@
         return Vec::new();
     };
     let pairs = attempts.into_iter().zip(wanted);
-    pairs
-        .filter(|(_, wanted)| !wanted)
-        .map(|(attempt, _)| attempt)
-        .collect()
+    pairs.filter(|(_, wanted)| !wanted).map(|(attempt, _)| attempt).collect()
 }
--- a/crates/transport/src/tape.rs
+++ b/crates/transport/src/tape.rs
@@ -48,6 +48,7 @@
     changed: watch::Sender<()>,
     readers: AtomicUsize,
     deserted: watch::Sender<bool>,
+    seen_through: bool,
 }
 
 impl Default for Tape {
@@ -57,18 +58,21 @@
             changed: watch::Sender::new(()),
             readers: AtomicUsize::new(0),
             deserted: watch::Sender::new(false),
+            seen_through: false,
         }
     }
 }
 
 impl Tape {
+    /// A tape of a run that is seen through to its end, whoever reads it.
+    pub fn seen_through() -> Self {
+        Self { seen_through: true, ..Self::default() }
+    }
+
     /// A tape that is already whole.
     pub fn replay(answer: &Answer) -> Self {
         let tape = Self::default();
-        tape.head(Head {
-            status: answer.status,
-            content_type: answer.content_type.clone(),
-        });
+        tape.head(Head { status: answer.status, content_type: answer.content_type.clone() });
         for piece in &answer.pieces {
             tape.push(Bytes::from(piece.clone()));
         }
@@ -119,16 +123,12 @@
             return None;
         }
         self.readers.fetch_add(1, Ordering::Relaxed);
-        Some(Reader {
-            tape: self.clone(),
-            at: 0,
-            changed: self.changed.subscribe(),
-        })
+        Some(Reader { tape: self.clone(), at: 0, changed: self.changed.subscribe() })
     }
 
     fn leave(&self) {
         let _guard = self.lock();
-        if self.readers.fetch_sub(1, Ordering::Relaxed) == 1 {
+        if self.readers.fetch_sub(1, Ordering::Relaxed) == 1 && !self.seen_through {
             self.deserted.send_replace(true);
         }
     }
