Give a key's way to its owner a pure flow, and shuffle it

Cause: the hand-over of a key between nodes was glue in the HTTP layer, so only scenarios could reach it. It is now a state machine in coordination, which the node drives and a property test shuffles: joins, leaves, crashes, lagging views, lost replies, with the log in reach and out.

--- a/crates/coordination/src/ledger.rs
+++ b/crates/coordination/src/ledger.rs
@@ -61,7 +61,7 @@
     Running,
     Recorded(Arc<Answer>),
     Lost,
-    Released(Incarnation),
+    Released { to: Incarnation, order: u64 },
 }
 
 #[derive(Clone, Debug)]
@@ -80,6 +80,7 @@
     recorded: VecDeque<(Millis, Key)>,
     buried: VecDeque<(Millis, Key)>,
     bytes: usize,
+    releases: u64,
 }
 
 impl Ledger {
@@ -91,6 +92,7 @@
             recorded: VecDeque::new(),
             buried: VecDeque::new(),
             bytes: 0,
+            releases: 0,
         }
     }
 
@@ -109,7 +111,7 @@
 
     /// Whether a key runs, has an answer or may have run here.
     pub fn knows(&self, key: &Key) -> bool {
-        self.entries.get(key).is_some_and(|it| !matches!(it.phase, Phase::Released(_)))
+        self.entries.get(key).is_some_and(|it| !matches!(it.phase, Phase::Released { .. }))
     }
 
     /// Records how a run ended.
@@ -134,25 +136,29 @@
 
     /// Gives a key up to another node; true when nothing is known under it.
     pub fn release(&mut self, key: &Key, to: Incarnation, now: Millis) -> bool {
-        match self.entries.get_mut(key) {
-            None => {
-                let phase = Phase::Released(to);
-                let entry = Entry { fingerprint: 0, repeatable: true, phase, at: now };
-                self.entries.insert(key.clone(), entry);
-                self.buried.push_back((now, key.clone()));
-                true
-            }
-            Some(entry) if matches!(entry.phase, Phase::Released(_)) => {
-                entry.phase = Phase::Released(to);
-                true
-            }
-            Some(_) => false,
+        if self.knows(key) {
+            return false;
+        }
+        self.releases += 1;
+        let phase = Phase::Released { to, order: self.releases };
+        let entry = Entry { fingerprint: 0, repeatable: true, phase, at: now };
+        if self.entries.insert(key.clone(), entry).is_none() {
+            self.buried.push_back((now, key.clone()));
         }
+        true
+    }
+
+    /// Releases made so far.
+    pub fn releases(&self) -> u64 {
+        self.releases
     }
 
-    /// Takes a key back that was given up to a node which has given it up in turn, or is gone.
-    pub fn reclaim(&mut self, key: &Key, given_up: impl Fn(Incarnation) -> bool) {
-        let back = |it: &Entry| matches!(it.phase, Phase::Released(to) if given_up(to));
+    /// Takes a key back that was given up to a node which has given it up in turn.
+    ///
+    /// Only releases up to `until` count: one made later, while this node was asking, may
+    /// have answered the very node that now seems to have given the key up.
+    pub fn reclaim(&mut self, key: &Key, until: u64, given_up: impl Fn(Incarnation) -> bool) {
+        let back = |it: &Entry| matches!(it.phase, Phase::Released { to, order } if order <= until && given_up(to));
         if self.entries.get(key).is_some_and(back) {
             self.entries.remove(key);
         }
@@ -160,7 +166,7 @@
 
     /// Takes in an answer handed over by a node that stops.
     pub fn adopt(&mut self, key: &Key, fingerprint: u64, answer: Option<Arc<Answer>>, now: Millis) {
-        if self.entries.get(key).is_some_and(|it| !matches!(it.phase, Phase::Released(_))) {
+        if self.entries.get(key).is_some_and(|it| !matches!(it.phase, Phase::Released { .. })) {
             return;
         }
         let entry = Entry { fingerprint, repeatable: false, phase: Phase::Running, at: now };
@@ -173,7 +179,7 @@
         let kept = |(key, entry): (&Key, &Entry)| match &entry.phase {
             Phase::Recorded(answer) => Some((key.clone(), entry.fingerprint, Some(answer.clone()))),
             Phase::Lost => Some((key.clone(), entry.fingerprint, None)),
-            Phase::Running | Phase::Released(_) => None,
+            Phase::Running | Phase::Released { .. } => None,
         };
         self.entries.iter().filter_map(kept).collect()
     }
@@ -225,7 +231,7 @@
     }
 
     fn forget(&mut self, key: &Key) {
-        let gone = |it: &Entry| matches!(it.phase, Phase::Lost | Phase::Released(_));
+        let gone = |it: &Entry| matches!(it.phase, Phase::Lost | Phase::Released { .. });
         if self.entries.get(key).is_some_and(gone) {
             self.entries.remove(key);
         }
@@ -235,7 +241,7 @@
 impl Entry {
     fn begin(&self, fingerprint: u64) -> Begin {
         match &self.phase {
-            Phase::Released(to) => Begin::Moved(*to),
+            Phase::Released { to, .. } => Begin::Moved(*to),
             _ if self.fingerprint != fingerprint => Begin::Mismatch,
             Phase::Running => Begin::Join,
             Phase::Recorded(answer) => Begin::Replay(answer.clone()),
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod detector;
 pub mod fold;
+pub mod keyed;
 pub mod ledger;
 pub mod node;
 pub mod placement;
--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -80,6 +80,8 @@
     },
     /// At another node.
     There(Incarnation),
+    /// Every member has given it up.
+    Nowhere,
 }
 
 /// A node's decisions and what they rest on.
@@ -331,6 +333,8 @@
     }
 
     /// Where a keyed request is to be handled; nodes in `passed` have given the key up.
+    ///
+    /// When every member is leaving, the first still owns the key, so that two never do.
     pub fn route(&self, key: &Key, passed: &[Incarnation], now: Millis) -> Route {
         let me = self.options.me;
         if let Some(owner) = key.minted_by() {
@@ -338,10 +342,11 @@
         }
         let ranked = self.state.roster.ranked(key.hash());
         let eligible = |it: &&Incarnation| !self.member_leaving(**it) && !passed.contains(it);
-        match ranked.iter().find(eligible) {
+        let fallback = || ranked.iter().find(|it| !passed.contains(it));
+        match ranked.iter().find(eligible).or_else(fallback) {
             Some(owner) if *owner == me => Route::Here { ask: self.predecessors(&ranked, now) },
             Some(owner) => Route::There(*owner),
-            None => Route::Here { ask: Vec::new() },
+            None => Route::Nowhere,
         }
     }
 
--- /dev/null
+++ b/crates/coordination/tests/keyed.rs
@@ -0,0 +1,379 @@
+//! One key through any history of joins, leaves, departures and lost messages.
+//!
+//! Each node has its own, lagging view of one log. Requests advance one message at a time in
+//! an order that the test draws; messages are lost or late. Whatever the order, a request that
+//! may not be repeated is run at most once, and "not run" is never said of one that ran.
+
+use crosslane_coordination::keyed::{Flow, Forwarded, Inquired, Step};
+use crosslane_coordination::ledger::{self, End};
+use crosslane_coordination::node::{Node, Options};
+use crosslane_coordination::placement::Mode;
+use crosslane_coordination::record::{Leave, Record};
+use crosslane_state::answer::Answer;
+use crosslane_state::incarnation::Incarnation;
+use crosslane_state::member::Member;
+use crosslane_state::request::Key;
+use crosslane_state::runner::Table;
+use crosslane_state::time::Millis;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+const NODES: u64 = 5;
+const KEYS: usize = 3;
+const FINGERPRINT: u64 = 7;
+
+fn key(number: usize) -> Key {
+    Key::try_from(format!("key-{number}").as_str()).unwrap()
+}
+
+fn vm(number: u64) -> String {
+    format!("entry-{number}")
+}
+
+fn node(number: u64) -> Node {
+    Node::new(Options {
+        me: Incarnation(number),
+        vm: vm(number),
+        domain: "Aarau".to_owned(),
+        table: Table::default(),
+        mode: Mode::BestOfTwo,
+        retry_percent: 10,
+        suspect_millis: 1_000,
+        neighbours: 8,
+        ahead: false,
+        ledger: ledger::Limits {
+            answers: 100,
+            bytes: 1 << 20,
+            answer_millis: 1_000_000,
+            tombstones: 100,
+            window_millis: 1_000_000,
+        },
+        seed: number,
+    })
+}
+
+/// Where a request is, and what it waits for.
+#[derive(Clone, Debug)]
+enum Stage {
+    Decided(Step),
+    Claiming,
+    Running,
+}
+
+#[derive(Clone, Debug)]
+struct Request {
+    key: usize,
+    at: u64,
+    flow: Flow,
+    stage: Stage,
+    ended: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    Ask(usize, u64),
+    Advance(usize, Luck),
+    Join(u64),
+    Leave(u64),
+    Crash(u64),
+    Depart(u64),
+    Read(u64),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Luck {
+    Good,
+    Lost,
+    Fails,
+}
+
+struct World {
+    nodes: BTreeMap<u64, Node>,
+    log: Vec<Record>,
+    /// Claims in the order of the log: key and node.
+    claims: Vec<(u64, u64)>,
+    read: BTreeMap<u64, usize>,
+    requests: Vec<Request>,
+    runs: BTreeMap<usize, u32>,
+    now: Millis,
+    /// While the log is out nobody joins or departs, and claims are not in it.
+    log_out: bool,
+}
+
+impl World {
+    fn new(log_out: bool) -> Self {
+        let mut world = Self {
+            log_out: false,
+            nodes: BTreeMap::new(),
+            log: Vec::new(),
+            claims: Vec::new(),
+            read: BTreeMap::new(),
+            requests: Vec::new(),
+            runs: BTreeMap::new(),
+            now: Millis(1_000),
+        };
+        for number in 1..=3 {
+            world.join(number);
+        }
+        (1..=3).for_each(|number| world.read(number));
+        world.log_out = log_out;
+        world
+    }
+
+    fn join(&mut self, number: u64) {
+        if self.log_out || self.read.contains_key(&number) {
+            return;
+        }
+        let address = ([127, 0, 0, 1], 9).into();
+        self.log.push(Record::Join {
+            member: Member {
+                incarnation: Incarnation(number),
+                vm: vm(number),
+                domain: "Aarau".to_owned(),
+                control: address,
+                forward: address,
+            },
+        });
+        self.nodes.insert(number, node(number));
+        self.read(number);
+    }
+
+    /// Folds the whole log, claims included, at a node.
+    fn read(&mut self, number: u64) {
+        let Some(node) = self.nodes.get_mut(&number) else {
+            return;
+        };
+        let read = self.read.entry(number).or_default();
+        for (offset, record) in self.log.iter().enumerate() {
+            node.state.fold(offset as u64, Some(record.clone())).unwrap();
+        }
+        node.refresh(self.now);
+        for (key, by) in &self.claims[*read..] {
+            node.claim(*key, Incarnation(*by), self.now);
+        }
+        *read = self.claims.len();
+        for departed in node.unsettled() {
+            node.settle(departed);
+        }
+    }
+
+    fn ask(&mut self, key_number: usize, at: u64, outer: Option<usize>) {
+        let mut flow = Flow::new(key(key_number), FINGERPRINT, false);
+        if let Some(outer) = outer {
+            flow = flow.forwarded_past(self.requests[outer].flow.forwards().to_vec());
+        }
+        let Some(node) = self.nodes.get_mut(&at) else {
+            return;
+        };
+        let step = flow.start(node, self.now);
+        let stage = Stage::Decided(step);
+        self.requests.push(Request { key: key_number, at, flow, stage, ended: false });
+    }
+
+    fn advance(&mut self, place: usize, luck: Luck) {
+        let Some(mut request) = self.requests.get(place).cloned() else {
+            return;
+        };
+        if request.ended || !self.nodes.contains_key(&request.at) {
+            return;
+        }
+        match request.stage.clone() {
+            Stage::Decided(step) => self.step(place, &mut request, step, luck),
+            Stage::Claiming => {
+                // The claim is read back: the first one of a key stands.
+                self.read_claims(request.at);
+                let node = &self.nodes[&request.at];
+                if node.claimed_by_other(key(request.key).hash(), Incarnation(request.at)) {
+                    self.finish(&mut request, End::Unknown);
+                } else {
+                    request.stage = Stage::Running;
+                }
+            }
+            Stage::Running if luck == Luck::Fails => self.finish(&mut request, End::NotRun),
+            Stage::Running => {
+                *self.runs.entry(request.key).or_default() += 1;
+                let answer = Answer {
+                    status: 200,
+                    content_type: "text/plain".to_owned(),
+                    pieces: vec![b"done".to_vec()],
+                };
+                let lost = luck == Luck::Lost;
+                let end = if lost { End::Unknown } else { End::Done(Arc::new(answer)) };
+                self.finish(&mut request, end);
+            }
+        }
+        self.requests[place] = request;
+    }
+
+    fn step(&mut self, place: usize, request: &mut Request, step: Step, luck: Luck) {
+        let now = self.now;
+        match step {
+            Step::Inquire(other) => {
+                let by = Incarnation(request.at);
+                let name = key(request.key);
+                // The other node may do what is asked and its reply be lost.
+                let reply =
+                    self.nodes.get_mut(&other.0).map(|it| it.ledger.release(&name, by, now));
+                let inquired = match reply {
+                    Some(true) if luck == Luck::Good => Inquired::Free,
+                    Some(false) if luck == Luck::Good => Inquired::Known,
+                    _ => Inquired::Silent,
+                };
+                let node = self.nodes.get_mut(&request.at).unwrap();
+                let gone = node.state.roster.get(other).is_none();
+                let inquired = if gone { Inquired::Free } else { inquired };
+                request.stage = Stage::Decided(request.flow.inquired(other, inquired, node, now));
+            }
+            Step::Forward(owner) if luck == Luck::Good && self.nodes.contains_key(&owner.0) => {
+                self.ask(request.key, owner.0, Some(place));
+                let inner = self.requests.len() - 1;
+                if let Stage::Decided(Step::Name(named)) = self.requests[inner].stage {
+                    let node = self.nodes.get_mut(&request.at).unwrap();
+                    let forwarded = Forwarded::Named(named);
+                    let step = request.flow.forwarded(owner, forwarded, node, now);
+                    request.stage = Stage::Decided(step);
+                } else {
+                    request.ended = true;
+                }
+            }
+            Step::Forward(owner) => {
+                let node = self.nodes.get_mut(&request.at).unwrap();
+                let step = request.flow.forwarded(owner, Forwarded::Lost, node, now);
+                request.stage = Stage::Decided(step);
+            }
+            Step::Run => {
+                if self.log_out {
+                    request.stage = Stage::Running;
+                } else if luck == Luck::Good {
+                    self.claims.push((key(request.key).hash(), request.at));
+                    request.stage = Stage::Claiming;
+                } else {
+                    self.finish(request, End::NotRun);
+                }
+            }
+            Step::Join | Step::Replay(_) | Step::Refuse(_) | Step::Name(_) => request.ended = true,
+        }
+    }
+
+    /// A node hears the announcements that the others know.
+    fn gossip(&mut self, number: u64) {
+        let told: Vec<Leave> =
+            self.nodes.values().flat_map(|it| it.told().cloned().collect::<Vec<_>>()).collect();
+        if let Some(node) = self.nodes.get_mut(&number) {
+            told.into_iter().for_each(|it| {
+                node.tell(it);
+            });
+        }
+    }
+
+    fn read_claims(&mut self, number: u64) {
+        let node = self.nodes.get_mut(&number).unwrap();
+        let read = self.read.entry(number).or_default();
+        for (key, by) in &self.claims[*read..] {
+            node.claim(*key, Incarnation(*by), self.now);
+        }
+        *read = self.claims.len();
+    }
+
+    fn finish(&mut self, request: &mut Request, end: End) {
+        let node = self.nodes.get_mut(&request.at).unwrap();
+        node.ledger.finish(&key(request.key), end, self.now);
+        request.ended = true;
+    }
+
+    /// A node hands its endings over and departs, once nothing runs there.
+    fn depart(&mut self, number: u64) {
+        if self.log_out {
+            return;
+        }
+        let busy = self.requests.iter().any(|it| it.at == number && !it.ended);
+        let Some(node) = self.nodes.get(&number).filter(|_| !busy) else {
+            return;
+        };
+        if !node.member_leaving(Incarnation(number)) {
+            return;
+        }
+        for (key, fingerprint, answer) in node.ledger.handover() {
+            let Some(next) = self.nodes[&number].successor(&key).map(|it| it.incarnation.0) else {
+                return;
+            };
+            let Some(heir) = self.nodes.get_mut(&next) else {
+                return;
+            };
+            heir.ledger.adopt(&key, fingerprint, answer, self.now);
+        }
+        self.nodes.remove(&number);
+        self.log.push(Record::Depart { incarnation: Incarnation(number), released: true });
+    }
+
+    fn play(&mut self, event: Event) {
+        self.now = self.now + 10;
+        match event {
+            Event::Ask(key, at) => self.ask(key, at, None),
+            Event::Advance(place, luck) => {
+                let open: Vec<_> =
+                    (0..self.requests.len()).filter(|it| !self.requests[*it].ended).collect();
+                if !open.is_empty() {
+                    self.advance(open[place % open.len()], luck);
+                }
+            }
+            Event::Join(number) => self.join(number),
+            Event::Leave(number) if self.nodes.len() > 2 => {
+                let leave = Leave {
+                    id: format!("leave-{number}"),
+                    vm: vm(number),
+                    node: Some(Incarnation(number)),
+                };
+                if let Some(node) = self.nodes.get_mut(&number) {
+                    node.tell(leave.clone());
+                }
+                if !self.log_out {
+                    self.log.push(Record::Leave { leave });
+                }
+            }
+            Event::Crash(number) if self.nodes.len() > 2 => {
+                if self.nodes.remove(&number).is_some() && !self.log_out {
+                    let incarnation = Incarnation(number);
+                    self.log.push(Record::Depart { incarnation, released: false });
+                }
+            }
+            Event::Leave(_) | Event::Crash(_) => {}
+            Event::Depart(number) => self.depart(number),
+            Event::Read(number) => {
+                self.read(number);
+                self.gossip(number);
+            }
+        }
+    }
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let luck = || prop_oneof![6 => Just(Luck::Good), 1 => Just(Luck::Lost), 1 => Just(Luck::Fails)];
+    prop_oneof![
+        6 => (0..KEYS, 1..=NODES).prop_map(|(key, at)| Event::Ask(key, at)),
+        14 => (0..20usize, luck()).prop_map(|(place, luck)| Event::Advance(place, luck)),
+        1 => (1..=NODES).prop_map(Event::Join),
+        1 => (1..=NODES).prop_map(Event::Leave),
+        1 => (1..=NODES).prop_map(Event::Crash),
+        1 => (1..=NODES).prop_map(Event::Depart),
+        4 => (1..=NODES).prop_map(Event::Read),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 6_000, rng_seed: RngSeed::Fixed(1), ..ProptestConfig::default() })]
+
+    #[test]
+    fn at_most_one_run(
+        events in prop::collection::vec(event(), 1..150),
+        log_out in any::<bool>(),
+    ) {
+        let mut world = World::new(log_out);
+        for event in events {
+            world.play(event);
+            prop_assert!(world.runs.values().all(|runs| *runs <= 1), "{:?}", world.runs);
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/tests/retry.rs
@@ -0,0 +1,59 @@
+//! Retries: within budget, within time, never of what may not be repeated.
+
+use crosslane_coordination::retry::{Budget, Denial, Failure};
+use rstest::rstest;
+
+const FAILURE: Failure = Failure { ran: true, repeatable: true, round: 0, left: 5_000, needs: 100 };
+
+struct Case {
+    name: &'static str,
+    failure: Failure,
+    denial: Option<Denial>,
+}
+
+#[rstest]
+#[case(Case { name: "repeatable, in time", failure: FAILURE, denial: None })]
+#[case(Case {
+    name: "may not be repeated, and ran",
+    failure: Failure { repeatable: false, ..FAILURE },
+    denial: Some(Denial::NotRepeatable),
+})]
+#[case(Case {
+    name: "may not be repeated, but did not run",
+    failure: Failure { repeatable: false, ran: false, ..FAILURE },
+    denial: None,
+})]
+#[case(Case {
+    name: "could not end in time",
+    failure: Failure { left: 90, ..FAILURE },
+    denial: Some(Denial::Deadline),
+})]
+fn allowed(#[case] case: Case) {
+    let mut budget = Budget::new(10, 1);
+    assert_eq!(budget.retry(case.failure).err(), case.denial, "{}", case.name);
+}
+
+#[rstest]
+fn retries_are_a_share_of_fresh_requests() {
+    let mut budget = Budget::new(10, 1);
+    let mut allowed = 0;
+    for _ in 0..1_000 {
+        budget.fresh();
+        allowed += u32::from(budget.retry(FAILURE).is_ok());
+    }
+    assert!((100..=110).contains(&allowed), "{allowed}");
+    assert_eq!(budget.retry(FAILURE), Err(Denial::Budget));
+}
+
+#[rstest]
+fn the_pause_grows_and_repeats_for_a_seed() {
+    let pauses = |seed| {
+        let mut budget = Budget::new(100, seed);
+        let pause = |round| budget.retry(Failure { round, ..FAILURE }).unwrap();
+        (0..6).map(pause).collect::<Vec<_>>()
+    };
+    assert_eq!(pauses(7), pauses(7));
+    assert_ne!(pauses(7), pauses(8));
+    assert!(pauses(7).windows(2).all(|pair| pair[0] <= pair[1] * 2));
+    assert!(pauses(7)[5] > pauses(7)[0]);
+}
--- a/crates/transport/src/entry.rs
+++ b/crates/transport/src/entry.rs
@@ -4,11 +4,12 @@
 use crate::http::{self, BodyError, ReadError, Reply};
 use crate::metrics::Counter;
 use crate::node::{Phase, Progress, Shared};
-use crate::tape::{End, Reader, Step, Tape};
+use crate::tape::{self, End, Reader, Tape};
 use crate::{call, run};
 use bytes::Bytes;
-use crosslane_coordination::ledger::{self, Begin};
-use crosslane_coordination::node::{Doubt, Node, Route};
+use crosslane_coordination::keyed::{self, Flow, Inquired, Step};
+use crosslane_coordination::ledger;
+use crosslane_coordination::node::Node;
 use crosslane_coordination::program::Input;
 use crosslane_protocol::completion::{Completion, Form, Raw};
 use crosslane_protocol::peer::{Ending, PeerClient};
@@ -24,7 +25,7 @@
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
 use serde_json::json;
-use std::sync::{Arc, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Caller's idempotency key.
@@ -51,9 +52,6 @@
 /// Nodes that have given the key of a forwarded request up.
 pub const PASSED: HeaderName = HeaderName::from_static("crosslane-passed");
 
-/// Nodes that a request may pass.
-pub const MOST_HOPS: u32 = 4;
-
 /// Longest deadline that a caller may set, in milliseconds.
 const LONGEST_DEADLINE: u64 = 3_600_000;
 
@@ -295,172 +293,130 @@
     key: Key,
     progress: Progress,
 ) -> Result<Response<Reply>, Refusal> {
-    let (wanted, passed, inner) = (key.clone(), asked.passed.clone(), asked.hops > 0);
-    let decide = move |node: &mut Node, now| {
-        if node.ledger.knows(&wanted) {
-            return Route::Here { ask: Vec::new() };
-        }
-        let route = node.route(&wanted, &passed, now);
-        if let (Route::There(owner), true) = (&route, inner) {
-            node.ledger.release(&wanted, *owner, now);
-        }
-        route
-    };
-    let route = shared.keeper.visit(decide).await;
-    match route {
-        Route::Here { ask } => match released(shared, &asked, &key, &ask).await? {
-            Some(holder) => elsewhere(shared, asked, key, holder, progress).await,
-            None => {
-                let wanted = key.clone();
-                let reclaim = move |node: &mut Node, _| {
-                    let roster = &node.state.roster;
-                    let given_up = |it| ask.contains(&it) || roster.get(it).is_none();
-                    node.ledger.reclaim(&wanted, given_up);
-                };
-                shared.keeper.visit(reclaim).await;
-                begin(shared, asked, key, progress).await
+    let mut flow = Flow::new(key, fingerprint(&asked), asked.verdict.repeatable);
+    if asked.hops > 0 {
+        flow = flow.forwarded_past(asked.passed.clone());
+    }
+    let service = matches!(asked.target, Target::Service(_));
+    let seen_through = service && !asked.verdict.repeatable;
+    let (mut flow, mut step) = advance(shared, flow, seen_through, Flow::start).await;
+    loop {
+        let next: Advance = match step {
+            Step::Inquire(earlier) => {
+                let inquired = inquire(shared, &flow, earlier).await;
+                Box::new(move |flow, node, now| flow.inquired(earlier, inquired, node, now))
+            }
+            Step::Forward(owner) => match forward::send(shared, &asked, &flow, owner).await {
+                Ok(response) => return Ok(forward::relay(response, progress)),
+                Err(forwarded) => {
+                    Box::new(move |flow, node, now| flow.forwarded(owner, forwarded, node, now))
+                }
+            },
+            Step::Name(owner) => return Ok(name(owner)),
+            Step::Refuse(reason) => return Err(not_begun(reason)),
+            Step::Run | Step::Join | Step::Replay(_) => {
+                return begun(shared, &asked, flow.key(), &step, progress).await;
             }
-        },
-        Route::There(owner) => elsewhere(shared, asked, key, owner, progress).await,
+        };
+        (flow, step) = advance(shared, flow, seen_through, next).await;
     }
 }
 
-/// Makes earlier owners give a key up; returns one that knows it.
-async fn released(
+/// A decision about a keyed request on its way.
+type Advance = Box<dyn FnOnce(&mut Flow, &mut Node, Millis) -> Step + Send>;
+
+/// Lets a keyed request take its next step; a run that begins has its tape from then on.
+async fn advance(
     shared: &Arc<Shared>,
-    asked: &Asked,
-    key: &Key,
-    ask: &[Incarnation],
-) -> Result<Option<Incarnation>, Refusal> {
-    let by = shared.me;
-    for earlier in ask {
-        let Some(member) = shared.member(*earlier).await else {
-            continue;
-        };
-        let key = key.clone();
-        let call =
-            |client: PeerClient, context| async move { client.inquire(context, key, by).await };
-        match shared.peers.call(member.control, INQUIRE, call).await {
-            Ok(true) => {}
-            Ok(false) => return Ok(Some(*earlier)),
-            Err(_) if asked.verdict.repeatable => shared.metrics.count(Counter::OwnerBypassed),
-            Err(_) => return Err(unreachable()),
+    mut flow: Flow,
+    seen_through: bool,
+    decide: impl FnOnce(&mut Flow, &mut Node, Millis) -> Step + Send + 'static,
+) -> (Flow, Step) {
+    let inner = shared.clone();
+    let decide = move |node: &mut Node, now| {
+        let step = decide(&mut flow, node, now);
+        if step == Step::Run {
+            node.budget.fresh();
+            let tape = if seen_through { Tape::seen_through() } else { Tape::default() };
+            inner.tapes().insert(flow.key().clone(), Arc::new(tape));
         }
-    }
-    Ok(None)
-}
-
-/// The refusal of a request whose key's owner can't be reached.
-pub fn unreachable() -> Refusal {
-    let message = "a node that may know this key can't be reached";
-    Refusal::unknown(Code::OwnerUnreachable, message).retry_after(NOT_READY_MILLIS)
+        (flow, step)
+    };
+    shared.keeper.visit(decide).await
 }
 
-/// Forwards to a key's owner; a node that was itself forwarded to names the owner instead.
-async fn elsewhere(
-    shared: &Arc<Shared>,
-    asked: Asked,
-    key: Key,
-    owner: Incarnation,
-    progress: Progress,
-) -> Result<Response<Reply>, Refusal> {
-    if asked.hops > 0 {
-        let mut response = http::json(StatusCode::MISDIRECTED_REQUEST.as_u16(), &json!({}));
-        if let Ok(value) = HeaderValue::from_str(&owner.to_string()) {
-            response.headers_mut().insert(OWNER, value);
+/// Asks a node that may have owned a key to give it up.
+async fn inquire(shared: &Shared, flow: &Flow, earlier: Incarnation) -> Inquired {
+    let Some(member) = shared.member(earlier).await else {
+        return Inquired::Free;
+    };
+    let (key, by) = (flow.key().clone(), shared.me);
+    let call = |client: PeerClient, context| async move { client.inquire(context, key, by).await };
+    match shared.peers.call(member.control, INQUIRE, call).await {
+        Ok(true) => Inquired::Free,
+        Ok(false) => Inquired::Known,
+        Err(_) => {
+            shared.metrics.count(Counter::OwnerSilent);
+            Inquired::Silent
         }
-        return Ok(response);
     }
-    match forward::send(shared, &asked, owner).await {
-        Ok(response) => Ok(forward::relay(response, progress)),
-        Err(forward::Error::Refused(refusal)) => Err(refusal),
-        Err(forward::Error::Unreached) if asked.verdict.repeatable => {
-            shared.metrics.count(Counter::OwnerBypassed);
-            begin(shared, asked, key, progress).await
-        }
-        Err(forward::Error::Unreached) => Err(unreachable()),
+}
+
+/// Names the owner of a key to the node that forwarded its request here.
+fn name(owner: Incarnation) -> Response<Reply> {
+    let mut response = http::json(StatusCode::MISDIRECTED_REQUEST.as_u16(), &json!({}));
+    if let Ok(value) = HeaderValue::from_str(&owner.to_string()) {
+        response.headers_mut().insert(OWNER, value);
     }
+    response
 }
 
-/// Begins a keyed request here, joins it or answers it again.
-async fn begin(
+/// Answers a keyed request that runs or has run here.
+async fn begun(
     shared: &Arc<Shared>,
-    asked: Asked,
-    key: Key,
+    asked: &Asked,
+    key: &Key,
+    step: &Step,
     progress: Progress,
 ) -> Result<Response<Reply>, Refusal> {
-    let fingerprint = fingerprint(&asked);
-    let repeatable = asked.verdict.repeatable;
-    let service = matches!(asked.target, Target::Service(_));
-    let (wanted, inner) = (key.clone(), shared.clone());
-    let decide = move |node: &mut Node, now| {
-        if !repeatable
-            && !node.ledger.knows(&wanted)
-            && let Some(doubt) = node.doubt(&wanted)
-        {
-            return Err(doubt);
-        }
-        let begin = node.ledger.begin(&wanted, fingerprint, repeatable, now);
-        let mut tapes = inner.tapes.lock().unwrap_or_else(PoisonError::into_inner);
-        let tape = match &begin {
-            Begin::Run => {
-                node.budget.fresh();
-                let seen_through = service && !repeatable;
-                let tape = if seen_through { Tape::seen_through() } else { Tape::default() };
-                let tape = Arc::new(tape);
-                tapes.insert(wanted.clone(), tape.clone());
-                Some(tape)
-            }
-            Begin::Join => tapes.get(&wanted).cloned(),
-            Begin::Replay(answer) => Some(Arc::new(Tape::replay(answer))),
-            _ => None,
-        };
-        let reader = tape.as_ref().and_then(Tape::reader);
-        Ok((begin, tape.zip(reader)))
-    };
-    let (begin, opened) = shared.keeper.visit(decide).await.map_err(in_doubt)?;
-    let reader = match (begin, opened) {
-        (Begin::Run, Some((tape, reader))) => {
-            let sequence = shared.sequence();
-            spawn(shared, &asked, Some(key.clone()), sequence, tape);
-            reader
-        }
-        (Begin::Join, Some((_, reader))) => {
-            shared.metrics.count(Counter::Joined);
-            reader
-        }
-        (Begin::Replay(_), Some((_, reader))) => {
+    let tape = match step {
+        Step::Replay(answer) => {
             shared.metrics.count(Counter::Replayed);
-            reader
+            Some(Arc::new(Tape::replay(answer)))
         }
-        (Begin::Moved(owner), _) => {
-            return Box::pin(elsewhere(shared, asked, key, owner, progress)).await;
-        }
-        (other, _) => return Err(not_begun(&other)),
+        _ => shared.tapes().get(key).cloned(),
     };
-    render(shared, &asked, &key, Some(reader), progress).await
-}
-
-fn in_doubt(doubt: Doubt) -> Refusal {
-    match doubt {
-        Doubt::Claimed => Refusal::unknown(Code::KeyUnknown, "another node claimed this key"),
-        Doubt::Unsettled => {
-            let message = "a departed node may have run a request under this key";
-            Refusal::unknown(Code::KeyInDoubt, message).retry_after(NOT_READY_MILLIS)
+    let reader = tape.as_ref().and_then(Tape::reader);
+    match (step, tape) {
+        (Step::Run, Some(tape)) => {
+            spawn(shared, asked, Some(key.clone()), shared.sequence(), tape);
         }
+        (Step::Join, _) => shared.metrics.count(Counter::Joined),
+        _ => {}
     }
+    render(shared, asked, key, reader, progress).await
 }
 
-fn not_begun(begin: &Begin) -> Refusal {
-    match begin {
-        Begin::Mismatch => {
+/// The refusal of a keyed request that was not begun.
+fn not_begun(reason: keyed::Refusal) -> Refusal {
+    match reason {
+        keyed::Refusal::Mismatch => {
             Refusal::not_run(Code::KeyMismatch, "this key was used for another request")
         }
-        Begin::Full => Refusal::not_run(Code::LedgerFull, "no room to remember this key")
-            .retry_after(NOT_READY_MILLIS),
-        Begin::Join => Refusal::unknown(Code::CallerLeft, "the earlier request is being abandoned")
+        keyed::Refusal::Full => Refusal::not_run(Code::LedgerFull, "no room to remember this key")
             .retry_after(NOT_READY_MILLIS),
-        _ => Refusal::unknown(Code::KeyUnknown, "an earlier request under this key may have run"),
+        keyed::Refusal::Unknown => {
+            let message = "an earlier request under this key may have run";
+            Refusal::unknown(Code::KeyUnknown, message)
+        }
+        keyed::Refusal::InDoubt => {
+            let message = "a departed node may have run a request under this key";
+            Refusal::unknown(Code::KeyInDoubt, message).retry_after(NOT_READY_MILLIS)
+        }
+        keyed::Refusal::Unreachable => {
+            let message = "a node that may know this key can't be reached";
+            Refusal::unknown(Code::OwnerUnreachable, message).retry_after(NOT_READY_MILLIS)
+        }
     }
 }
 
@@ -529,7 +485,7 @@
         let tapes = shared.clone();
         let finish = move |node: &mut Node, now| {
             node.ledger.finish(&key, end, now);
-            tapes.tapes.lock().unwrap_or_else(PoisonError::into_inner).remove(&key);
+            tapes.tapes().remove(&key);
         };
         shared.keeper.visit(finish).await;
     }
@@ -564,7 +520,6 @@
     reader: Option<Reader>,
     progress: Progress,
 ) -> Result<Response<Reply>, Refusal> {
-    let abandoned = || not_begun(&Begin::Join);
     let mut reader = reader.ok_or_else(abandoned)?;
     let mut response = match &asked.target {
         Target::Model(completion) if completion.stream => {
@@ -587,6 +542,12 @@
     Ok(response)
 }
 
+/// The refusal of a request that meets a run which every caller has left.
+fn abandoned() -> Refusal {
+    Refusal::unknown(Code::CallerLeft, "the earlier request is being abandoned")
+        .retry_after(NOT_READY_MILLIS)
+}
+
 fn finished(shared: &Shared, (pieces, end): (Vec<Bytes>, End)) -> Result<Vec<Bytes>, Refusal> {
     match end {
         End::Done => {
@@ -615,7 +576,7 @@
     id: String,
     reader: Reader,
     generated: u64,
-    first: Option<Step>,
+    first: Option<tape::Step>,
     ended: bool,
     _progress: Progress,
 }
@@ -630,7 +591,7 @@
 ) -> Result<Response<Reply>, Refusal> {
     let started = shared.clock.now();
     let first = match reader.next().await {
-        Step::End(End::Refused(refusal)) => return Err(refusal),
+        tape::Step::End(End::Refused(refusal)) => return Err(refusal),
         step => step,
     };
     shared.metrics.first_output(shared.clock.now().since(started));
@@ -664,18 +625,18 @@
             None => self.reader.next().await,
         };
         Some(match step {
-            Step::Piece(piece) => {
+            tape::Step::Piece(piece) => {
                 self.generated += 1;
                 let text = String::from_utf8_lossy(&piece);
                 event(&self.completion.chunk(&self.id, &text))
             }
-            Step::End(End::Done) => {
+            tape::Step::End(End::Done) => {
                 self.ended = true;
                 self.shared.metrics.count(Counter::Answers);
                 let last = event(&self.completion.last_chunk(&self.id, self.generated));
                 Bytes::from([last.as_ref(), b"data: [DONE]\n\n"].concat())
             }
-            Step::End(End::Refused(refusal)) => {
+            tape::Step::End(End::Refused(refusal)) => {
                 self.ended = true;
                 self.shared.metrics.refused(refusal.code);
                 event(&refusal::Body { error: refusal })
--- a/crates/transport/src/forward.rs
+++ b/crates/transport/src/forward.rs
@@ -1,12 +1,14 @@
 //! Forwarding of keyed requests to the node that owns the key.
 
-use crate::entry::{self, Asked, DEADLINE, HOPS, MOST_HOPS, OWNER, PASSED};
+use crate::entry::{self, Asked, DEADLINE, HOPS, OWNER, PASSED};
 use crate::http::{self, BodyError, Call, Reply};
 use crate::metrics::Counter;
 use crate::node::{Progress, Shared};
 use bytes::Bytes;
+use crosslane_coordination::keyed::{Flow, Forwarded};
 use crosslane_protocol::refusal::{self, Code, Refusal};
 use crosslane_state::incarnation::Incarnation;
+use crosslane_state::member::Member;
 use futures::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
@@ -15,7 +17,6 @@
     TRANSFER_ENCODING,
 };
 use hyper::{Response, StatusCode};
-use std::sync::Arc;
 use std::time::Duration;
 
 /// Added to a request's time before its owner counts as silent.
@@ -24,65 +25,49 @@
 /// Headers that belong to one connection.
 const HOP_BY_HOP: [HeaderName; 4] = [CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING];
 
-/// Why a request was not forwarded.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Error {
-    /// No owner took it; nothing was run for it there.
-    Unreached,
-    /// It is to be refused.
-    Refused(Refusal),
-}
-
-/// Forwards a request, following the owners that the nodes name.
+/// Forwards a request to a node; an error says what came of it instead of an answer.
 pub async fn send(
-    shared: &Arc<Shared>,
+    shared: &Shared,
     asked: &Asked,
+    flow: &Flow,
     owner: Incarnation,
-) -> Result<Response<Incoming>, Error> {
-    let mut owner = owner;
-    let mut passed = Vec::new();
-    for hops in 1..=MOST_HOPS {
-        let response = once(shared, asked, owner, hops, &passed).await?;
-        if response.status() != StatusCode::MISDIRECTED_REQUEST {
-            return Ok(response);
-        }
-        passed.push(owner.to_string());
-        shared.metrics.count(Counter::ForwardMoved);
-        let named = response.headers().get(OWNER).and_then(|it| it.to_str().ok());
-        owner = named.and_then(Incarnation::parse).ok_or(Error::Unreached)?;
-    }
-    Err(Error::Refused(entry::unreachable()))
-}
-
-async fn once(
-    shared: &Arc<Shared>,
-    asked: &Asked,
-    owner: Incarnation,
-    hops: u32,
-    passed: &[String],
-) -> Result<Response<Incoming>, Error> {
+) -> Result<Response<Incoming>, Forwarded> {
     let Some(member) = shared.member(owner).await else {
-        let message = "the node that knew this key is gone";
-        return Err(Error::Refused(Refusal::unknown(Code::KeyUnknown, message)));
+        return Err(Forwarded::Lost);
     };
     shared.metrics.count(Counter::Forwarded);
     let left = asked.deadline.since(shared.clock.now());
+    let call = call(asked, flow, &member, left);
+    let limit = GRACE + Duration::from_millis(left);
+    let response = match shared.client.send(call, limit).await {
+        Ok(response) => response,
+        Err(error) => {
+            shared.metrics.count(Counter::OwnerSilent);
+            let unreached = matches!(error, http::Error::Connect { .. });
+            return Err(if unreached { Forwarded::Unreached } else { Forwarded::Lost });
+        }
+    };
+    if response.status() != StatusCode::MISDIRECTED_REQUEST {
+        return Ok(response);
+    }
+    shared.metrics.count(Counter::ForwardMoved);
+    let named = response.headers().get(OWNER).and_then(|it| it.to_str().ok());
+    let named = named.and_then(Incarnation::parse);
+    Err(named.map_or(Forwarded::Unreached, Forwarded::Named))
+}
+
+fn call(asked: &Asked, flow: &Flow, member: &Member, left: u64) -> Call {
     let path = asked.head.uri.path_and_query().map_or("/", |it| it.as_str());
     let mut call = Call::new(asked.head.method.clone(), member.forward, path);
     call.headers = end_to_end(&asked.head.headers);
-    call.headers.insert(HOPS, HeaderValue::from(hops));
+    call.headers.insert(HOPS, HeaderValue::from(flow.forwards().len() + 1));
+    call.headers.insert(DEADLINE, HeaderValue::from(left));
+    let passed: Vec<_> = flow.forwards().iter().map(ToString::to_string).collect();
     if let Ok(value) = HeaderValue::from_str(&passed.join(",")) {
         call.headers.insert(PASSED, value);
     }
-    call.headers.insert(DEADLINE, HeaderValue::from(left));
     call.body = asked.body.clone();
-    let limit = GRACE + Duration::from_millis(left);
-    match shared.client.send(call, limit).await {
-        Ok(response) => Ok(response),
-        Err(http::Error::Connect { .. }) => Err(Error::Unreached),
-        Err(_) if asked.verdict.repeatable => Err(Error::Unreached),
-        Err(_) => Err(Error::Refused(entry::unreachable())),
-    }
+    call
 }
 
 /// Headers that go from end to end.
--- a/crates/transport/src/metrics.rs
+++ b/crates/transport/src/metrics.rs
@@ -24,8 +24,8 @@
     Forwarded,
     /// Forwards that were sent on to another owner.
     ForwardMoved,
-    /// Keyed requests run without their owner, which could not be reached.
-    OwnerBypassed,
+    /// Owners of a key that did not answer.
+    OwnerSilent,
     /// Retries after a runner could not be reached.
     RetryUnreachable,
     /// Retries after a runner refused.
@@ -87,7 +87,7 @@
     (Counter::CallerLeft, "caller_left"),
     (Counter::Forwarded, "forwarded"),
     (Counter::ForwardMoved, "forward_moved"),
-    (Counter::OwnerBypassed, "owner_bypassed"),
+    (Counter::OwnerSilent, "owner_silent"),
     (Counter::RetryUnreachable, "retry.unreachable"),
     (Counter::RetryRefused, "retry.refused"),
     (Counter::RetryBroken, "retry.broken"),
--- a/crates/transport/src/node.rs
+++ b/crates/transport/src/node.rs
@@ -29,7 +29,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError, RwLock};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -140,7 +140,7 @@
         self.lock().is_empty()
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<attempt::Id, Vec<String>>> {
+    fn lock(&self) -> MutexGuard<'_, HashMap<attempt::Id, Vec<String>>> {
         self.attempts.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
@@ -169,8 +169,7 @@
     pub claims: Writer,
     /// Attempts in progress.
     pub flights: Flights,
-    /// Outputs of keyed requests in progress.
-    pub tapes: Mutex<HashMap<Key, Arc<Tape>>>,
+    tapes: Mutex<HashMap<Key, Arc<Tape>>>,
     /// Where the node stands.
     pub phase: watch::Sender<Phase>,
     policy: RwLock<Arc<Policy>>,
@@ -206,6 +205,11 @@
         self.in_progress.load(Ordering::Relaxed)
     }
 
+    /// Outputs of keyed requests in progress.
+    pub fn tapes(&self) -> MutexGuard<'_, HashMap<Key, Arc<Tape>>> {
+        self.tapes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Number for a new request.
     pub fn sequence(&self) -> u64 {
         self.sequence.fetch_add(1, Ordering::Relaxed)
