Relay tokens with fewer threads and less building of JSON

Ruled out: the claims and keeper actors, which a stream does not touch per token. Change: a setting for workers, 2 by default, as entry VMs are small; chunks are written from borrowed structs instead of JSON trees; lines are parsed as a flat struct and checked by TryFrom. What is left is mostly one read, one write and one wake-up a token.

--- a/crates/crosslane/src/bin/crosslaned.rs
+++ b/crates/crosslane/src/bin/crosslaned.rs
@@ -3,6 +3,7 @@
 use clap::{Arg, Command};
 use crosslane::error::{Error, FENCED};
 use crosslane::{config, logs};
+use crosslane_protocol::settings::Settings;
 use crosslane_transport::node;
 use serde_json::json;
 use std::process::ExitCode;
@@ -15,7 +16,7 @@
         .arg(Arg::new("config").long("config").value_name("FILE").required(true))
         .get_matches();
     let path = matches.get_one::<String>("config").map_or("", String::as_str);
-    match run(path) {
+    match start(path) {
         Ok(code) => code,
         Err(error) => {
             eprintln!("error: {error}");
@@ -24,10 +25,17 @@
     }
 }
 
-#[tokio::main]
-async fn run(path: &str) -> Result<ExitCode, Error> {
+fn start(path: &str) -> Result<ExitCode, Error> {
     let settings = config::load(path)?;
     logs::start(settings.json_logs)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(settings.workers)
+        .enable_all()
+        .build()?;
+    runtime.block_on(run(settings))
+}
+
+async fn run(settings: Settings) -> Result<ExitCode, Error> {
     let handle = node::start(settings).await?;
     let addresses = handle.addresses;
     println!(
--- a/crates/protocol/src/completion.rs
+++ b/crates/protocol/src/completion.rs
@@ -2,7 +2,7 @@
 
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
-use serde_json::{Value, json};
+use serde_json::Value;
 
 /// Tokens generated when a request does not say.
 pub const DEFAULT_MAX_TOKENS: u64 = 64;
@@ -102,50 +102,99 @@
     }
 
     /// Body of one streamed piece.
-    pub fn chunk(&self, id: &str, piece: &str) -> Value {
-        self.envelope(id, ".chunk", self.part("delta", piece, Value::Null))
+    pub fn chunk<'a>(&'a self, id: &'a str, piece: &'a str) -> Body<'a> {
+        Body { choices: [Choice::new(self.form, piece, Place::Piece)], ..self.body(id, true) }
     }
 
     /// Body that closes a stream.
-    pub fn last_chunk(&self, id: &str, generated: u64) -> Value {
-        let mut body = self.envelope(id, ".chunk", self.part("delta", "", json!("stop")));
-        body["usage"] = self.usage(generated);
-        body
+    pub fn last_chunk<'a>(&'a self, id: &'a str, generated: u64) -> Body<'a> {
+        let choices = [Choice::new(self.form, "", Place::Last)];
+        Body { choices, usage: Some(self.usage(generated)), ..self.body(id, true) }
     }
 
     /// Body of a whole answer.
-    pub fn whole(&self, id: &str, answer: &str, generated: u64) -> Value {
-        let mut body = self.envelope(id, "", self.part("message", answer, json!("stop")));
-        body["usage"] = self.usage(generated);
-        body
+    pub fn whole<'a>(&'a self, id: &'a str, answer: &'a str, generated: u64) -> Body<'a> {
+        let choices = [Choice::new(self.form, answer, Place::Whole)];
+        Body { choices, usage: Some(self.usage(generated)), ..self.body(id, false) }
     }
 
-    fn envelope(&self, id: &str, suffix: &str, choice: Value) -> Value {
-        let object = match self.form {
-            Form::Text => "text_completion".to_owned(),
-            Form::Chat => format!("chat.completion{suffix}"),
+    fn body<'a>(&'a self, id: &'a str, chunk: bool) -> Body<'a> {
+        let object = match (self.form, chunk) {
+            (Form::Text, _) => "text_completion",
+            (Form::Chat, true) => "chat.completion.chunk",
+            (Form::Chat, false) => "chat.completion",
         };
-        json!({ "id": id, "object": object, "model": self.model, "choices": [choice] })
+        let choices = [Choice::new(self.form, "", Place::Piece)];
+        Body { id, object, model: &self.model, choices, usage: None }
     }
 
-    fn part(&self, field: &str, text: &str, finish: Value) -> Value {
-        match self.form {
-            Form::Text => json!({ "index": 0, "text": text, "finish_reason": finish }),
-            Form::Chat => json!({
-                "index": 0,
-                field: { "role": "assistant", "content": text },
-                "finish_reason": finish,
-            }),
+    fn usage(&self, generated: u64) -> Usage {
+        let prompt = self.prompt_tokens();
+        Usage {
+            prompt_tokens: prompt,
+            completion_tokens: generated,
+            total_tokens: prompt + generated,
         }
     }
+}
 
-    fn usage(&self, generated: u64) -> Value {
-        let prompt = self.prompt_tokens();
-        json!({
-            "prompt_tokens": prompt,
-            "completion_tokens": generated,
-            "total_tokens": prompt + generated,
-        })
+/// Body of an answer, whole or in pieces.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Body<'a> {
+    id: &'a str,
+    object: &'static str,
+    model: &'a str,
+    choices: [Choice<'a>; 1],
+    #[serde(skip_serializing_if = "Option::is_none")]
+    usage: Option<Usage>,
+}
+
+/// Tokens that a request cost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+struct Usage {
+    prompt_tokens: u64,
+    completion_tokens: u64,
+    total_tokens: u64,
+}
+
+/// Where in an answer a text stands.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Place {
+    Piece,
+    Last,
+    Whole,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+struct Choice<'a> {
+    index: u32,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    text: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    delta: Option<Message<'a>>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    message: Option<Message<'a>>,
+    finish_reason: Option<&'static str>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+struct Message<'a> {
+    role: &'static str,
+    content: &'a str,
+}
+
+impl<'a> Choice<'a> {
+    fn new(form: Form, text: &'a str, place: Place) -> Self {
+        let message = |wanted: bool| {
+            (form == Form::Chat && wanted).then_some(Message { role: "assistant", content: text })
+        };
+        Self {
+            index: 0,
+            text: (form == Form::Text).then_some(text),
+            delta: message(place != Place::Whole),
+            message: message(place == Place::Whole),
+            finish_reason: (place != Place::Piece).then_some("stop"),
+        }
     }
 }
 
--- a/crates/protocol/src/engine.rs
+++ b/crates/protocol/src/engine.rs
@@ -1,5 +1,6 @@
 //! Messages of the engine interface; docs/ENGINES.md says what each call promises.
 
+use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 
 /// Body of `POST /prefill`.
@@ -57,24 +58,65 @@
     pub max_tokens: u64,
 }
 
+/// Line of a decode stream as it comes.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RawLine {
+    /// Offset of a piece, in tokens of the whole answer.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub o: Option<u64>,
+    /// Text of a piece.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub t: Option<String>,
+    /// End mark: tokens of the whole answer.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub end: Option<u64>,
+}
+
 /// Line of a decode stream.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(untagged)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Line {
     /// One piece.
     Piece {
         /// Offset in tokens of the whole answer.
-        o: u64,
+        offset: u64,
         /// Text.
-        t: String,
+        text: String,
     },
     /// End mark.
     End {
         /// Tokens of the whole answer.
-        end: u64,
+        total: u64,
     },
 }
 
+/// A line that is neither a piece nor an end mark.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+#[display("a line has an offset and a text, or an end")]
+pub struct LineError;
+
+impl TryFrom<RawLine> for Line {
+    type Error = LineError;
+
+    fn try_from(raw: RawLine) -> Result<Self, LineError> {
+        match raw {
+            RawLine { o: Some(offset), t: Some(text), end: None } => {
+                Ok(Self::Piece { offset, text })
+            }
+            RawLine { o: None, t: None, end: Some(total) } => Ok(Self::End { total }),
+            _ => Err(LineError),
+        }
+    }
+}
+
+impl From<Line> for RawLine {
+    fn from(line: Line) -> Self {
+        match line {
+            Line::Piece { offset, text } => Self { o: Some(offset), t: Some(text), end: None },
+            Line::End { total } => Self { o: None, t: None, end: Some(total) },
+        }
+    }
+}
+
 /// One attempt that an engine holds memory for.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Held {
--- a/crates/protocol/src/settings.rs
+++ b/crates/protocol/src/settings.rs
@@ -146,6 +146,8 @@
     pub statsd: Option<SocketAddr>,
     /// Whether logs are JSON.
     pub json_logs: bool,
+    /// Threads that do the work.
+    pub workers: usize,
     /// Nodes that heartbeats go to.
     pub neighbours: usize,
     /// Limits towards callers.
@@ -217,6 +219,7 @@
         seeds: top.addresses("seeds"),
         statsd: top.optional_address("statsd"),
         json_logs: top.choice("log_format", &LOG_FORMATS, Some(false)),
+        workers: top.number("workers", 1..=256, 2) as usize,
         neighbours: top.number("neighbours", 1..=64, 8) as usize,
         limits: limits(top.section("limits")),
         quick: target(top.section("quick"), 490),
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -6,6 +6,7 @@
 use crosslane_protocol::completion::tokens;
 use crosslane_protocol::engine::{
     Decode, Event, Events, Export, Held, HeldList, Import, Line, Load, Order, Prefill, Prefilled,
+    RawLine,
 };
 use crosslane_transport::http::{BodyError, Call, Client, Reply, json};
 use crosslane_transport::serve;
@@ -512,7 +513,7 @@
             }
             if let Some(line) = self.ready()? {
                 let more = matches!(line, Line::Piece { .. });
-                let mut bytes = serde_json::to_vec(&line)?;
+                let mut bytes = serde_json::to_vec(&RawLine::from(line))?;
                 bytes.push(b'\n');
                 return Ok((bytes.into(), more));
             }
@@ -526,8 +527,9 @@
         if self.next < attempt.next {
             let offset = self.next;
             self.next += 1;
-            return Ok(Some(Line::Piece { o: offset, t: text::token(&attempt.prompt, offset) }));
+            let text = text::token(&attempt.prompt, offset);
+            return Ok(Some(Line::Piece { offset, text }));
         }
-        Ok((attempt.stage == Stage::Ended).then_some(Line::End { end: attempt.end }))
+        Ok((attempt.stage == Stage::Ended).then_some(Line::End { total: attempt.end }))
     }
 }
--- a/crates/transport/src/engine.rs
+++ b/crates/transport/src/engine.rs
@@ -2,7 +2,7 @@
 
 use crate::http::{self, BodyError, Call, Client};
 use bytes::{Bytes, BytesMut};
-use crosslane_protocol::engine::{Decode, HeldList, Import, Line, Prefill, Prefilled};
+use crosslane_protocol::engine::{Decode, HeldList, Import, Line, Prefill, Prefilled, RawLine};
 use crosslane_state::attempt;
 use derive_more::{Display, Error};
 use http_body_util::BodyExt;
@@ -152,8 +152,9 @@
     pub async fn next(&mut self) -> Result<Line, Error> {
         loop {
             if let Some(line) = self.line() {
-                return serde_json::from_slice(&line)
-                    .map_err(|error| Error::Broken { message: error.to_string() });
+                let raw: RawLine =
+                    serde_json::from_slice(&line).map_err(|error| broken(error.into()))?;
+                return Line::try_from(raw).map_err(|error| broken(error.into()));
             }
             if self.buffer.len() > LINE_BYTES {
                 return Err(Error::Broken { message: "line too long".to_owned() });
--- a/crates/transport/src/run.rs
+++ b/crates/transport/src/run.rs
@@ -413,15 +413,15 @@
     ) -> Result<(), engine::Error> {
         loop {
             match stream.next().await? {
-                Line::Piece { o, t } => match self.splice.piece(attempt, o) {
+                Line::Piece { offset, text } => match self.splice.piece(attempt, offset) {
                     Piece::Take => {
                         holds.unused_tokens = 0;
-                        self.tape.push(Bytes::from(t));
+                        self.tape.push(Bytes::from(text));
                     }
                     Piece::Drop => {}
                     Piece::Gap => return Err(broken("pieces are missing")),
                 },
-                Line::End { end } if self.splice.end(attempt, end) => return Ok(()),
+                Line::End { total } if self.splice.end(attempt, total) => return Ok(()),
                 Line::End { .. } => return Err(broken("end mark too early")),
             }
         }
