Let a VM start while the log is out, and prove more of the promises

Cause: a node that the log can't record was unknown to the others, who took its attempts for those of the dead. The operators' reader of a trimmed log went on past the checkpoint's own offset; it now reads from there. 'vm stop' waits for a node's own VM too.

--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -53,6 +53,11 @@
     pub seed: u64,
 }
 
+/// Whether one is the same node as another, or a later start on its VM.
+fn supersedes(one: &Member, other: &Member) -> bool {
+    one.vm == other.vm && one.incarnation >= other.incarnation
+}
+
 /// Why a key that the ledger does not know may have been run all the same.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Doubt {
@@ -102,6 +107,7 @@
     allocators: HashMap<Id, Allocator>,
     told: BTreeMap<String, Leave>,
     joined: HashMap<Incarnation, Millis>,
+    guests: BTreeMap<Incarnation, Member>,
     claims: HashMap<u64, Incarnation>,
     claim_ages: VecDeque<(Millis, u64)>,
     departed: Vec<Departed>,
@@ -121,6 +127,7 @@
             allocators: HashMap::new(),
             told: BTreeMap::new(),
             joined: HashMap::new(),
+            guests: BTreeMap::new(),
             claims: HashMap::new(),
             claim_ages: VecDeque::new(),
             departed: Vec::new(),
@@ -154,10 +161,41 @@
         }
         let state = &self.state;
         self.told.retain(|_, it| !state.ended.contains(&it.id) && state.stands(it));
+        let roster = &self.state.roster;
+        self.guests.retain(|_, guest| !roster.iter().any(|it| supersedes(it, guest)));
         let mine: BTreeSet<_> = self.owned().map(|it| it.id).collect();
         self.allocators.retain(|id, _| mine.contains(id));
     }
 
+    /// Takes in a node that the log does not have yet, or can't have while it is out.
+    pub fn welcome(&mut self, guest: Member, now: Millis) {
+        let known = |it: &Member| supersedes(it, &guest);
+        if self.state.roster.iter().any(known) || self.guests.values().any(known) {
+            return;
+        }
+        self.guests.retain(|_, it| it.vm != guest.vm);
+        self.detector.watch(guest.incarnation, now);
+        self.guests.insert(guest.incarnation, guest);
+    }
+
+    /// Nodes that the log does not have.
+    pub fn guests(&self) -> Vec<Member> {
+        self.guests.values().cloned().collect()
+    }
+
+    /// Takes the word of others that a node is dead.
+    pub fn bury(&mut self, node: Incarnation, now: Millis) {
+        self.detector.confirm(node, now);
+        if self.guests.remove(&node).is_some() {
+            self.detector.forget(node);
+        }
+    }
+
+    /// A member or guest.
+    pub fn member(&self, incarnation: Incarnation) -> Option<&Member> {
+        self.state.roster.get(incarnation).or_else(|| self.guests.get(&incarnation))
+    }
+
     /// Takes an announcement that came past the log; true when it was new.
     pub fn tell(&mut self, leave: Leave) -> bool {
         let leave = self.state.stamped(leave);
@@ -210,7 +248,10 @@
 
     /// Nodes that heartbeats go to.
     pub fn neighbours(&self) -> Vec<&Member> {
-        self.state.roster.neighbours(self.options.me, self.options.neighbours)
+        let me = self.options.me;
+        let mut neighbours = self.state.roster.neighbours(me, self.options.neighbours);
+        neighbours.extend(self.guests.values().filter(|it| it.incarnation != me));
+        neighbours
     }
 
     /// The node that grants a runner's slots.
@@ -326,7 +367,7 @@
         if node == self.options.me {
             return Belief::Alive;
         }
-        if self.state.roster.get(node).is_none() {
+        if self.member(node).is_none() {
             return Belief::Dead;
         }
         self.detector.belief(node, now)
--- a/crates/crosslane/src/arguments.rs
+++ b/crates/crosslane/src/arguments.rs
@@ -77,7 +77,7 @@
         .subcommand(
             Command::new("capacity")
                 .about("Redoes the arithmetic of docs/CAPACITY.md")
-                .arg(file("file").default_value("docs/capacity.json")),
+                .arg(file("file").required(false).default_value("docs/capacity.json")),
         )
         .subcommand(standin_command())
 }
@@ -121,6 +121,11 @@
             access(Command::new("leave").about("Announces a VM as leaving").arg(name()))
                 .arg(flag("wait", "Wait until it is safe to stop")),
         )
+        .subcommand(access(
+            Command::new("stop")
+                .about("Announces a VM and waits until it is safe to stop")
+                .arg(name()),
+        ))
         .subcommand(access(Command::new("back").about("Takes a VM back into use").arg(name())))
         .subcommand(
             access(Command::new("status").about("Shows what is in progress on a VM").arg(name()))
--- a/crates/crosslane/src/policy.rs
+++ b/crates/crosslane/src/policy.rs
@@ -86,7 +86,9 @@
                         let record = Record::try_from(Raw(text)).ok();
                         let _ = self.state.fold(page.from + place as u64, record);
                     }
-                    from = (page.from + page.records.len() as u64).max(self.state.next);
+                    let end = page.from + page.records.len() as u64;
+                    let bridged = (page.first..end).contains(&self.state.next);
+                    from = if bridged { self.state.next } else { end };
                     if from >= page.tail {
                         return Ok(());
                     }
--- a/crates/crosslane/src/vm.rs
+++ b/crates/crosslane/src/vm.rs
@@ -67,9 +67,10 @@
     let access = Access::try_from(inner)?;
     let vm = text(inner, "vm")?;
     match verb {
-        "leave" => {
+        "leave" | "stop" => {
             show(&access.call(Method::POST, &format!("/vms/{vm}/leave")).await?);
-            if inner.get_flag("wait") { wait(&access, &vm).await } else { Ok(()) }
+            let waits = verb == "stop" || inner.get_flag("wait");
+            if waits { wait(&access, &vm).await } else { Ok(()) }
         }
         "back" => {
             show(&access.call(Method::POST, &format!("/vms/{vm}/back")).await?);
--- a/crates/harness/src/site.rs
+++ b/crates/harness/src/site.rs
@@ -90,6 +90,8 @@
     pub callers: SocketAddr,
     /// Operators' address.
     pub operator: SocketAddr,
+    /// Control address.
+    pub control: SocketAddr,
 }
 
 /// A whole site.
@@ -165,6 +167,8 @@
     /// Starts a node in a place, anew if one ran there.
     pub fn start_node(&mut self, place: usize) -> io::Result<()> {
         let path = self.folder.path().join(format!("entry-{place}.json"));
+        let seeds: Vec<_> = self.nodes.iter().flatten().map(|it| it.control).collect();
+        self.fleet.extra["seeds"] = json!(seeds);
         std::fs::write(&path, self.fleet.settings(place))?;
         let arguments = ["--config".to_owned(), path.display().to_string()];
         let errors = self.folder.path().join(format!("entry-{place}.log"));
@@ -177,7 +181,8 @@
                 .ok_or_else(|| io::Error::other(format!("{}: no {name} address", process.line)))
         };
         let (callers, operator) = (address("callers")?, address("operator")?);
-        self.nodes[place] = Some(Node { process, callers, operator });
+        let control = address("control")?;
+        self.nodes[place] = Some(Node { process, callers, operator, control });
         Ok(())
     }
 
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -7,6 +7,7 @@
 use crosslane_state::attempt;
 use crosslane_state::incarnation::Incarnation;
 use crosslane_state::load::Report;
+use crosslane_state::member::Member;
 use crosslane_state::policy::Version;
 use crosslane_state::request::Key;
 use crosslane_state::runner;
@@ -23,6 +24,17 @@
     pub loads: Vec<(runner::Id, Report)>,
     /// Announcements that the log may not have.
     pub leaves: Vec<Leave>,
+    /// The sender itself, while others may not have it from the log.
+    pub newcomer: Option<Member>,
+}
+
+/// What a node knows, for one that starts while the log is out.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// Folded log.
+    pub state: fold::State,
+    /// Nodes that the log does not have.
+    pub guests: Vec<Member>,
 }
 
 /// A key with its fingerprint and answer, handed over by a node that stops.
@@ -57,8 +69,9 @@
     async fn copied_claims(by: Incarnation) -> Vec<u64>;
     /// Hands over endings.
     async fn handover(endings: Vec<Ending>);
-    /// Folded log, for a node that starts while the log is out.
-    async fn snapshot() -> fold::State;
-    /// Requests in progress at the callee that touch a VM.
+    /// What the callee knows, for a node that starts while the log is out.
+    async fn snapshot() -> Snapshot;
+    /// Requests in progress at the callee that touch a VM; for its own VM also whether it
+    /// has not stopped yet.
     async fn busy(vm: String) -> u32;
 }
--- a/crates/protocol/src/settings.rs
+++ b/crates/protocol/src/settings.rs
@@ -123,6 +123,8 @@
     pub drain_millis: u64,
     /// Wait for one answer of the platform.
     pub platform_millis: u64,
+    /// Log records between two checkpoints; not a time, but kept with them.
+    pub checkpoint_records: u64,
 }
 
 /// Checked settings.
@@ -299,6 +301,7 @@
         claim_millis: section.number("claim_millis", 0..=1_000, 20),
         drain_millis: section.number("drain_millis", 0..=600_000, 2_000),
         platform_millis: section.number("platform_millis", 10..=60_000, 1_000),
+        checkpoint_records: section.number("checkpoint_records", 10..=1_000_000, 500),
     };
     section.close();
     timing
--- a/crates/transport/src/node.rs
+++ b/crates/transport/src/node.rs
@@ -295,9 +295,9 @@
         self.on_duty.store(false, Ordering::Relaxed);
     }
 
-    /// The member with an incarnation.
+    /// The member or guest with an incarnation.
     pub async fn member(&self, incarnation: Incarnation) -> Option<Member> {
-        self.keeper.visit(move |node, _| node.state.roster.get(incarnation).cloned()).await
+        self.keeper.visit(move |node, _| node.member(incarnation).cloned()).await
     }
 }
 
@@ -448,6 +448,7 @@
         shared.set_log_answers(true);
         while !shared.is_member() && follower::catch_up(&shared).await {}
     }
+    pulse::greet(&shared).await;
     let start = |phase: &mut Phase| {
         let starting = *phase == Phase::Starting;
         if starting {
--- a/crates/transport/src/operator.rs
+++ b/crates/transport/src/operator.rs
@@ -63,6 +63,7 @@
             .collect();
         json!({
             "offset": node.state.next,
+            "checkpoint": node.state.checkpoint,
             "members": members,
             "leaving": node.told().map(|it| it.vm.clone()).collect::<std::collections::BTreeSet<_>>(),
             "owned": node.owned().map(|it| it.name.clone()).collect::<Vec<_>>(),
@@ -95,11 +96,11 @@
 async fn progress(shared: &Arc<Shared>, vm: &str) -> serde_json::Value {
     let wanted = vm.to_owned();
     let known = move |node: &mut Node, _| {
-        let members: Vec<_> = node.state.roster.iter().cloned().collect();
-        (node.is_leaving(&wanted), members)
+        let mut members: Vec<_> = node.state.roster.iter().cloned().collect();
+        members.extend(node.guests());
+        (node.is_leaving(&wanted), node.has_vm(&wanted), members)
     };
-    let (leaving, members) = shared.keeper.visit(known).await;
-    let node = members.iter().any(|it| it.vm == vm);
+    let (leaving, known, members) = shared.keeper.visit(known).await;
     let mut busy = 0;
     let mut unreachable = Vec::new();
     for member in members {
@@ -110,11 +111,11 @@
             Err(_) => unreachable.push(member.vm),
         }
     }
-    let safe = leaving && !node && busy == 0 && unreachable.is_empty();
+    let safe = (leaving || !known) && busy == 0 && unreachable.is_empty();
     json!({
         "vm": vm,
         "leaving": leaving,
-        "node": node,
+        "known": known,
         "in_progress": busy,
         "unreachable": unreachable,
         "safe_to_stop": safe,
--- a/crates/transport/src/pulse.rs
+++ b/crates/transport/src/pulse.rs
@@ -6,7 +6,7 @@
 use crosslane_coordination::detector::Belief;
 use crosslane_coordination::node::Node;
 use crosslane_coordination::record::{Leave, Record};
-use crosslane_protocol::peer::{Beat, PeerClient};
+use crosslane_protocol::peer::{Beat, PeerClient, Snapshot};
 use crosslane_protocol::platform::{CLAIMS, State, Vm};
 use crosslane_state::incarnation::Incarnation;
 use crosslane_state::member::Member;
@@ -26,8 +26,8 @@
 /// Age below which a member is not taken as leaving from the lagging list, in milliseconds.
 const LIST_LAG_MILLIS: u64 = 10_000;
 
-/// Records after which the fold is appended as a checkpoint.
-const CHECKPOINT_RECORDS: u64 = 500;
+/// Age up to which a node presents itself with each heartbeat, in milliseconds.
+const YOUNG_MILLIS: u64 = 10_000;
 
 /// Beats until the process ends.
 pub async fn run(shared: Arc<Shared>) {
@@ -73,11 +73,12 @@
             continue;
         }
         let call = |client: PeerClient, context| async move { client.snapshot(context).await };
-        let Ok(state) = shared.peers.call(address, limit, call).await else {
+        let Ok(Snapshot { state, guests }) = shared.peers.call(address, limit, call).await else {
             continue;
         };
         found = true;
         let take = move |node: &mut Node, now| {
+            guests.into_iter().for_each(|it| node.welcome(it, now));
             if state.next > node.state.next {
                 node.state = state;
                 node.refresh(now);
@@ -89,6 +90,13 @@
     found
 }
 
+/// Presents this node to those that it knows, before it takes requests.
+pub async fn greet(shared: &Arc<Shared>) {
+    let neighbours = shared.keeper.visit(|node, _| neighbours(node)).await;
+    let greetings = neighbours.into_iter().map(|it| exchange(shared.clone(), it));
+    futures::future::join_all(greetings).await;
+}
+
 fn neighbours(node: &mut Node) -> Vec<Member> {
     node.neighbours().into_iter().cloned().collect()
 }
@@ -96,6 +104,8 @@
 /// What this node tells its neighbours.
 pub async fn beat(shared: &Arc<Shared>) -> Beat {
     let (from, version) = (shared.me, shared.policy().version);
+    let young = shared.clock.now().0 < YOUNG_MILLIS;
+    let newcomer = (young || !shared.is_member()).then(|| shared.member.clone());
     shared
         .keeper
         .visit(move |node, now| {
@@ -103,7 +113,7 @@
             for (id, report) in &loads {
                 node.board.report(*id, *report, now);
             }
-            Beat { from, version, loads, leaves: node.told().cloned().collect() }
+            Beat { from, version, loads, leaves: node.told().cloned().collect(), newcomer }
         })
         .await
 }
@@ -111,6 +121,9 @@
 /// Takes in what a node told.
 pub async fn heard(shared: &Arc<Shared>, beat: Beat) {
     let news = move |node: &mut Node, now| {
+        if let Some(newcomer) = beat.newcomer {
+            node.welcome(newcomer, now);
+        }
         node.detector.heard(beat.from, now);
         node.saw_version(beat.from, beat.version);
         for (id, report) in beat.loads {
@@ -126,8 +139,7 @@
 
 /// Whether this node hears another.
 pub async fn hears(shared: &Arc<Shared>, other: Incarnation) -> bool {
-    let member = shared.keeper.visit(move |node, _| node.state.roster.get(other).cloned()).await;
-    let Some(member) = member else {
+    let Some(member) = shared.member(other).await else {
         return false;
     };
     let beat = beat(shared).await;
@@ -171,7 +183,7 @@
         }
         shared.metrics.count(Counter::NodesDead);
         warn!(event = "node_dead", node:% = suspect, by:% = me; "");
-        shared.keeper.visit(move |node, now| node.detector.confirm(suspect, now)).await;
+        shared.keeper.visit(move |node, now| node.bury(suspect, now)).await;
     }
 }
 
@@ -226,9 +238,10 @@
 }
 
 async fn checkpoint(shared: &Arc<Shared>) {
-    let due = |node: &mut Node, _| {
+    let records = shared.settings.timing.checkpoint_records;
+    let due = move |node: &mut Node, _| {
         let first = node.state.roster.iter().next().map(|it| it.incarnation);
-        let due = node.state.next - node.state.checkpoint >= CHECKPOINT_RECORDS;
+        let due = node.state.next - node.state.checkpoint >= records;
         (due && first == Some(node.options().me)).then(|| Box::new(node.state.clone()))
     };
     if let Some(state) = shared.keeper.visit(due).await {
--- a/crates/transport/src/rpc.rs
+++ b/crates/transport/src/rpc.rs
@@ -1,11 +1,11 @@
 //! The control port: answers other nodes' calls.
 
 use crate::metered::Metered;
-use crate::node::Shared;
+use crate::node::{Phase, Shared};
 use crate::peers::FRAME_BYTES;
-use crosslane_coordination::fold;
+use crosslane_coordination::node::Node;
 use crosslane_coordination::slots::{Ask, Grant};
-use crosslane_protocol::peer::{Beat, Ending, Peer};
+use crosslane_protocol::peer::{Beat, Ending, Peer, Snapshot};
 use crosslane_state::attempt;
 use crosslane_state::incarnation::Incarnation;
 use crosslane_state::request::Key;
@@ -80,7 +80,7 @@
     }
 
     async fn handover(self, _: Context, endings: Vec<Ending>) {
-        let adopt = move |node: &mut crosslane_coordination::node::Node, now| {
+        let adopt = move |node: &mut Node, now| {
             for ending in endings {
                 let answer = ending.answer.map(Arc::new);
                 node.ledger.adopt(&ending.key, ending.fingerprint, answer, now);
@@ -89,11 +89,16 @@
         self.shared.keeper.visit(adopt).await;
     }
 
-    async fn snapshot(self, _: Context) -> fold::State {
-        self.shared.keeper.visit(|node, _| node.state.clone()).await
+    async fn snapshot(self, _: Context) -> Snapshot {
+        let known =
+            |node: &mut Node, _| Snapshot { state: node.state.clone(), guests: node.guests() };
+        self.shared.keeper.visit(known).await
     }
 
     async fn busy(self, _: Context, vm: String) -> u32 {
-        self.shared.flights.touching(&vm)
+        let own = vm == self.shared.settings.vm;
+        let stopped = *self.shared.phase.borrow() == Phase::Stopped;
+        let own = if own && !stopped { 1 + self.shared.in_progress() as u32 } else { 0 };
+        own + self.shared.flights.touching(&vm)
     }
 }
