Write the roster as a list, so that checkpoints can be read

Cause: the roster was a map keyed by a number; JSON writes such keys as strings, and inside a tagged record they are not read back. Every checkpoint was skipped as torn, so a log that forgot its start would have kept new nodes out. Ruled out: retention faster than checkpoints, which only made the scenario slow. Test: a_checkpoint_is_read_as_it_was_written fails before, passes after; trimmed passes in 5.3 s.

--- a/crates/state/src/member.rs
+++ b/crates/state/src/member.rs
@@ -21,12 +21,25 @@
     pub forward: SocketAddr,
 }
 
-/// The members in force.
+/// The members in force; written as a list.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "Vec<Member>", into = "Vec<Member>")]
 pub struct Roster {
     members: BTreeMap<Incarnation, Member>,
 }
 
+impl From<Vec<Member>> for Roster {
+    fn from(members: Vec<Member>) -> Self {
+        Self { members: members.into_iter().map(|it| (it.incarnation, it)).collect() }
+    }
+}
+
+impl From<Roster> for Vec<Member> {
+    fn from(roster: Roster) -> Self {
+        roster.members.into_values().collect()
+    }
+}
+
 impl Roster {
     /// Adds a member and returns earlier ones on the same VM, now removed.
     pub fn join(&mut self, member: Member) -> Vec<Incarnation> {
