--- /dev/null
+++ b/crates/coordination/benches/placement.rs
@@ -0,0 +1,89 @@
+//! Cost of one placement against the size of the pool, for each way.
+
+use crosslane_coordination::placement::{Chooser, Mode, Query};
+use crosslane_state::load::{Board, Report};
+use crosslane_state::runner::{Id, Role, Runner, Table};
+use crosslane_state::time::Millis;
+use divan::{Bencher, black_box};
+
+const SIZES: [usize; 3] = [10, 1_000, 10_000];
+
+fn main() {
+    divan::main();
+}
+
+fn pool(size: usize) -> (Table, Board) {
+    let mut table = Table::default();
+    let mut board = Board::default();
+    for place in 0..size {
+        let name = format!("decode-{place}");
+        let id = Id::of(&name);
+        board.report(id, Report { busy: place as u32 % 20, ..Report::default() }, Millis(0));
+        table.insert(Runner {
+            id,
+            vm: name.clone(),
+            name,
+            domain: "Aarau".to_owned(),
+            address: ([127, 0, 0, 1], 9).into(),
+            role: Role::Decode,
+            serves: "reply".to_owned(),
+            slots: 20,
+            kv_tokens: 0,
+            fences: true,
+        });
+    }
+    (table, board)
+}
+
+fn bench(bencher: Bencher<'_, '_>, mode: Mode, size: usize) {
+    let (table, mut board) = pool(size);
+    let mut chooser = Chooser::new(mode, 1);
+    bencher.bench_local(|| {
+        let keys = table.pool(Role::Decode, "reply");
+        let query = Query { pool: keys, table: &table, board: &board, now: Millis(1) };
+        let chosen = chooser.choose(black_box(query), |_| true);
+        if let Some(id) = chosen {
+            board.sent(id);
+        }
+        chosen
+    });
+}
+
+#[divan::bench(args = SIZES)]
+fn best_of_two(bencher: Bencher<'_, '_>, size: usize) {
+    bench(bencher, Mode::BestOfTwo, size);
+}
+
+#[divan::bench(args = SIZES)]
+fn round_robin(bencher: Bencher<'_, '_>, size: usize) {
+    bench(bencher, Mode::RoundRobin, size);
+}
+
+#[divan::bench(args = SIZES)]
+fn random(bencher: Bencher<'_, '_>, size: usize) {
+    bench(bencher, Mode::Random, size);
+}
+
+#[divan::bench(args = SIZES)]
+fn least_reported(bencher: Bencher<'_, '_>, size: usize) {
+    bench(bencher, Mode::LeastReported, size);
+}
+
+/// Difference between the fullest and the emptiest of the pool after ten requests a runner.
+#[divan::bench(args = [Mode::BestOfTwo, Mode::RoundRobin, Mode::Random], consts = SIZES, sample_count = 1, sample_size = 1)]
+fn spread<const SIZE: usize>(mode: Mode) -> u32 {
+    let (table, _) = pool(SIZE);
+    let mut board = Board::default();
+    let mut chooser = Chooser::new(mode, 1);
+    for _ in 0..SIZE * 10 {
+        let keys = table.pool(Role::Decode, "reply");
+        let query = Query { pool: keys, table: &table, board: &board, now: Millis(1) };
+        if let Some(id) = chooser.choose(query, |_| true) {
+            board.sent(id);
+        }
+    }
+    let depths = || table.iter().map(|it| board.get(it.id).depth());
+    let spread = depths().max().unwrap_or(0) - depths().min().unwrap_or(0);
+    println!("spread of {mode:?} over {SIZE} runners: {spread}");
+    spread
+}
--- a/crates/protocol/src/refusal.rs
+++ b/crates/protocol/src/refusal.rs
@@ -29,8 +29,6 @@
     NotReady,
     /// The node is leaving.
     Leaving,
-    /// Too many connections or requests.
-    TooMany,
     /// No slot in time.
     Overloaded,
     /// No usable runner.
@@ -53,7 +51,7 @@
 type Row = (Code, &'static str, u16);
 
 /// Every code with its name and HTTP status.
-pub const CODES: [Row; 20] = [
+pub const CODES: [Row; 19] = [
     (Code::BadBody, "bad_body", 400),
     (Code::BadHeader, "bad_header", 400),
     (Code::BodyTooLong, "body_too_long", 413),
@@ -65,7 +63,6 @@
     (Code::LedgerFull, "ledger_full", 503),
     (Code::NotReady, "not_ready", 503),
     (Code::Leaving, "leaving", 503),
-    (Code::TooMany, "too_many", 503),
     (Code::Overloaded, "overloaded", 429),
     (Code::NoRunner, "no_runner", 503),
     (Code::OwnerUnreachable, "owner_unreachable", 503),
--- a/crates/transport/src/entry.rs
+++ b/crates/transport/src/entry.rs
@@ -24,6 +24,7 @@
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
+use log::info;
 use serde_json::json;
 use std::sync::Arc;
 use std::time::Duration;
@@ -279,7 +280,7 @@
         let key = Key::mint(shared.me, sequence);
         let tape = Arc::new(Tape::default());
         let reader = tape.reader();
-        spawn(shared, &asked, None, sequence, tape);
+        spawn(shared, &asked, Id { key: key.clone(), keyed: false }, sequence, tape);
         return render(shared, &asked, &key, reader, progress).await;
     };
     let key = raw.to_str().map_err(|_| bad_header("idempotency-key: expected ASCII"))?;
@@ -389,7 +390,8 @@
     let reader = tape.as_ref().and_then(Tape::reader);
     match (step, tape) {
         (Step::Run, Some(tape)) => {
-            spawn(shared, asked, Some(key.clone()), shared.sequence(), tape);
+            let id = Id { key: key.clone(), keyed: true };
+            spawn(shared, asked, id, shared.sequence(), tape);
         }
         (Step::Join, _) => shared.metrics.count(Counter::Joined),
         _ => {}
@@ -426,10 +428,16 @@
     hash::weight(hash::of(head.as_bytes()), hash::of(&asked.body))
 }
 
+/// The key of a run, and whether the ledger has it.
+struct Id {
+    key: Key,
+    keyed: bool,
+}
+
 /// Runs a request on its own, so that it ends whatever becomes of the caller's connection.
-fn spawn(shared: &Arc<Shared>, asked: &Asked, key: Option<Key>, sequence: u64, tape: Arc<Tape>) {
+fn spawn(shared: &Arc<Shared>, asked: &Asked, id: Id, sequence: u64, tape: Arc<Tape>) {
     let shared = shared.clone();
-    let claim = key.as_ref().filter(|_| !asked.verdict.repeatable).map(Key::hash);
+    let claim = (id.keyed && !asked.verdict.repeatable).then(|| id.key.hash());
     let verdict = asked.verdict.clone();
     let deadline = asked.deadline;
     let fingerprint = fingerprint(asked);
@@ -440,7 +448,7 @@
             let job = run::Job { completion, verdict, organisation, deadline, claim, sequence };
             tokio::spawn(async move {
                 let result = run::run(shared.clone(), job, tape.clone()).await;
-                conclude(&shared, key, fingerprint, &tape, result).await;
+                conclude(&shared, id, fingerprint, &tape, result).await;
             });
         }
         Target::Service(prefix) => {
@@ -458,36 +466,25 @@
             };
             tokio::spawn(async move {
                 let result = call::run(shared.clone(), job, tape.clone()).await;
-                conclude(&shared, key, fingerprint, &tape, result).await;
+                conclude(&shared, id, fingerprint, &tape, result).await;
             });
         }
     }
 }
 
-/// Records an ending, first at the node that would own the key next, then here.
+/// Ends a run: logged, recorded if it has a key, then told to its readers.
 async fn conclude(
     shared: &Arc<Shared>,
-    key: Option<Key>,
+    id: Id,
     fingerprint: u64,
     tape: &Tape,
     result: Result<(), Refusal>,
 ) {
-    if let Some(key) = key {
-        let answer = tape.answer().filter(|_| result.is_ok());
-        if let Some(answer) = &answer {
-            copy(shared, &key, fingerprint, answer.clone()).await;
-        }
-        let end = match (&result, answer) {
-            (Ok(()), Some(answer)) => ledger::End::Done(Arc::new(answer)),
-            (Err(refusal), _) if refusal.outcome == Outcome::NotRun => ledger::End::NotRun,
-            _ => ledger::End::Unknown,
-        };
-        let tapes = shared.clone();
-        let finish = move |node: &mut Node, now| {
-            node.ledger.finish(&key, end, now);
-            tapes.tapes().remove(&key);
-        };
-        shared.keeper.visit(finish).await;
+    let code = result.as_ref().err().map_or("none", |refusal| refusal.code.name());
+    let outcome = result.as_ref().err().map_or(Outcome::Done, |refusal| refusal.outcome);
+    info!(event = "request", request = id.key.as_str(), outcome:% = outcome, refused = code; "");
+    if id.keyed {
+        record(shared, id.key, fingerprint, tape, &result).await;
     }
     tape.end(match result {
         Ok(()) => End::Done,
@@ -495,6 +492,31 @@
     });
 }
 
+/// Records an ending, first at the node that would own the key next, then here.
+async fn record(
+    shared: &Arc<Shared>,
+    key: Key,
+    fingerprint: u64,
+    tape: &Tape,
+    result: &Result<(), Refusal>,
+) {
+    let answer = tape.answer().filter(|_| result.is_ok());
+    if let Some(answer) = &answer {
+        copy(shared, &key, fingerprint, answer.clone()).await;
+    }
+    let end = match (result, answer) {
+        (Ok(()), Some(answer)) => ledger::End::Done(Arc::new(answer)),
+        (Err(refusal), _) if refusal.outcome == Outcome::NotRun => ledger::End::NotRun,
+        _ => ledger::End::Unknown,
+    };
+    let inner = shared.clone();
+    let finish = move |node: &mut Node, now| {
+        node.ledger.finish(&key, end, now);
+        inner.tapes().remove(&key);
+    };
+    shared.keeper.visit(finish).await;
+}
+
 async fn copy(
     shared: &Arc<Shared>,
     key: &Key,
