Reserve the transfer link with the slot, and split what grew

A grant now reserves the link too and says when the prefill is to start; what would come too late is refused before it.

Load reports wasted prefill itself. entry, run, node and the engine stand-in are split: headers, keyed, job, render, reserve, claims, orders.

--- a/crates/coordination/src/keyed.rs
+++ b/crates/coordination/src/keyed.rs
@@ -3,8 +3,9 @@
 //! A key may be run only by a node that every earlier owner has given the key up to. The
 //! flow says what to do next; the node does it and tells the flow what came of it.
 
+use crate::claims::Doubt;
 use crate::ledger::Begin;
-use crate::node::{Doubt, Node, Route};
+use crate::node::{Node, Route};
 use crosslane_state::answer::Answer;
 use crosslane_state::incarnation::Incarnation;
 use crosslane_state::request::Key;
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -3,6 +3,7 @@
 //! Events, the time and a seed go in; answers and actions come out. Nothing here does I/O,
 //! reads a clock or draws randomness of its own, so that any order of events can be replayed.
 
+pub mod claims;
 pub mod detector;
 pub mod fold;
 pub mod keyed;
--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -1,5 +1,6 @@
 //! All that one node decides, behind one door.
 
+use crate::claims::{Claims, Doubt};
 use crate::detector::{Belief, Detector};
 use crate::fold;
 use crate::ledger::{self, Ledger};
@@ -9,7 +10,6 @@
 use crate::retry::Budget;
 use crate::slots::{self, Allocator, Ask, Grant};
 use crosslane_state::attempt;
-use crosslane_state::hash;
 use crosslane_state::incarnation::Incarnation;
 use crosslane_state::load::{Board, Report};
 use crosslane_state::member::Member;
@@ -17,8 +17,7 @@
 use crosslane_state::request::Key;
 use crosslane_state::runner::{Id, Role, Runner, Table};
 use crosslane_state::time::Millis;
-use std::collections::hash_map::Entry;
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// Age up to which a load report counts, in milliseconds.
 const KNOWN_MILLIS: u64 = 5_000;
@@ -58,23 +57,6 @@
     one.vm == other.vm && one.incarnation >= other.incarnation
 }
 
-/// Why a key that the ledger does not know may have been run all the same.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Doubt {
-    /// Another node claimed it.
-    Claimed,
-    /// A node that owned it has departed, and its claims are not all known here yet.
-    Unsettled,
-}
-
-/// A member that the log says is no more.
-#[derive(Clone, Copy, Debug)]
-struct Departed {
-    incarnation: Incarnation,
-    at: Millis,
-    settled: bool,
-}
-
 /// Where a keyed request is to be handled.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Route {
@@ -108,9 +90,8 @@
     told: BTreeMap<String, Leave>,
     joined: HashMap<Incarnation, Millis>,
     guests: BTreeMap<Incarnation, Member>,
-    claims: HashMap<u64, Incarnation>,
-    claim_ages: VecDeque<(Millis, u64)>,
-    departed: Vec<Departed>,
+    /// Claims, and what departed nodes may have claimed.
+    pub claims: Claims,
     versions: HashMap<Incarnation, Version>,
 }
 
@@ -128,9 +109,7 @@
             told: BTreeMap::new(),
             joined: HashMap::new(),
             guests: BTreeMap::new(),
-            claims: HashMap::new(),
-            claim_ages: VecDeque::new(),
-            departed: Vec::new(),
+            claims: Claims::new(options.ledger.window_millis),
             versions: HashMap::new(),
             options,
         }
@@ -151,10 +130,8 @@
             self.versions.remove(&incarnation);
             self.detector.forget(incarnation);
             let settled = self.state.released.contains(&incarnation);
-            self.departed.push(Departed { incarnation, at: now, settled });
+            self.claims.departed(incarnation, settled, now);
         }
-        let window = self.options.ledger.window_millis;
-        self.departed.retain(|it| now.since(it.at) < window);
         for member in members {
             self.joined.entry(member).or_insert(now);
             self.detector.watch(member, now);
@@ -312,6 +289,11 @@
         }
     }
 
+    /// The grant of an attempt that holds a slot.
+    pub fn granted(&self, runner: Id, attempt: attempt::Id) -> Option<Grant> {
+        self.allocators.get(&runner)?.granted(attempt)
+    }
+
     /// Frees a slot and returns the attempts granted in turn.
     pub fn release(&mut self, runner: Id, attempt: attempt::Id, now: Millis) -> Vec<attempt::Id> {
         self.allocators.get_mut(&runner).map_or_else(Vec::new, |it| it.release(attempt, now))
@@ -410,44 +392,9 @@
         ask
     }
 
-    /// Takes a claim from the log or a peer; the first one of a key stands.
-    pub fn claim(&mut self, key: u64, by: Incarnation, now: Millis) {
-        let window = self.options.ledger.window_millis;
-        while let Some((at, old)) = self.claim_ages.front().copied() {
-            if now.since(at) < window {
-                break;
-            }
-            self.claim_ages.pop_front();
-            self.claims.remove(&old);
-        }
-        if let Entry::Vacant(vacant) = self.claims.entry(key) {
-            vacant.insert(by);
-            self.claim_ages.push_back((now, key));
-        }
-    }
-
-    /// Departed nodes whose copied claims have not been collected.
-    pub fn unsettled(&self) -> Vec<Incarnation> {
-        self.departed.iter().filter(|it| !it.settled).map(|it| it.incarnation).collect()
-    }
-
-    /// Notes that a departed node's claims are all known here.
-    pub fn settle(&mut self, incarnation: Incarnation) {
-        for departed in self.departed.iter_mut().filter(|it| it.incarnation == incarnation) {
-            departed.settled = true;
-        }
-    }
-
     /// What else than the ledger says that a key may have been run by another node.
     pub fn doubt(&self, key: &Key) -> Option<Doubt> {
-        let key = key.hash();
-        if self.claimed_by_other(key, self.options.me) {
-            return Some(Doubt::Claimed);
-        }
-        let mine = hash::weight(key, self.options.me.0);
-        let owned = |it: &&Departed| hash::weight(key, it.incarnation.0) > mine;
-        let unsettled = self.departed.iter().filter(|it| !it.settled);
-        unsettled.into_iter().find(owned).map(|_| Doubt::Unsettled)
+        self.claims.doubt(key.hash(), self.options.me)
     }
 
     /// The member that owns a key next, should this node depart.
@@ -458,11 +405,6 @@
         self.state.roster.get(next)
     }
 
-    /// Whether a node other than `by` claimed a key first.
-    pub fn claimed_by_other(&self, key: u64, by: Incarnation) -> bool {
-        self.claims.get(&key).is_some_and(|first| *first != by)
-    }
-
     /// Takes note of the version in force at a node.
     pub fn saw_version(&mut self, node: Incarnation, version: Version) {
         self.versions.insert(node, version);
--- a/crates/coordination/src/slots.rs
+++ b/crates/coordination/src/slots.rs
@@ -56,13 +56,18 @@
     pub lead: u64,
     /// How long it will be held, as far as the asker can tell, in milliseconds.
     pub hold: u64,
+    /// How long the runner's link will carry the KV cache, in milliseconds.
+    pub transfer: u64,
 }
 
 /// Answer to an ask.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Grant {
-    /// The slot is held.
-    Granted,
+    /// The slot is held, and the link from the end of a prefill on.
+    Granted {
+        /// Milliseconds until the prefill is to start, so that it ends when the link is free.
+        start_in: u64,
+    },
     /// No slot in time; coming back after this many milliseconds helps.
     Refused {
         /// Milliseconds.
@@ -80,6 +85,7 @@
     since: Millis,
     checked: Millis,
     adopted: bool,
+    start_in: u64,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -122,6 +128,7 @@
     order: u64,
     released: HashMap<Id, Millis>,
     down: bool,
+    link_free: Millis,
 }
 
 impl Allocator {
@@ -137,13 +144,14 @@
             order: 0,
             released: HashMap::new(),
             down: false,
+            link_free: Millis::default(),
         }
     }
 
     /// Grants, refuses, or with `None` queues an ask; asking twice changes nothing.
     pub fn ask(&mut self, ask: Ask, now: Millis) -> Option<Grant> {
-        if self.holders.contains_key(&ask.attempt) {
-            return Some(Grant::Granted);
+        if let Some(grant) = self.granted(ask.attempt) {
+            return Some(grant);
         }
         if self.down {
             return Some(Grant::Refused { retry_after: DOWN_MILLIS });
@@ -152,9 +160,13 @@
             return None;
         }
         let ahead = self.waiters.iter().filter(|it| it.class(now) <= ask.class).count();
+        let link = self.link_wait(&ask, now);
+        if ask.transfer > 0 && link + ask.transfer > ask.patience {
+            return Some(Grant::Refused { retry_after: link.max(RETRY_FLOOR_MILLIS) });
+        }
         if ahead == 0 && self.fits(&ask, now) {
             self.hold(&ask, now);
-            return Some(Grant::Granted);
+            return self.granted(ask.attempt);
         }
         let wait = self.wait_millis(|it| it.class(now) <= ask.class, now);
         let full = self.waiters.len() >= self.limits.slots as usize * QUEUE_PER_SLOT;
@@ -166,6 +178,11 @@
         None
     }
 
+    /// The grant of an attempt that holds a slot.
+    pub fn granted(&self, attempt: Id) -> Option<Grant> {
+        self.holders.get(&attempt).map(|it| Grant::Granted { start_in: it.start_in })
+    }
+
     /// Frees what an attempt holds or waits for and returns the attempts granted in turn.
     pub fn release(&mut self, attempt: Id, now: Millis) -> Vec<Id> {
         self.waiters.retain(|it| it.ask.attempt != attempt);
@@ -224,6 +241,7 @@
                     patience: 0,
                     lead: 0,
                     hold: 0,
+                    transfer: 0,
                 };
                 self.hold(&unknown, now);
                 self.holders.entry(*attempt).and_modify(|it| it.adopted = true);
@@ -326,7 +344,16 @@
         (0..self.waiters.len()).min_by_key(|place| rank(&self.waiters[*place]))
     }
 
+    /// How long the link will still be busy when a prefill that starts now ends.
+    fn link_wait(&self, ask: &Ask, now: Millis) -> u64 {
+        self.link_free.since(now + ask.lead)
+    }
+
     fn hold(&mut self, ask: &Ask, now: Millis) {
+        let start_in = if ask.transfer > 0 { self.link_wait(ask, now) } else { 0 };
+        if ask.transfer > 0 {
+            self.link_free = now + start_in + ask.lead + ask.transfer;
+        }
         self.kv_held += ask.kv_tokens;
         *self.held_by.entry(ask.organisation).or_default() += 1;
         let holder = Holder {
@@ -336,6 +363,7 @@
             since: now,
             checked: now,
             adopted: false,
+            start_in,
         };
         self.holders.insert(ask.attempt, holder);
     }
--- a/crates/coordination/tests/keyed.rs
+++ b/crates/coordination/tests/keyed.rs
@@ -151,11 +151,11 @@
         }
         node.refresh(self.now);
         for (key, by) in &self.claims[*read..] {
-            node.claim(*key, Incarnation(*by), self.now);
+            node.claims.claim(*key, Incarnation(*by), self.now);
         }
         *read = self.claims.len();
-        for departed in node.unsettled() {
-            node.settle(departed);
+        for departed in node.claims.unsettled() {
+            node.claims.settle(departed);
         }
     }
 
@@ -185,7 +185,7 @@
                 // The claim is read back: the first one of a key stands.
                 self.read_claims(request.at);
                 let node = &self.nodes[&request.at];
-                if node.claimed_by_other(key(request.key).hash(), Incarnation(request.at)) {
+                if node.claims.by_other(key(request.key).hash(), Incarnation(request.at)) {
                     self.finish(&mut request, End::Unknown);
                 } else {
                     request.stage = Stage::Running;
@@ -272,7 +272,7 @@
         let node = self.nodes.get_mut(&number).unwrap();
         let read = self.read.entry(number).or_default();
         for (key, by) in &self.claims[*read..] {
-            node.claim(*key, Incarnation(*by), self.now);
+            node.claims.claim(*key, Incarnation(*by), self.now);
         }
         *read = self.claims.len();
     }
--- a/crates/crosslane/examples/experiment.rs
+++ b/crates/crosslane/examples/experiment.rs
@@ -114,6 +114,7 @@
     let all = rate / (1.0 - mix.service_percent as f64 / 100.0);
     Options {
         to: (0..site.nodes.len()).map(|place| site.callers(place)).collect(),
+        operators: site.operators(),
         rate: all.round().max(1.0) as u64,
         seconds,
         prompt: mix.prompt,
@@ -141,7 +142,6 @@
             let rate = factor * mix.capacity;
             let warm = options(&site, mix, rate, WARM_UP_SECONDS, 100);
             site.runtime.block_on(load::drive(&warm));
-            let (tokens, wasted) = prefilled(&site);
             let run = options(&site, mix, rate, SECONDS, round as u64 + 1);
             let running = site.runtime.spawn(async move { load::drive(&run).await });
             if let Some(engine) = dies {
@@ -149,19 +149,13 @@
                 site.signal_standin(engine, Signal::SIGKILL);
             }
             let report = site.runtime.block_on(running).map_err(io::Error::other)?;
-            let (after, after_wasted) = prefilled(&site);
-            let share = (after_wasted - wasted) as f64 / (after - tokens).max(1) as f64;
-            row(*factor, way.name, &report, share);
+            row(*factor, way.name, &report);
         }
     }
     Ok(())
 }
 
-fn prefilled(site: &Site) -> (u64, u64) {
-    (total(site, "prefill.tokens"), total(site, "prefill.wasted_tokens"))
-}
-
-fn row(factor: f64, name: &str, report: &Report, wasted: f64) {
+fn row(factor: f64, name: &str, report: &Report) {
     let refused: u64 = report.refused.values().sum();
     println!(
         "| {factor} | {name} | {:.1} | {:.3} | {refused} | {:.0} | {:.1} | {:.2} % |",
@@ -169,7 +163,7 @@
         report.good as f64 / report.sent.max(1) as f64,
         report.first_ms.p95,
         report.between_ms.p95,
-        wasted * 100.0,
+        report.wasted_prefill * 100.0,
     );
     if report.wrong > 0 {
         println!("WRONG ANSWERS: {}", report.wrong);
--- a/crates/crosslane/src/arguments.rs
+++ b/crates/crosslane/src/arguments.rs
@@ -93,6 +93,15 @@
                 .action(ArgAction::Append)
                 .value_parser(value_parser!(SocketAddr)),
         )
+        .arg(
+            Arg::new("operator")
+                .long("operator")
+                .value_name("IP:PORT")
+                .action(ArgAction::Append)
+                .value_parser(value_parser!(SocketAddr))
+                .help("Operators' port of a node, to report wasted prefill"),
+        )
+        .arg(key_file())
         .arg(count("rate", "50", "Requests per second"))
         .arg(count("seconds", "10", "Length of the run"))
         .arg(count("prompt-min", "50", "Shortest prompt, in tokens"))
@@ -209,12 +218,14 @@
                 .value_parser(value_parser!(SocketAddr))
                 .help("Operator address of a node"),
         )
-        .arg(
-            Arg::new("key-file")
-                .long("key-file")
-                .value_name("FILE")
-                .help("File with the operators' key; else CROSSLANE_OPERATOR_KEY"),
-        )
+        .arg(key_file())
+}
+
+fn key_file() -> Arg {
+    Arg::new("key-file")
+        .long("key-file")
+        .value_name("FILE")
+        .help("File with the operators' key; else CROSSLANE_OPERATOR_KEY")
 }
 
 fn file(name: &'static str) -> Arg {
--- a/crates/crosslane/src/demo.rs
+++ b/crates/crosslane/src/demo.rs
@@ -5,7 +5,7 @@
 use crate::load::{self, Sample};
 use crate::standin::listener;
 use crosslane_protocol::settings::{Raw, Settings};
-use crosslane_standins::{engine, log, service, vms};
+use crosslane_standins::{engine, log, orders, service, vms};
 use crosslane_transport::http::{Call, Client};
 use crosslane_transport::node::{self, Handle, Phase};
 use hyper::Method;
@@ -56,7 +56,7 @@
 }
 
 async fn standins() -> Result<Fleet, Error> {
-    let options = engine::Options::default();
+    let options = orders::Options::default();
     let mut engines = Vec::new();
     for _ in 0..4 {
         let (socket, address) = listener().await?;
--- a/crates/crosslane/src/load.rs
+++ b/crates/crosslane/src/load.rs
@@ -3,13 +3,15 @@
 use crate::arguments::{number, text};
 use crate::error::Error;
 use crate::fleet::MODEL;
+use crate::vm::{self, Access};
 use clap::ArgMatches;
 use crosslane_protocol::refusal::Body;
 use crosslane_standins::text as standin;
-use crosslane_transport::entry::{DEADLINE, KEY, ORGANISATION};
+use crosslane_transport::headers::{DEADLINE, KEY, ORGANISATION};
 use crosslane_transport::http::{self, Call, Client};
 use hdrhistogram::Histogram;
 use http_body_util::BodyExt;
+use hyper::Method;
 use hyper::header::HeaderValue;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -34,6 +36,8 @@
 pub struct Options {
     /// Nodes, in turn.
     pub to: Vec<SocketAddr>,
+    /// Operators' ports of the nodes, for what they prefilled.
+    pub operators: Vec<Access>,
     /// Requests per second.
     pub rate: u64,
     /// Length of the run, in seconds.
@@ -72,6 +76,7 @@
     fn default() -> Self {
         Self {
             to: Vec::new(),
+            operators: Vec::new(),
             rate: 50,
             seconds: 10,
             prompt: (50, 2_000),
@@ -103,6 +108,7 @@
         }
         Ok(Self {
             to: matches.get_many::<SocketAddr>("to").into_iter().flatten().copied().collect(),
+            operators: operators(matches)?,
             rate: number(matches, "rate").max(1),
             seconds: number(matches, "seconds"),
             prompt,
@@ -123,6 +129,12 @@
     }
 }
 
+fn operators(matches: &ArgMatches) -> Result<Vec<Access>, Error> {
+    let addresses = matches.get_many::<SocketAddr>("operator").into_iter().flatten();
+    let key = vm::key(matches)?;
+    Ok(addresses.map(|it| Access::new(*it, &key)).collect())
+}
+
 /// One request to send.
 #[derive(Clone, Debug)]
 pub struct Sample {
@@ -342,6 +354,10 @@
     pub first_ms: Quantiles,
     /// Time between outputs, in milliseconds.
     pub between_ms: Quantiles,
+    /// Tokens that the nodes had prefilled, if operators' ports were given.
+    pub prefilled: u64,
+    /// Share of them whose result was not used.
+    pub wasted_prefill: f64,
 }
 
 struct Tally {
@@ -403,8 +419,29 @@
     if report.wrong > 0 { Err(Error::failed("some answers were wrong")) } else { Ok(()) }
 }
 
+/// Tokens prefilled so far, and those whose result was not used.
+async fn prefilled(operators: &[Access]) -> (u64, u64) {
+    let (mut tokens, mut wasted) = (0, 0);
+    for operator in operators {
+        let status = operator.call(Method::GET, "/status").await.unwrap_or_default();
+        let counter = |name: &str| status["counters"][name].as_u64().unwrap_or(0);
+        tokens += counter("prefill.tokens");
+        wasted += counter("prefill.wasted_tokens");
+    }
+    (tokens, wasted)
+}
+
 /// Sends the load and returns the report.
 pub async fn drive(options: &Options) -> Report {
+    let before = prefilled(&options.operators).await;
+    let mut report = send_all(options).await;
+    let after = prefilled(&options.operators).await;
+    report.prefilled = after.0 - before.0;
+    report.wasted_prefill = (after.1 - before.1) as f64 / report.prefilled.max(1) as f64;
+    report
+}
+
+async fn send_all(options: &Options) -> Report {
     let mut random = SmallRng::seed_from_u64(options.seed);
     let client = Client::default();
     let (results, mut outcomes) = mpsc::unbounded_channel();
--- a/crates/crosslane/src/standin.rs
+++ b/crates/crosslane/src/standin.rs
@@ -3,7 +3,7 @@
 use crate::arguments::{number, text};
 use crate::error::Error;
 use clap::ArgMatches;
-use crosslane_standins::{engine, log, service, vms};
+use crosslane_standins::{engine, log, orders, service, vms};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -29,8 +29,8 @@
     Ok(())
 }
 
-fn options(matches: &ArgMatches) -> engine::Options {
-    engine::Options {
+fn options(matches: &ArgMatches) -> orders::Options {
+    orders::Options {
         prefill_rate: number(matches, "prefill-rate").max(1),
         step_micros: number(matches, "step-micros"),
         crowd_micros: number(matches, "crowd-micros"),
@@ -40,6 +40,6 @@
         life_millis: number(matches, "life-millis"),
         lag_millis: number(matches, "lag-millis"),
         fences: !matches.get_flag("no-fencing"),
-        ..engine::Options::default()
+        ..orders::Options::default()
     }
 }
--- a/crates/crosslane/src/vm.rs
+++ b/crates/crosslane/src/vm.rs
@@ -29,11 +29,15 @@
     type Error = Error;
 
     fn try_from(matches: &ArgMatches) -> Result<Self, Error> {
-        let key = match matches.get_one::<String>("key-file") {
-            Some(path) => config::read(path)?.trim().to_owned(),
-            None => std::env::var(KEY_VARIABLE).unwrap_or_default(),
-        };
-        Ok(Self { node: address(matches, "node")?, key, client: Client::default() })
+        Ok(Self::new(address(matches, "node")?, &key(matches)?))
+    }
+}
+
+/// The operators' key, from a file or the environment.
+pub fn key(matches: &ArgMatches) -> Result<String, Error> {
+    match matches.get_one::<String>("key-file") {
+        Some(path) => Ok(config::read(path)?.trim().to_owned()),
+        None => Ok(std::env::var(KEY_VARIABLE).unwrap_or_default()),
     }
 }
 
--- a/crates/harness/src/site.rs
+++ b/crates/harness/src/site.rs
@@ -263,6 +263,11 @@
         self.runtime.block_on(access.call(method, path)).unwrap_or_default()
     }
 
+    /// Access to every node's operators' port.
+    pub fn operators(&self) -> Vec<Access> {
+        self.nodes.iter().flatten().map(|it| Access::new(it.operator, KEY)).collect()
+    }
+
     /// A node's counter.
     pub fn counter(&self, place: usize, name: &str) -> u64 {
         self.status(place)["counters"][name].as_u64().unwrap_or(0)
--- a/crates/protocol/src/settings.rs
+++ b/crates/protocol/src/settings.rs
@@ -102,6 +102,8 @@
     pub local_prefill_tokens: u64,
     /// Assumed prefill rate, in tokens per second.
     pub prefill_rate: u64,
+    /// Assumed rate of a decode engine's link, in tokens of KV cache per second.
+    pub link_rate: u64,
     /// Assumed time of one output token, in milliseconds.
     pub token_millis: u64,
     /// Retries as a percentage of fresh requests.
@@ -274,6 +276,7 @@
         ahead: section.flag("ahead", false),
         local_prefill_tokens: section.number("local_prefill_tokens", 0..=1 << 20, 64),
         prefill_rate: section.number("prefill_rate", 1..=1 << 30, 20_000),
+        link_rate: section.number("link_rate", 1..=1 << 40, 20_000),
         token_millis: section.number("token_millis", 1..=10_000, 10),
         retry_percent: section.number("retry_percent", 0..=100, 10) as u32,
     };
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod engine;
 pub mod log;
+pub mod orders;
 pub mod reply;
 pub mod service;
 pub mod text;
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -1,7 +1,7 @@
 //! A plain service that counts how often each key was run.
 
 use crate::reply::{lost, read, take};
-use crosslane_transport::entry::KEY;
+use crosslane_transport::headers::KEY;
 use crosslane_transport::http::{Reply, json};
 use crosslane_transport::serve;
 use hyper::body::Incoming;
--- a/crates/transport/src/call.rs
+++ b/crates/transport/src/call.rs
@@ -4,7 +4,8 @@
 use crate::http::{self, Call};
 use crate::metrics::Counter;
 use crate::node::Shared;
-use crate::run::denied;
+use crate::reserve::{self, Wanted};
+use crate::run::{NOT_READY_MILLIS, denied};
 use crate::tape::{Head, Tape};
 use bytes::Bytes;
 use crosslane_coordination::node::Node;
@@ -19,9 +20,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Advice on when to come back when no runner is usable, in milliseconds.
-const COME_BACK_MILLIS: u64 = 1_000;
-
 /// A service call to make.
 #[derive(Clone, Debug)]
 pub struct Job {
@@ -45,6 +43,12 @@
     pub sequence: u64,
 }
 
+impl Job {
+    fn wanted(&self) -> Wanted<'_> {
+        Wanted { role: Role::Service, serves: &self.prefix, domains: &self.verdict.domains }
+    }
+}
+
 /// Makes a call; the answer goes to the tape.
 ///
 /// One that may not be repeated is seen through to its end even if the caller leaves, so that
@@ -72,7 +76,7 @@
             Claimed::Unavailable => {
                 let message = "neither the log nor a peer took the claim";
                 return Err(
-                    Refusal::not_run(Code::ClaimUnavailable, message).retry_after(COME_BACK_MILLIS)
+                    Refusal::not_run(Code::ClaimUnavailable, message).retry_after(NOT_READY_MILLIS)
                 );
             }
         }
@@ -80,7 +84,8 @@
     let mut attempt = attempt::Id { origin: shared.me, sequence: job.sequence, round: 0 };
     let mut ran = false;
     loop {
-        let runner = place(shared, job).await.ok_or_else(|| refuse(ran, "no usable runner"))?;
+        let runner = reserve::place(shared, job.wanted(), &[]).await;
+        let runner = runner.ok_or_else(|| refuse(ran, "no usable runner"))?;
         if !shared.fresh().await {
             return Err(refuse(ran, "this node was replaced"));
         }
@@ -101,15 +106,6 @@
     }
 }
 
-async fn place(shared: &Shared, job: &Job) -> Option<Runner> {
-    let (prefix, domains) = (job.prefix.clone(), job.verdict.domains.clone());
-    let choose = move |node: &mut Node, now| {
-        let id = node.place(Role::Service, &prefix, &domains, &[], now)?;
-        node.options().table.find(id).cloned()
-    };
-    shared.keeper.visit(choose).await
-}
-
 async fn once(shared: &Shared, job: &Job, runner: &Runner) -> Result<Response<Bytes>, http::Error> {
     let call = Call {
         to: runner.address,
@@ -178,6 +174,6 @@
         code: Code::NoRunner,
         outcome,
         message: message.to_owned(),
-        retry_after_ms: Some(COME_BACK_MILLIS),
+        retry_after_ms: Some(NOT_READY_MILLIS),
     }
 }
--- a/crates/transport/src/claims.rs
+++ b/crates/transport/src/claims.rs
@@ -91,14 +91,14 @@
         let asked = keys.clone();
         let stands = move |node: &mut Node, _| {
             let member = node.state.roster.get(by).is_some();
-            member && asked.iter().all(|key| !node.claimed_by_other(*key, by))
+            member && asked.iter().all(|key| !node.claims.by_other(*key, by))
         };
         if !shared.keeper.visit(stands).await {
             return false;
         }
         self.lock().entry(by).or_default().extend(keys.iter().copied());
         let note = move |node: &mut Node, now| {
-            keys.iter().for_each(|key| node.claim(*key, by, now));
+            keys.iter().for_each(|key| node.claims.claim(*key, by, now));
         };
         shared.keeper.visit(note).await;
         true
@@ -173,9 +173,9 @@
     }
     let judge = move |node: &mut Node, now| {
         if copied {
-            keys.iter().for_each(|key| node.claim(*key, me, now));
+            keys.iter().for_each(|key| node.claims.claim(*key, me, now));
         }
-        let other = |key: &u64| node.claimed_by_other(*key, me);
+        let other = |key: &u64| node.claims.by_other(*key, me);
         keys.iter().map(other).collect::<Vec<_>>()
     };
     let taken = shared.keeper.visit(judge).await;
--- a/crates/transport/src/follower.rs
+++ b/crates/transport/src/follower.rs
@@ -200,7 +200,7 @@
                 page.records.iter().filter_map(|it| Claims::try_from(Raw(it)).ok()).collect();
             let note = move |node: &mut Node, now| {
                 for claim in claims {
-                    claim.keys.iter().for_each(|key| node.claim(*key, claim.by, now));
+                    claim.keys.iter().for_each(|key| node.claims.claim(*key, claim.by, now));
                 }
             };
             shared.keeper.visit(note).await;
--- a/crates/transport/src/forward.rs
+++ b/crates/transport/src/forward.rs
@@ -1,9 +1,11 @@
 //! Forwarding of keyed requests to the node that owns the key.
 
-use crate::entry::{self, Asked, DEADLINE, HOPS, OWNER, PASSED};
+use crate::entry::Asked;
+use crate::headers::{DEADLINE, HOPS, OWNER, PASSED};
 use crate::http::{self, BodyError, Call, Reply};
 use crate::metrics::Counter;
 use crate::node::{Progress, Shared};
+use crate::render;
 use bytes::Bytes;
 use crosslane_coordination::keyed::{Flow, Forwarded};
 use crosslane_protocol::refusal::{self, Code, Refusal};
@@ -99,5 +101,5 @@
 
 fn broken() -> Bytes {
     let error = Refusal::unknown(Code::RunnerFailed, "the node that ran this request broke off");
-    entry::event(&refusal::Body { error })
+    render::event(&refusal::Body { error })
 }
--- a/crates/transport/src/keeper.rs
+++ b/crates/transport/src/keeper.rs
@@ -142,7 +142,8 @@
     fn granted(&mut self, attempts: Vec<attempt::Id>, now: Millis) {
         for attempt in attempts {
             if let Some((runner, reply)) = self.pending.remove(&attempt) {
-                self.answer(runner, attempt, reply, Grant::Granted, now);
+                let grant = self.node.granted(runner, attempt).unwrap_or(Grant::NotOwner);
+                self.answer(runner, attempt, reply, grant, now);
             }
         }
     }
@@ -156,7 +157,7 @@
         grant: Grant,
         now: Millis,
     ) {
-        if reply.send(grant).is_err() && grant == Grant::Granted {
+        if reply.send(grant).is_err() && matches!(grant, Grant::Granted { .. }) {
             self.release(runner, attempt, now);
         }
     }
--- a/crates/transport/src/pulse.rs
+++ b/crates/transport/src/pulse.rs
@@ -251,7 +251,7 @@
 
 /// Collects the claims that departed nodes left with others.
 async fn settle(shared: &Arc<Shared>) {
-    for departed in shared.keeper.visit(|node, _| node.unsettled()).await {
+    for departed in shared.keeper.visit(|node, _| node.claims.unsettled()).await {
         let holders = move |node: &mut Node, _| {
             let holders = node.state.roster.neighbours(departed, node.options().neighbours);
             holders.into_iter().cloned().collect::<Vec<_>>()
@@ -267,7 +267,7 @@
             match shared.peers.call(holder.control, HEARS, call).await {
                 Ok(keys) => {
                     let note = move |node: &mut Node, now| {
-                        keys.iter().for_each(|key| node.claim(*key, departed, now));
+                        keys.iter().for_each(|key| node.claims.claim(*key, departed, now));
                     };
                     shared.keeper.visit(note).await;
                 }
@@ -275,7 +275,7 @@
             }
         }
         if complete {
-            shared.keeper.visit(move |node, _| node.settle(departed)).await;
+            shared.keeper.visit(move |node, _| node.claims.settle(departed)).await;
             info!(event = "settled", node:% = departed, stream = CLAIMS; "");
         }
     }
--- /dev/null
+++ b/crates/transport/src/reserve.rs
@@ -0,0 +1,126 @@
+//! Slots: a runner is chosen and a slot of it asked of the node that owns it.
+
+use crate::metrics::Counter;
+use crate::node::Shared;
+use crosslane_coordination::detector::Belief;
+use crosslane_coordination::node::Node;
+use crosslane_coordination::slots::{Ask, Grant};
+use crosslane_protocol::peer::PeerClient;
+use crosslane_state::incarnation::Incarnation;
+use crosslane_state::runner::{Id, Role, Runner};
+use std::time::Duration;
+
+/// Time between looks at whether the owner that keeps us waiting still lives.
+const OWNER_LOOK: Duration = Duration::from_millis(200);
+
+/// Runners tried for one slot.
+const CANDIDATES: usize = 2;
+
+/// Which runners will do.
+#[derive(Clone, Copy, Debug)]
+pub struct Wanted<'a> {
+    /// What they do.
+    pub role: Role,
+    /// Model or path prefix.
+    pub serves: &'a str,
+    /// Failure domains; empty for all.
+    pub domains: &'a [String],
+}
+
+/// Why there is no slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Error {
+    /// No usable runner.
+    NoRunner,
+    /// No slot in time.
+    Full {
+        /// When coming back helps, in milliseconds.
+        retry_after: u64,
+    },
+}
+
+/// A slot taken.
+#[derive(Clone, Debug)]
+pub struct Slot {
+    /// Runner.
+    pub runner: Runner,
+    /// Node that granted it, if one did.
+    pub owner: Option<Incarnation>,
+    /// Milliseconds until the prefill is to start.
+    pub start_in: u64,
+}
+
+/// Takes a slot.
+pub async fn take(shared: &Shared, wanted: Wanted<'_>, ask: Ask) -> Result<Slot, Error> {
+    let mut refused: Option<u64> = None;
+    let mut avoid = Vec::new();
+    for _ in 0..CANDIDATES {
+        let Some(runner) = place(shared, wanted, &avoid).await else {
+            break;
+        };
+        match reserve(shared, runner.id, ask).await {
+            Ok((owner, start_in)) => return Ok(Slot { runner, owner, start_in }),
+            Err(retry_after) => {
+                refused = Some(refused.map_or(retry_after, |it| it.min(retry_after)));
+                let id = runner.id;
+                shared.keeper.visit(move |node, _| node.board.unsent(id)).await;
+                avoid.push(id);
+            }
+        }
+    }
+    Err(refused.map_or(Error::NoRunner, |retry_after| Error::Full { retry_after }))
+}
+
+/// Chooses a runner.
+pub async fn place(shared: &Shared, wanted: Wanted<'_>, avoid: &[Id]) -> Option<Runner> {
+    let (role, serves) = (wanted.role, wanted.serves.to_owned());
+    let (domains, avoid) = (wanted.domains.to_vec(), avoid.to_vec());
+    let choose = move |node: &mut Node, now| {
+        let id = node.place(role, &serves, &domains, &avoid, now)?;
+        node.options().table.find(id).cloned()
+    };
+    shared.keeper.visit(choose).await
+}
+
+/// Reserves a slot with the runner's owner, or goes on by estimate without it.
+async fn reserve(shared: &Shared, runner: Id, ask: Ask) -> Result<(Option<Incarnation>, u64), u64> {
+    if !shared.settings.placement.reserve {
+        return Ok((None, 0));
+    }
+    let owner = shared.keeper.visit(move |node, _| node.owner(runner)).await;
+    let grant = match owner {
+        Some(owner) if owner == shared.me => shared.keeper.ask(runner, ask).await,
+        Some(owner) => ask_owner(shared, owner, runner, ask).await,
+        None => Grant::NotOwner,
+    };
+    match grant {
+        Grant::Granted { start_in } => Ok((owner, start_in)),
+        Grant::Refused { retry_after } => Err(retry_after),
+        Grant::NotOwner => {
+            shared.metrics.count(Counter::SlotEstimated);
+            Ok((None, 0))
+        }
+    }
+}
+
+/// Asks a runner's owner, for as long as it lives.
+async fn ask_owner(shared: &Shared, owner: Incarnation, runner: Id, ask: Ask) -> Grant {
+    let Some(member) = shared.member(owner).await else {
+        return Grant::NotOwner;
+    };
+    let limit = Duration::from_millis(ask.patience + ask.lead) + OWNER_LOOK;
+    let call =
+        |client: PeerClient, context| async move { client.reserve(context, runner, ask).await };
+    tokio::select! {
+        grant = shared.peers.call(member.control, limit, call) => grant.unwrap_or(Grant::NotOwner),
+        () = silence(shared, owner) => Grant::NotOwner,
+    }
+}
+
+/// Resolves once a node is no longer believed alive.
+async fn silence(shared: &Shared, other: Incarnation) {
+    let alive = move |node: &mut Node, now| node.belief(other, now) == Belief::Alive;
+    while shared.keeper.visit(alive).await {
+        tokio::time::sleep(OWNER_LOOK).await;
+    }
+}
--- a/crates/transport/src/run.rs
+++ b/crates/transport/src/run.rs
@@ -8,21 +8,18 @@
 use crate::engine::{self, Engine, Stream};
 use crate::metrics::Counter;
 use crate::node::Shared;
-use crate::peers;
+use crate::reserve::{self, Slot};
 use crate::sweep::{self, Hold};
 use crate::tape::{Head, Tape};
 use bytes::Bytes;
-use crosslane_coordination::detector::Belief;
 use crosslane_coordination::node::Node;
 use crosslane_coordination::retry::{self, Denial};
-use crosslane_coordination::slots::{Ask, Grant};
+use crosslane_coordination::slots::Ask;
 use crosslane_coordination::splice::{Piece, Splice};
 use crosslane_protocol::completion::Completion;
 use crosslane_protocol::engine::{Decode, Import, Line, Prefill};
-use crosslane_protocol::peer::PeerClient;
 use crosslane_protocol::refusal::{Code, Refusal};
 use crosslane_state::attempt;
-use crosslane_state::incarnation::Incarnation;
 use crosslane_state::request::{Class, Organisation, Outcome, Verdict};
 use crosslane_state::runner::{Id, Role, Runner};
 use crosslane_state::time::Millis;
@@ -38,8 +35,8 @@
 /// Time left for a retry once output has begun, in milliseconds.
 const AFTER_FIRST_MILLIS: u64 = 10_000;
 
-/// Advice on when to come back when no runner is usable, in milliseconds.
-const NO_RUNNER_MILLIS: u64 = 1_000;
+/// Advice on when to come back when there is nothing better to go by, in milliseconds.
+pub const NOT_READY_MILLIS: u64 = 1_000;
 
 /// Added to a prefill's expected time before it counts as stalled.
 const PREFILL_GRACE: Duration = Duration::from_secs(2);
@@ -47,12 +44,6 @@
 /// Pause between tries of an import that the decode engine refused.
 const IMPORT_PAUSE: Duration = Duration::from_millis(20);
 
-/// Time between looks at whether the owner that keeps us waiting still lives.
-const OWNER_LOOK: Duration = Duration::from_millis(200);
-
-/// Runners tried for one slot.
-const CANDIDATES: usize = 2;
-
 /// A model request to run.
 #[derive(Clone, Debug)]
 pub struct Job {
@@ -172,8 +163,12 @@
         let max_tokens = self.job.completion.max_tokens;
         let mut ask = self.ask(attempt, tokens + max_tokens, lead);
         ask.hold = lead + max_tokens * self.shared.settings.placement.token_millis;
-        let (runner, owner) = self.take(Role::Decode, ask).await?;
+        if tokens > self.shared.settings.placement.local_prefill_tokens {
+            ask.transfer = tokens * 1_000 / self.shared.settings.placement.link_rate;
+        }
+        let Slot { runner, owner, start_in } = self.take(Role::Decode, ask).await?;
         holds.decode = Some(Hold { runner: runner.clone(), owner, touched: false });
+        tokio::time::sleep(Duration::from_millis(start_in)).await;
         self.shared.flights.touch(attempt, &runner.vm);
         Ok(runner)
     }
@@ -187,7 +182,7 @@
         let mut ask = self.ask(attempt, tokens, self.prefill_millis(tokens));
         ask.hold = ask.lead;
         ask.lead = 0;
-        let (runner, owner) = self.take(Role::Prefill, ask).await?;
+        let Slot { runner, owner, .. } = self.take(Role::Prefill, ask).await?;
         holds.prefill = Some(Hold { runner: runner.clone(), owner, touched: false });
         self.shared.flights.touch(attempt, &runner.vm);
         Ok(runner)
@@ -203,93 +198,21 @@
             patience: self.left().saturating_sub(lead),
             lead,
             hold: 0,
+            transfer: 0,
         }
     }
 
     /// Takes a slot of a pool: the runner, and the node that granted it.
-    async fn take(
-        &mut self,
-        role: Role,
-        ask: Ask,
-    ) -> Result<(Runner, Option<Incarnation>), Failure> {
-        let mut refused: Option<u64> = None;
-        let mut avoid = Vec::new();
-        for _ in 0..CANDIDATES {
-            let Some(runner) = self.place(role, &avoid).await else {
-                break;
-            };
-            match self.reserve(&runner, ask).await {
-                Ok(owner) => return Ok((runner, owner)),
-                Err(retry_after) => {
-                    refused = Some(refused.map_or(retry_after, |it| it.min(retry_after)));
-                    let id = runner.id;
-                    self.shared.keeper.visit(move |node, _| node.board.unsent(id)).await;
-                    avoid.push(id);
-                }
-            }
-        }
-        match refused {
-            Some(retry_after) => Err(Failure::Overloaded { retry_after }),
-            None => Err(Failure::NoRunner),
-        }
-    }
-
-    async fn place(&self, role: Role, avoid: &[Id]) -> Option<Runner> {
-        let model = self.job.completion.model.clone();
-        let domains = self.job.verdict.domains.clone();
-        let avoid = avoid.to_vec();
-        let choose = move |node: &mut Node, now| {
-            let id = node.place(role, &model, &domains, &avoid, now)?;
-            node.options().table.find(id).cloned()
-        };
-        self.shared.keeper.visit(choose).await
-    }
-
-    /// Reserves a slot with the runner's owner, or goes on by estimate without it.
-    async fn reserve(&self, runner: &Runner, ask: Ask) -> Result<Option<Incarnation>, u64> {
-        if !self.shared.settings.placement.reserve {
-            return Ok(None);
-        }
-        let id = runner.id;
-        let owner = self.shared.keeper.visit(move |node, _| node.owner(id)).await;
-        let grant = match owner {
-            Some(owner) if owner == self.shared.me => self.shared.keeper.ask(id, ask).await,
-            Some(owner) => self.reserve_at(owner, id, ask).await,
-            None => Grant::NotOwner,
-        };
-        match grant {
-            Grant::Granted => Ok(owner),
-            Grant::Refused { retry_after } => Err(retry_after),
-            Grant::NotOwner => {
-                self.shared.metrics.count(Counter::SlotEstimated);
-                Ok(None)
-            }
-        }
-    }
-
-    async fn reserve_at(&self, owner: Incarnation, runner: Id, ask: Ask) -> Grant {
-        let Some(member) = self.shared.member(owner).await else {
-            return Grant::NotOwner;
-        };
-        let limit = Duration::from_millis(ask.patience + ask.lead) + OWNER_LOOK;
-        let call =
-            |client: PeerClient, context| async move { client.reserve(context, runner, ask).await };
-        let reserve = self.shared.peers.call(member.control, limit, call);
-        let silent = async {
-            loop {
-                let alive = move |node: &mut Node, now| node.belief(owner, now) == Belief::Alive;
-                if !self.shared.keeper.visit(alive).await {
-                    return;
-                }
-                tokio::time::sleep(OWNER_LOOK).await;
-            }
+    async fn take(&self, role: Role, ask: Ask) -> Result<Slot, Failure> {
+        let wanted = reserve::Wanted {
+            role,
+            serves: &self.job.completion.model,
+            domains: &self.job.verdict.domains,
         };
-        tokio::select! {
-            grant = reserve => grant.unwrap_or_else(|error| match error {
-                peers::Error::Unreachable | peers::Error::Silent => Grant::NotOwner,
-            }),
-            () = silent => Grant::NotOwner,
-        }
+        reserve::take(&self.shared, wanted, ask).await.map_err(|error| match error {
+            reserve::Error::NoRunner => Failure::NoRunner,
+            reserve::Error::Full { retry_after } => Failure::Overloaded { retry_after },
+        })
     }
 
     /// Makes the claim, if one is due, and sees to it that this node may still dispatch.
@@ -479,10 +402,10 @@
             }
             Failure::Claim(_) => self
                 .refuse(Code::ClaimUnavailable, "neither the log nor a peer took the claim")
-                .retry_after(NO_RUNNER_MILLIS),
+                .retry_after(NOT_READY_MILLIS),
             Failure::NoRunner | Failure::Engine { .. } => self
                 .refuse(Code::NoRunner, "no usable runner for this model")
-                .retry_after(NO_RUNNER_MILLIS),
+                .retry_after(NOT_READY_MILLIS),
         }
     }
 
