Leave time for transfer and first output, and hear waits with grants

Cause: with grants, p95 of the first output was 536 to 595 ms against a target of 490 with hardly a refusal: an ask's patience left time for the prefill but not for the transfer and the first step, and loads told twice a second were stale, so nodes met at the same prefill engine. Ruled out: the link alone (reserving it changed little at 0.8). Change: patience leaves time for both, a grant tells the wait of the next ask, and what a node sent itself weighs by its own work.

--- a/crates/coordination/src/fold.rs
+++ b/crates/coordination/src/fold.rs
@@ -14,7 +14,7 @@
 /// Publications kept for `policy history`.
 const HISTORY: usize = 64;
 
-/// Identities of publications kept to settle doubled records.
+/// Identities of publications and announcements kept to settle doubled records.
 const REMEMBERED: usize = 4_096;
 
 /// What became of a publication.
@@ -55,7 +55,7 @@
     /// Leaving VMs.
     pub leaving: BTreeMap<String, Leave>,
     /// Announcements that no longer hold.
-    pub ended: BTreeSet<String>,
+    pub ended: VecDeque<String>,
     /// Departed nodes that handed everything over.
     pub released: BTreeSet<Incarnation>,
     /// Publications that counted, oldest first.
@@ -136,9 +136,7 @@
     fn apply(&mut self, record: Record) {
         match record {
             Record::Join { member } => {
-                if let Some(leave) = self.leaving.remove(&member.vm) {
-                    self.ended.insert(leave.id);
-                }
+                self.end_leave(&member.vm);
                 self.roster.join(member);
                 self.accept();
             }
@@ -157,11 +155,7 @@
                     self.leaving.insert(leave.vm.clone(), leave);
                 }
             }
-            Record::Back { vm } => {
-                if let Some(leave) = self.leaving.remove(&vm) {
-                    self.ended.insert(leave.id);
-                }
-            }
+            Record::Back { vm } => self.end_leave(&vm),
             Record::Publish { id, base, program, author } => {
                 self.publish(id, base, program, author);
             }
@@ -171,6 +165,15 @@
         }
     }
 
+    fn end_leave(&mut self, vm: &str) {
+        if let Some(leave) = self.leaving.remove(vm) {
+            self.ended.push_back(leave.id);
+            if self.ended.len() > REMEMBERED {
+                self.ended.pop_front();
+            }
+        }
+    }
+
     fn publish(&mut self, id: String, base: Version, program: String, author: String) {
         if self.verdict(&id).is_some() {
             return;
--- a/crates/coordination/src/ledger.rs
+++ b/crates/coordination/src/ledger.rs
@@ -2,7 +2,8 @@
 //!
 //! The owner of a key holds its entry. Answers are bounded by count, bytes and age; an answer
 //! that is dropped leaves a tombstone, which answers `unknown` for the rest of the window. When
-//! tombstones are full, new requests that may not be repeated are refused, never forgotten.
+//! tombstones are full, new requests that may not be repeated are refused, never forgotten;
+//! those that may be are forgotten.
 
 use crosslane_state::answer::Answer;
 use crosslane_state::incarnation::Incarnation;
@@ -158,7 +159,10 @@
     /// Only releases up to `until` count: one made later, while this node was asking, may
     /// have answered the very node that now seems to have given the key up.
     pub fn reclaim(&mut self, key: &Key, until: u64, given_up: impl Fn(Incarnation) -> bool) {
-        let back = |it: &Entry| matches!(it.phase, Phase::Released { to, order } if order <= until && given_up(to));
+        let back = |it: &Entry| match it.phase {
+            Phase::Released { to, order } => order <= until && given_up(to),
+            _ => false,
+        };
         if self.entries.get(key).is_some_and(back) {
             self.entries.remove(key);
         }
@@ -219,12 +223,17 @@
     }
 
     fn bury(&mut self, key: &Key, now: Millis) {
+        let full = self.buried.len() >= self.limits.tombstones;
         let Some(entry) = self.entries.get_mut(key) else {
             return;
         };
         if let Phase::Recorded(answer) = &entry.phase {
             self.bytes -= answer.bytes();
         }
+        if full && entry.repeatable {
+            self.entries.remove(key);
+            return;
+        }
         entry.phase = Phase::Lost;
         entry.at = now;
         self.buried.push_back((now, key.clone()));
--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -30,8 +30,6 @@
 pub struct Options {
     /// This node.
     pub me: Incarnation,
-    /// VM it runs on.
-    pub vm: String,
     /// Its failure domain.
     pub domain: String,
     /// Runners it may use.
@@ -57,6 +55,21 @@
     one.vm == other.vm && one.incarnation >= other.incarnation
 }
 
+/// Which runners will do for a request.
+#[derive(Clone, Copy, Debug)]
+pub struct Wanted<'a> {
+    /// What they do.
+    pub role: Role,
+    /// Model or path prefix.
+    pub serves: &'a str,
+    /// Failure domains; empty for all.
+    pub domains: &'a [String],
+    /// Runners that have been tried.
+    pub avoid: &'a [Id],
+    /// How long the request will hold a slot, in milliseconds.
+    pub work: u64,
+}
+
 /// Where a keyed request is to be handled.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Route {
@@ -246,18 +259,12 @@
     }
 
     /// Chooses a runner of a pool.
-    pub fn place(
-        &mut self,
-        role: Role,
-        serves: &str,
-        domains: &[String],
-        avoid: &[Id],
-        now: Millis,
-    ) -> Option<Id> {
+    pub fn place(&mut self, wanted: Wanted<'_>, now: Millis) -> Option<Id> {
+        let Wanted { role, serves, domains, avoid, work } = wanted;
         let (told, state) = (&self.told, &self.state);
         let table = &self.options.table;
         let board = &self.board;
-        let query = Query { pool: table.pool(role, serves), table, board, now };
+        let query = Query { pool: table.pool(role, serves), table, board, work, now };
         let allowed = |runner: &Runner| {
             !told.contains_key(&runner.vm)
                 && !state.leaving.contains_key(&runner.vm)
@@ -290,8 +297,8 @@
     }
 
     /// The grant of an attempt that holds a slot.
-    pub fn granted(&self, runner: Id, attempt: attempt::Id) -> Option<Grant> {
-        self.allocators.get(&runner)?.granted(attempt)
+    pub fn granted(&self, runner: Id, attempt: attempt::Id, now: Millis) -> Option<Grant> {
+        self.allocators.get(&runner)?.granted(attempt, now)
     }
 
     /// Frees a slot and returns the attempts granted in turn.
--- a/crates/coordination/src/placement.rs
+++ b/crates/coordination/src/placement.rs
@@ -35,6 +35,8 @@
     pub table: &'a Table,
     /// Their load.
     pub board: &'a Board,
+    /// How long the request will hold a slot, in milliseconds.
+    pub work: u64,
     /// Time of the decision.
     pub now: Millis,
 }
@@ -62,7 +64,7 @@
             Mode::BestOfTwo => {
                 let first = self.draw(query, &usable)?;
                 let second = self.draw(query, &usable)?;
-                Some(lighter(query.board, first, second))
+                Some(lighter(query, first, second))
             }
             Mode::Random => self.draw(query, &usable).map(|it| it.id),
             Mode::RoundRobin => {
@@ -108,11 +110,14 @@
         .find(|runner| usable(runner))
 }
 
-fn lighter(board: &Board, first: &Runner, second: &Runner) -> Id {
+/// The runner with less expected wait: what its owner told, and what was sent there since.
+fn lighter(query: Query<'_>, first: &Runner, second: &Runner) -> Id {
     let cost = |runner: &Runner| {
-        let entry = board.get(runner.id);
+        let entry = query.board.get(runner.id);
         let slots = runner.slots.max(1);
-        (entry.report.wait_millis, entry.depth() * COST_SCALE / slots)
+        let sent = u64::from(entry.sent) * query.work / u64::from(slots);
+        let wait = u64::from(entry.report.wait_millis) + sent;
+        (wait, entry.depth() * COST_SCALE / slots)
     };
     if cost(second) < cost(first) { second.id } else { first.id }
 }
--- a/crates/coordination/src/program.rs
+++ b/crates/coordination/src/program.rs
@@ -10,6 +10,9 @@
     repeatable: method == "GET" || path.starts_with("/v1/"),
 }"#;
 
+/// Longest program, in bytes.
+const MAX_PROGRAM_BYTES: usize = 65_536;
+
 /// Steps that an evaluation may take.
 const MAX_OPERATIONS: u64 = 10_000;
 
@@ -38,6 +41,12 @@
         /// What is wrong.
         message: String,
     },
+    /// It is too long.
+    #[display("a policy has at most {MAX_PROGRAM_BYTES} bytes, this one {bytes}")]
+    Long {
+        /// Its length, in bytes.
+        bytes: usize,
+    },
     /// It failed on a request.
     #[display("{message}")]
     Run {
@@ -83,6 +92,9 @@
 impl Program {
     /// Compiles a program.
     pub fn compile(text: &str) -> Result<Self, Error> {
+        if text.len() > MAX_PROGRAM_BYTES {
+            return Err(Error::Long { bytes: text.len() });
+        }
         let mut engine = Engine::new();
         engine
             .set_max_operations(MAX_OPERATIONS)
--- a/crates/coordination/src/slots.rs
+++ b/crates/coordination/src/slots.rs
@@ -50,7 +50,7 @@
     pub organisation: Organisation,
     /// KV cache needed, in tokens.
     pub kv_tokens: u64,
-    /// How long it may wait, in milliseconds.
+    /// How long it may wait before its work must begin, in milliseconds.
     pub patience: u64,
     /// How long before use it is needed, in milliseconds: a prefill runs in between.
     pub lead: u64,
@@ -67,6 +67,8 @@
     Granted {
         /// Milliseconds until the prefill is to start, so that it ends when the link is free.
         start_in: u64,
+        /// Expected wait of the next ask, in milliseconds.
+        wait: u32,
     },
     /// No slot in time; coming back after this many milliseconds helps.
     Refused {
@@ -150,7 +152,7 @@
 
     /// Grants, refuses, or with `None` queues an ask; asking twice changes nothing.
     pub fn ask(&mut self, ask: Ask, now: Millis) -> Option<Grant> {
-        if let Some(grant) = self.granted(ask.attempt) {
+        if let Some(grant) = self.granted(ask.attempt, now) {
             return Some(grant);
         }
         if self.down {
@@ -161,12 +163,12 @@
         }
         let ahead = self.waiters.iter().filter(|it| it.class(now) <= ask.class).count();
         let link = self.link_wait(&ask, now);
-        if ask.transfer > 0 && link + ask.transfer > ask.patience {
+        if ask.transfer > 0 && link > ask.patience {
             return Some(Grant::Refused { retry_after: link.max(RETRY_FLOOR_MILLIS) });
         }
         if ahead == 0 && self.fits(&ask, now) {
             self.hold(&ask, now);
-            return self.granted(ask.attempt);
+            return self.granted(ask.attempt, now);
         }
         let wait = self.wait_millis(|it| it.class(now) <= ask.class, now);
         let full = self.waiters.len() >= self.limits.slots as usize * QUEUE_PER_SLOT;
@@ -179,8 +181,10 @@
     }
 
     /// The grant of an attempt that holds a slot.
-    pub fn granted(&self, attempt: Id) -> Option<Grant> {
-        self.holders.get(&attempt).map(|it| Grant::Granted { start_in: it.start_in })
+    pub fn granted(&self, attempt: Id, now: Millis) -> Option<Grant> {
+        let holder = self.holders.get(&attempt)?;
+        let wait = self.report(now).wait_millis;
+        Some(Grant::Granted { start_in: holder.start_in, wait })
     }
 
     /// Frees what an attempt holds or waits for and returns the attempts granted in turn.
--- /dev/null
+++ b/crates/coordination/tests/detector.rs
@@ -0,0 +1,49 @@
+//! Beliefs about nodes, and what follows for what engines hold.
+
+use crosslane_coordination::detector::{Belief, Detector};
+use crosslane_coordination::reconcile::plan;
+use crosslane_state::attempt::Id;
+use crosslane_state::incarnation::Incarnation;
+use crosslane_state::time::Millis;
+use rstest::rstest;
+
+const NODE: Incarnation = Incarnation(7);
+const START: Millis = Millis(1_000);
+
+#[rstest]
+fn silence_makes_a_suspect_and_others_make_it_dead() {
+    let mut detector = Detector::new(500);
+    assert_eq!(detector.belief(NODE, START), Belief::Dead, "never watched");
+    detector.watch(NODE, START);
+    assert_eq!(detector.belief(NODE, START + 499), Belief::Alive);
+    assert_eq!(detector.belief(NODE, START + 500), Belief::Suspect);
+    assert_eq!(detector.suspects(START + 500), [NODE]);
+    detector.confirm(NODE, START + 500);
+    assert_eq!(detector.belief(NODE, START + 500), Belief::Dead);
+    assert!(detector.suspects(START + 500).is_empty());
+    detector.heard(NODE, START + 600);
+    assert_eq!(detector.belief(NODE, START + 600), Belief::Alive, "a sign of life");
+}
+
+#[rstest]
+fn a_process_that_stood_still_believes_nobody_dead() {
+    let mut detector = Detector::new(500);
+    detector.watch(NODE, START);
+    detector.confirm(NODE, START + 9_000);
+    detector.restart(START + 9_000);
+    assert_eq!(detector.belief(NODE, START + 9_000), Belief::Alive);
+}
+
+#[rstest]
+fn only_what_belongs_to_the_dead_is_cancelled_unasked() {
+    let of = |origin| Id { origin: Incarnation(origin), sequence: 1, round: 0 };
+    let belief = |origin: Incarnation| match origin.0 {
+        1 => Belief::Alive,
+        2 => Belief::Suspect,
+        _ => Belief::Dead,
+    };
+    let plan = plan(&[(of(1), true), (of(1), false), (of(2), true), (of(3), false)], belief);
+    assert_eq!(plan.cancel, [of(3)]);
+    assert_eq!(plan.ask[&Incarnation(1)], [of(1)]);
+    assert_eq!(plan.ask.len(), 1, "a suspect is neither asked nor cancelled");
+}
--- a/crates/coordination/tests/fold.rs
+++ b/crates/coordination/tests/fold.rs
@@ -189,8 +189,13 @@
     ]
 }
 
+/// The same histories in every run.
+fn config(cases: u32) -> ProptestConfig {
+    ProptestConfig { cases, rng_seed: RngSeed::Fixed(1), ..ProptestConfig::default() }
+}
+
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 2_000, rng_seed: RngSeed::Fixed(1), ..ProptestConfig::default() })]
+    #![proptest_config(config(2_000))]
 
     /// One node reads everything once; another reads with repeats and starts from checkpoints.
     #[test]
--- a/crates/coordination/tests/splice.rs
+++ b/crates/coordination/tests/splice.rs
@@ -10,8 +10,13 @@
     Id { origin: Incarnation(1), sequence: 1, round }
 }
 
+/// The same histories in every run.
+fn config(cases: u32) -> ProptestConfig {
+    ProptestConfig { cases, rng_seed: RngSeed::Fixed(1), ..ProptestConfig::default() }
+}
+
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 4_000, rng_seed: RngSeed::Fixed(1), ..ProptestConfig::default() })]
+    #![proptest_config(config(4_000))]
 
     /// Two attempts' pieces come in any order; what is taken is the answer's beginning.
     #[test]
--- a/crates/crosslane/src/arguments.rs
+++ b/crates/crosslane/src/arguments.rs
@@ -85,22 +85,8 @@
 fn load_command() -> Command {
     Command::new("load")
         .about("Sends requests at a set rate and reports goodput under both targets")
-        .arg(
-            Arg::new("to")
-                .long("to")
-                .value_name("IP:PORT")
-                .required(true)
-                .action(ArgAction::Append)
-                .value_parser(value_parser!(SocketAddr)),
-        )
-        .arg(
-            Arg::new("operator")
-                .long("operator")
-                .value_name("IP:PORT")
-                .action(ArgAction::Append)
-                .value_parser(value_parser!(SocketAddr))
-                .help("Operators' port of a node, to report wasted prefill"),
-        )
+        .arg(addresses("to", "Callers' address of a node").required(true))
+        .arg(addresses("operator", "Operators' port of a node, to report wasted prefill"))
         .arg(key_file())
         .arg(count("rate", "50", "Requests per second"))
         .arg(count("seconds", "10", "Length of the run"))
@@ -143,13 +129,7 @@
 }
 
 fn policy_command() -> Command {
-    let log = || {
-        Arg::new("log")
-            .long("log")
-            .value_name("IP:PORT")
-            .required(true)
-            .value_parser(value_parser!(SocketAddr))
-    };
+    let log = || one_address("log", "Address of the platform's log").required(true);
     Command::new("policy")
         .about("Checks, publishes and shows policies")
         .subcommand_required(true)
@@ -209,16 +189,16 @@
 }
 
 fn access(command: Command) -> Command {
-    command
-        .arg(
-            Arg::new("node")
-                .long("node")
-                .value_name("IP:PORT")
-                .required(true)
-                .value_parser(value_parser!(SocketAddr))
-                .help("Operator address of a node"),
-        )
-        .arg(key_file())
+    command.arg(one_address("node", "Operators' port of a node").required(true)).arg(key_file())
+}
+
+fn one_address(name: &'static str, help: &'static str) -> Arg {
+    let parser = value_parser!(SocketAddr);
+    Arg::new(name).long(name).value_name("IP:PORT").value_parser(parser).help(help)
+}
+
+fn addresses(name: &'static str, help: &'static str) -> Arg {
+    one_address(name, help).action(ArgAction::Append)
 }
 
 fn key_file() -> Arg {
--- a/crates/state/src/load.rs
+++ b/crates/state/src/load.rs
@@ -56,6 +56,13 @@
         entry.sent = 0;
     }
 
+    /// Takes in the wait that an owner told with a grant.
+    pub fn told(&mut self, id: Id, wait_millis: u32) {
+        let entry = self.entries.entry(id).or_default();
+        entry.report.wait_millis = wait_millis;
+        entry.sent = 0;
+    }
+
     /// Counts a request sent to a runner.
     pub fn sent(&mut self, id: Id) {
         self.entries.entry(id).or_default().sent += 1;
--- a/crates/state/src/runner.rs
+++ b/crates/state/src/runner.rs
@@ -107,13 +107,4 @@
     pub fn iter(&self) -> impl Iterator<Item = &Runner> {
         self.arena.values()
     }
-
-    /// The longest service prefix that a path starts with.
-    pub fn prefix(&self, path: &str) -> Option<&str> {
-        self.pools
-            .keys()
-            .filter(|(role, serves)| *role == Role::Service && path.starts_with(serves.as_str()))
-            .map(|(_, serves)| serves.as_str())
-            .max_by_key(|serves| serves.len())
-    }
 }
--- a/crates/transport/src/call.rs
+++ b/crates/transport/src/call.rs
@@ -4,11 +4,11 @@
 use crate::http::{self, Call};
 use crate::metrics::Counter;
 use crate::node::Shared;
-use crate::reserve::{self, Wanted};
+use crate::reserve;
 use crate::run::{NOT_READY_MILLIS, denied};
 use crate::tape::{Head, Tape};
 use bytes::Bytes;
-use crosslane_coordination::node::Node;
+use crosslane_coordination::node::{Node, Wanted};
 use crosslane_coordination::retry;
 use crosslane_protocol::refusal::{Code, Refusal};
 use crosslane_state::attempt;
@@ -45,7 +45,13 @@
 
 impl Job {
     fn wanted(&self) -> Wanted<'_> {
-        Wanted { role: Role::Service, serves: &self.prefix, domains: &self.verdict.domains }
+        Wanted {
+            role: Role::Service,
+            serves: &self.prefix,
+            domains: &self.verdict.domains,
+            avoid: &[],
+            work: 0,
+        }
     }
 }
 
@@ -84,7 +90,7 @@
     let mut attempt = attempt::Id { origin: shared.me, sequence: job.sequence, round: 0 };
     let mut ran = false;
     loop {
-        let runner = reserve::place(shared, job.wanted(), &[]).await;
+        let runner = reserve::place(shared, job.wanted()).await;
         let runner = runner.ok_or_else(|| refuse(ran, "no usable runner"))?;
         if !shared.fresh().await {
             return Err(refuse(ran, "this node was replaced"));
--- a/crates/transport/src/keeper.rs
+++ b/crates/transport/src/keeper.rs
@@ -6,10 +6,14 @@
 use crosslane_state::attempt;
 use crosslane_state::runner;
 use crosslane_state::time::Millis;
+use log::error;
 use ractor::{Actor, ActorProcessingErr, ActorRef, SpawnErr};
 use std::collections::HashMap;
 use tokio::sync::oneshot;
 
+/// Exit code of a process whose decisions have ended, which is a fault of the program.
+const KEEPER_ENDED: i32 = 1;
+
 type Visit = Box<dyn FnOnce(&mut Node, Millis) + Send>;
 
 /// What the actor is told.
@@ -39,15 +43,18 @@
 }
 
 impl Keeper {
-    /// Starts the actor.
+    /// Starts the actor; should it ever end, the process does.
     pub async fn start(node: Node, clock: Clock) -> Result<Self, SpawnErr> {
-        let (actor, _) = Actor::spawn(None, Task, (node, clock)).await?;
+        let (actor, ended) = Actor::spawn(None, Task, (node, clock)).await?;
+        tokio::spawn(async move {
+            let _ = ended.await;
+            error!(event = "keeper_ended"; "a node can't go on without its decisions");
+            std::process::exit(KEEPER_ENDED);
+        });
         Ok(Self { actor })
     }
 
     /// Runs a decision and returns its result.
-    ///
-    /// Stays pending forever once the actor has ended, which happens only with the process.
     pub async fn visit<T: Send + 'static>(
         &self,
         decide: impl FnOnce(&mut Node, Millis) -> T + Send + 'static,
@@ -142,7 +149,7 @@
     fn granted(&mut self, attempts: Vec<attempt::Id>, now: Millis) {
         for attempt in attempts {
             if let Some((runner, reply)) = self.pending.remove(&attempt) {
-                let grant = self.node.granted(runner, attempt).unwrap_or(Grant::NotOwner);
+                let grant = self.node.granted(runner, attempt, now).unwrap_or(Grant::NotOwner);
                 self.answer(runner, attempt, reply, grant, now);
             }
         }
--- a/crates/transport/src/node.rs
+++ b/crates/transport/src/node.rs
@@ -33,6 +33,7 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 
 /// Heartbeats missed by this process itself before it counts as paused.
 const PAUSED_BEATS: u64 = 4;
@@ -40,6 +41,9 @@
 /// Pause between two tries to start.
 const START_PAUSE: Duration = Duration::from_millis(200);
 
+/// Time for the last bytes of answers to be sent.
+const LAST_BYTES: Duration = Duration::from_secs(5);
+
 /// Time for a request to wait until a paused node has caught up.
 const FRESH: Duration = Duration::from_secs(5);
 
@@ -319,6 +323,7 @@
     /// Where it listens.
     pub addresses: Addresses,
     stop: watch::Sender<bool>,
+    servers: Vec<JoinHandle<()>>,
 }
 
 /// Starts a node: listens, and begins to catch up with the log.
@@ -342,10 +347,10 @@
         header: Duration::from_millis(shared.settings.limits.read_millis),
     };
     let from_callers = handler(shared.clone(), entry::caller);
-    tokio::spawn(serve::serve(callers, limits, stopped.clone(), from_callers));
+    let callers = tokio::spawn(serve::serve(callers, limits, stopped.clone(), from_callers));
     let inner = serve::Limits { header_bytes: limits.header_bytes * 2, ..Default::default() };
     let from_nodes = handler(shared.clone(), entry::forwarded);
-    tokio::spawn(serve::serve(forward, inner, stopped.clone(), from_nodes));
+    let forward = tokio::spawn(serve::serve(forward, inner, stopped.clone(), from_nodes));
     let from_operators = handler(shared.clone(), operator::handle);
     tokio::spawn(serve::serve(operators, serve::Limits::default(), stopped, from_operators));
     tokio::spawn(rpc::serve(control, shared.clone()));
@@ -353,16 +358,18 @@
     tokio::spawn(pulse::run(shared.clone()));
     tokio::spawn(sweep::run(shared.clone()));
     tokio::spawn(drain::watch(shared.clone()));
-    Ok(Handle { shared, addresses, stop })
+    Ok(Handle { shared, addresses, stop, servers: vec![callers, forward] })
 }
 
 impl Handle {
-    /// Leaves, and resolves once it is safe to stop.
-    pub async fn leave(&self) {
+    /// Leaves, and resolves once it is safe to stop and every answer has been sent.
+    pub async fn leave(self) {
         drain::announce(&self.shared);
         let mut phase = self.shared.phase.subscribe();
         let _ = phase.wait_for(|it| matches!(it, Phase::Stopped | Phase::Fenced)).await;
         self.stop.send_replace(true);
+        let servers = futures::future::join_all(self.servers);
+        let _ = tokio::time::timeout(LAST_BYTES, servers).await;
     }
 
     /// Resolves once the node has been replaced and can do nothing more.
@@ -422,7 +429,6 @@
     }
     Options {
         me,
-        vm: settings.vm.clone(),
         domain: settings.domain.clone(),
         table,
         mode: settings.placement.mode,
--- a/crates/transport/src/operator.rs
+++ b/crates/transport/src/operator.rs
@@ -7,10 +7,12 @@
 use crosslane_coordination::node::Node;
 use crosslane_coordination::record::{Leave, Record};
 use crosslane_protocol::peer::PeerClient;
+use crosslane_state::load::Report;
 use hyper::body::Incoming;
 use hyper::header::AUTHORIZATION;
 use hyper::{Method, Request, Response};
 use serde_json::json;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -48,6 +50,10 @@
 async fn status(shared: &Arc<Shared>) -> serde_json::Value {
     let folded = |node: &mut Node, now| {
         let newest = node.state.history.back().cloned();
+        let leaving: BTreeSet<_> = node.told().map(|it| it.vm.clone()).collect();
+        let owned: Vec<_> = node.owned().map(|it| it.name.clone()).collect();
+        let load = |(id, load): &(_, Report)| json!({ "runner": id, "load": load });
+        let loads: Vec<_> = node.reports(now).iter().map(load).collect();
         let members: Vec<_> = node
             .state
             .roster
@@ -65,9 +71,9 @@
             "offset": node.state.next,
             "checkpoint": node.state.checkpoint,
             "members": members,
-            "leaving": node.told().map(|it| it.vm.clone()).collect::<std::collections::BTreeSet<_>>(),
-            "owned": node.owned().map(|it| it.name.clone()).collect::<Vec<_>>(),
-            "loads": node.reports(now).iter().map(|(id, load)| json!({"runner": id, "load": load})).collect::<Vec<_>>(),
+            "leaving": leaving,
+            "owned": owned,
+            "loads": loads,
             "accepted": newest.as_ref().is_none_or(|it| it.accepted),
             "missing": node.state.missing(),
             "keys": node.ledger.len(),
@@ -129,11 +135,11 @@
     let told = leave.clone();
     let stamp = move |node: &mut Node, _| {
         node.tell(told.clone());
-        node.state.stamped(told)
+        (node.has_vm(&told.vm), node.state.stamped(told))
     };
-    let leave = shared.keeper.visit(stamp).await;
+    let (known, leave) = shared.keeper.visit(stamp).await;
     let logged = follower::append(shared, &Record::Leave { leave }).await;
-    json!({ "vm": vm, "leaving": true, "logged": logged })
+    json!({ "vm": vm, "known": known, "leaving": true, "logged": logged })
 }
 
 /// Takes a VM that was leaving back into use; only the log can say so.
--- a/crates/transport/src/reserve.rs
+++ b/crates/transport/src/reserve.rs
@@ -3,11 +3,11 @@
 use crate::metrics::Counter;
 use crate::node::Shared;
 use crosslane_coordination::detector::Belief;
-use crosslane_coordination::node::Node;
+use crosslane_coordination::node::{Node, Wanted};
 use crosslane_coordination::slots::{Ask, Grant};
 use crosslane_protocol::peer::PeerClient;
 use crosslane_state::incarnation::Incarnation;
-use crosslane_state::runner::{Id, Role, Runner};
+use crosslane_state::runner::{Id, Runner};
 use std::time::Duration;
 
 /// Time between looks at whether the owner that keeps us waiting still lives.
@@ -16,17 +16,6 @@
 /// Runners tried for one slot.
 const CANDIDATES: usize = 2;
 
-/// Which runners will do.
-#[derive(Clone, Copy, Debug)]
-pub struct Wanted<'a> {
-    /// What they do.
-    pub role: Role,
-    /// Model or path prefix.
-    pub serves: &'a str,
-    /// Failure domains; empty for all.
-    pub domains: &'a [String],
-}
-
 /// Why there is no slot.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Error {
@@ -50,12 +39,12 @@
     pub start_in: u64,
 }
 
-/// Takes a slot.
+/// Takes a slot of one of the runners that will do.
 pub async fn take(shared: &Shared, wanted: Wanted<'_>, ask: Ask) -> Result<Slot, Error> {
     let mut refused: Option<u64> = None;
     let mut avoid = Vec::new();
     for _ in 0..CANDIDATES {
-        let Some(runner) = place(shared, wanted, &avoid).await else {
+        let Some(runner) = place(shared, Wanted { avoid: &avoid, ..wanted }).await else {
             break;
         };
         match reserve(shared, runner.id, ask).await {
@@ -72,11 +61,13 @@
 }
 
 /// Chooses a runner.
-pub async fn place(shared: &Shared, wanted: Wanted<'_>, avoid: &[Id]) -> Option<Runner> {
-    let (role, serves) = (wanted.role, wanted.serves.to_owned());
-    let (domains, avoid) = (wanted.domains.to_vec(), avoid.to_vec());
+pub async fn place(shared: &Shared, wanted: Wanted<'_>) -> Option<Runner> {
+    let Wanted { role, work, .. } = wanted;
+    let (serves, domains) = (wanted.serves.to_owned(), wanted.domains.to_vec());
+    let avoid = wanted.avoid.to_vec();
     let choose = move |node: &mut Node, now| {
-        let id = node.place(role, &serves, &domains, &avoid, now)?;
+        let (serves, domains, avoid) = (&serves, &domains, &avoid);
+        let id = node.place(Wanted { role, serves, domains, avoid, work }, now)?;
         node.options().table.find(id).cloned()
     };
     shared.keeper.visit(choose).await
@@ -94,7 +85,10 @@
         None => Grant::NotOwner,
     };
     match grant {
-        Grant::Granted { start_in } => Ok((owner, start_in)),
+        Grant::Granted { start_in, wait } => {
+            shared.keeper.visit(move |node, _| node.board.told(runner, wait)).await;
+            Ok((owner, start_in))
+        }
         Grant::Refused { retry_after } => Err(retry_after),
         Grant::NotOwner => {
             shared.metrics.count(Counter::SlotEstimated);
--- a/crates/transport/src/run.rs
+++ b/crates/transport/src/run.rs
@@ -12,7 +12,7 @@
 use crate::sweep::{self, Hold};
 use crate::tape::{Head, Tape};
 use bytes::Bytes;
-use crosslane_coordination::node::Node;
+use crosslane_coordination::node::{Node, Wanted};
 use crosslane_coordination::retry::{self, Denial};
 use crosslane_coordination::slots::Ask;
 use crosslane_coordination::splice::{Piece, Splice};
@@ -159,13 +159,11 @@
         tokens: u64,
         holds: &mut Holds,
     ) -> Result<Runner, Failure> {
-        let lead = self.prefill_millis(tokens);
         let max_tokens = self.job.completion.max_tokens;
-        let mut ask = self.ask(attempt, tokens + max_tokens, lead);
-        ask.hold = lead + max_tokens * self.shared.settings.placement.token_millis;
-        if tokens > self.shared.settings.placement.local_prefill_tokens {
-            ask.transfer = tokens * 1_000 / self.shared.settings.placement.link_rate;
-        }
+        let lead = self.prefill_millis(tokens);
+        let hold = lead + max_tokens * self.shared.settings.placement.token_millis;
+        let transfer = self.transfer_millis(tokens);
+        let ask = Ask { lead, transfer, ..self.ask(attempt, tokens, tokens + max_tokens, hold) };
         let Slot { runner, owner, start_in } = self.take(Role::Decode, ask).await?;
         holds.decode = Some(Hold { runner: runner.clone(), owner, touched: false });
         tokio::time::sleep(Duration::from_millis(start_in)).await;
@@ -179,35 +177,36 @@
         tokens: u64,
         holds: &mut Holds,
     ) -> Result<Runner, Failure> {
-        let mut ask = self.ask(attempt, tokens, self.prefill_millis(tokens));
-        ask.hold = ask.lead;
-        ask.lead = 0;
+        let ask = self.ask(attempt, tokens, tokens, self.prefill_millis(tokens));
         let Slot { runner, owner, .. } = self.take(Role::Prefill, ask).await?;
         holds.prefill = Some(Hold { runner: runner.clone(), owner, touched: false });
         self.shared.flights.touch(attempt, &runner.vm);
         Ok(runner)
     }
 
-    /// An ask whose patience leaves time for the prefill.
-    fn ask(&self, attempt: attempt::Id, kv_tokens: u64, lead: u64) -> Ask {
+    /// An ask whose patience leaves time for prefill, transfer and the first output.
+    fn ask(&self, attempt: attempt::Id, tokens: u64, kv_tokens: u64, hold: u64) -> Ask {
+        let work = self.prefill_millis(tokens) + self.transfer_millis(tokens);
+        let first = self.shared.settings.placement.token_millis;
         Ask {
             attempt,
             class: self.job.verdict.class,
             organisation: self.job.organisation,
             kv_tokens,
-            patience: self.left().saturating_sub(lead),
-            lead,
-            hold: 0,
+            patience: self.left().saturating_sub(work + first),
+            lead: 0,
+            hold,
             transfer: 0,
         }
     }
 
-    /// Takes a slot of a pool: the runner, and the node that granted it.
     async fn take(&self, role: Role, ask: Ask) -> Result<Slot, Failure> {
-        let wanted = reserve::Wanted {
+        let wanted = Wanted {
             role,
             serves: &self.job.completion.model,
             domains: &self.job.verdict.domains,
+            avoid: &[],
+            work: ask.hold,
         };
         reserve::take(&self.shared, wanted, ask).await.map_err(|error| match error {
             reserve::Error::NoRunner => Failure::NoRunner,
@@ -425,6 +424,13 @@
         tokens * 1_000 / self.shared.settings.placement.prefill_rate
     }
 
+    /// Expected time on the link; none if the prompt is prefilled where it decodes.
+    fn transfer_millis(&self, tokens: u64) -> u64 {
+        let placement = self.shared.settings.placement;
+        let local = tokens <= placement.local_prefill_tokens;
+        if local { 0 } else { tokens * 1_000 / placement.link_rate }
+    }
+
     fn engine(&self, runner: &Runner) -> Engine {
         Engine::new(self.shared.client.clone(), runner.address)
     }
--- a/crates/transport/src/serve.rs
+++ b/crates/transport/src/serve.rs
@@ -28,7 +28,7 @@
     }
 }
 
-/// Serves until `stop` turns true, then lets open connections finish their requests.
+/// Serves until `stop` turns true, and until open connections have ended their requests.
 pub async fn serve<H, F>(
     listener: TcpListener,
     limits: Limits,
@@ -45,7 +45,7 @@
         };
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = stop.wait_for(|it| *it) => return,
+            _ = stop.wait_for(|it| *it) => break,
         };
         let Ok((stream, _)) = accepted else {
             continue;
@@ -75,4 +75,6 @@
             drop(permit);
         });
     }
+    let all = u32::try_from(limits.connections).unwrap_or(u32::MAX);
+    let _ = permits.acquire_many(all).await;
 }
