Give up the place in the queue of a caller who has left

Cause: an ask whose caller had left kept waiting at the engine's owner until its deadline; when its turn came it took a slot that only the check after 3 s gave back. Ruled out: engine memory, which such a request never had. Change: at each tick the owner withdraws asks that nobody listens to any more. Test: caller_leaves now looks at the queue; before, one still waited after 2 s; after, none does.

--- a/crates/crosslane/tests/scenarios/caller_leaves.rhai
+++ b/crates/crosslane/tests/scenarios/caller_leaves.rhai
@@ -8,6 +8,16 @@
     eventually("engines hold nothing again", 5000, || site.held() == 0);
 }
 
+fn waiting(site) {
+    let count = 0;
+    for place in 0..3 {
+        for one in site.status(place).loads {
+            count += one.load.waiting;
+        }
+    }
+    count
+}
+
 // Prefilling.
 site.fault("prefill-0", #{ stall_prefills: true });
 let asked = site.ask(0, #{ prompt: 1, tokens: 400, deadline: 20000 });
@@ -32,7 +42,9 @@
 let second = site.ask(1, #{ prompt: 4, tokens: 400, deadline: 20000 });
 eventually("both slots are taken", 5000, || site.look("decode-0", "/held").held.len() == 2);
 let queued = site.ask(2, #{ prompt: 5, tokens: 400, deadline: 20000 });
+eventually("the third waits for a slot", 5000, || waiting(site) == 1);
 queued.leave();
+eventually("it waits no more", 2000, || waiting(site) == 0);
 first.leave();
 second.leave();
 eventually("nothing is held", 5000, || site.held() == 0);
--- a/crates/transport/src/keeper.rs
+++ b/crates/transport/src/keeper.rs
@@ -143,7 +143,11 @@
         let granted = self.node.serve(now);
         self.granted(granted, now);
         self.node.ledger.trim(now);
-        self.pending.retain(|_, (_, reply)| !reply.is_closed());
+        let closed = self.pending.iter().filter(|(_, (_, reply))| reply.is_closed());
+        let left: Vec<_> = closed.map(|(attempt, (runner, _))| (*runner, *attempt)).collect();
+        for (runner, attempt) in left {
+            self.release(runner, attempt, now);
+        }
     }
 
     fn granted(&mut self, attempts: Vec<attempt::Id>, now: Millis) {
