Suspect only neighbours

Ruled out: heartbeats themselves, which stay at eight. Change: only neighbours are watched; another node once it fails to answer or its VM is listed as gone, and no longer than until somebody vouches for it. With up to nine nodes nothing changes.

--- a/crates/coordination/src/detector.rs
+++ b/crates/coordination/src/detector.rs
@@ -39,6 +39,11 @@
         self.sights.entry(node).or_insert(Sight { heard: now, confirmed: None });
     }
 
+    /// Whether a node is watched.
+    pub fn watches(&self, node: Incarnation) -> bool {
+        self.sights.contains_key(&node)
+    }
+
     /// Counts a sign of life.
     pub fn heard(&mut self, node: Incarnation, now: Millis) {
         self.sights.insert(node, Sight { heard: now, confirmed: None });
--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -147,8 +147,9 @@
         }
         for member in members {
             self.joined.entry(member).or_insert(now);
-            self.detector.watch(member, now);
         }
+        let near: Vec<_> = self.neighbours().iter().map(|it| it.incarnation).collect();
+        near.into_iter().for_each(|it| self.detector.watch(it, now));
         let state = &self.state;
         self.told.retain(|_, it| !state.ended.contains(&it.id) && state.stands(it));
         let roster = &self.state.roster;
@@ -229,8 +230,12 @@
         self.joined.get(&member).map_or(0, |joined| now.since(*joined))
     }
 
-    /// Whether this node is to record the departure of a member whose VM is gone.
-    pub fn departure_due(&self, gone: Incarnation, now: Millis) -> bool {
+    /// Whether this node is to record the departure of a member whose VM is gone; it is
+    /// watched from now on.
+    pub fn departure_due(&mut self, gone: Incarnation, now: Millis) -> bool {
+        if gone != self.options.me {
+            self.detector.watch(gone, now);
+        }
         let alive = |it| it != gone && self.belief(it, now) == Belief::Alive;
         self.belief(gone, now) != Belief::Alive
             && self.state.roster.owner(gone.0, alive) == Some(self.options.me)
@@ -351,7 +356,17 @@
         }
     }
 
-    /// What is believed of a node.
+    /// Takes the word of another that a silent node lives; one that is not a neighbour is
+    /// watched no longer, as it sends no heartbeats here.
+    pub fn vouched(&mut self, node: Incarnation, now: Millis) {
+        if self.neighbours().iter().any(|it| it.incarnation == node) {
+            self.detector.heard(node, now);
+        } else {
+            self.detector.forget(node);
+        }
+    }
+
+    /// What is believed of a node; one that is not watched counts as alive.
     pub fn belief(&self, node: Incarnation, now: Millis) -> Belief {
         if node == self.options.me {
             return Belief::Alive;
@@ -359,6 +374,9 @@
         if self.member(node).is_none() {
             return Belief::Dead;
         }
+        if !self.detector.watches(node) {
+            return Belief::Alive;
+        }
         self.detector.belief(node, now)
     }
 
--- a/crates/transport/src/pulse.rs
+++ b/crates/transport/src/pulse.rs
@@ -178,7 +178,7 @@
             shared.peers.call(witness.control, HEARS, call)
         });
         if futures::future::join_all(asked).await.contains(&Ok(true)) {
-            shared.keeper.visit(move |node, now| node.detector.heard(suspect, now)).await;
+            shared.keeper.visit(move |node, now| node.vouched(suspect, now)).await;
             continue;
         }
         shared.metrics.count(Counter::NodesDead);
--- a/crates/transport/src/sweep.rs
+++ b/crates/transport/src/sweep.rs
@@ -124,6 +124,7 @@
         return Vec::new();
     };
     let Ok(wanted) = wanted else {
+        shared.keeper.visit(move |node, now| node.detector.watch(origin, now)).await;
         return Vec::new();
     };
     let pairs = attempts.into_iter().zip(wanted);
