--- a/crates/protocol/src/settings.rs
+++ b/crates/protocol/src/settings.rs
@@ -289,7 +289,7 @@
         answers: section.number("answers", 1..=10_000_000, 20_000) as usize,
         bytes: section.number("bytes", 1_024..=1 << 34, 64 << 20) as usize,
         answer_millis: section.number("answer_millis", 1..=24 * HOUR, 600_000),
-        tombstones: section.number("tombstones", 1..=100_000_000, 500_000) as usize,
+        tombstones: section.number("tombstones", 1..=100_000_000, 100_000) as usize,
         window_millis: section.number("window_millis", 1..=48 * HOUR, 24 * HOUR),
     };
     section.close();
