Never run a request under a key that crosslane minted

Cause: a request without a key is not remembered, but its minted key was handed to the caller, and sent back as an idempotency key it began a new run at the node it names; what may not be repeated could so run twice. Ruled out: remembering every such request, which would fill the ledger. Change: a minted key is refused as unknown. Test: not_repeatable sends one; before, it was run (status 200); after, refused and not run. engine_killed_decoding waits for a condition in place of 300 ms.

--- a/crates/coordination/src/keyed.rs
+++ b/crates/coordination/src/keyed.rs
@@ -1,7 +1,8 @@
 //! The way of one keyed request: to the owner of its key, past those that owned it before.
 //!
 //! A key may be run only by a node that every earlier owner has given the key up to. The
-//! flow says what to do next; the node does it and tells the flow what came of it.
+//! flow says what to do next; the node does it and tells the flow what came of it. A minted key
+//! names a request that came without one and is not remembered: sent back, it may have run.
 
 use crate::claims::Doubt;
 use crate::ledger::Begin;
@@ -121,6 +122,9 @@
         if node.ledger.knows(&self.key) {
             return self.begin(node, now);
         }
+        if self.key.minted_by().is_some() {
+            return Step::Refuse(Refusal::Unknown);
+        }
         self.since = node.ledger.releases();
         self.given_up.clear();
         match node.route(&self.key, &self.passed, now) {
--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -385,9 +385,6 @@
     /// When every member is leaving, the first still owns the key, so that two never do.
     pub fn route(&self, key: &Key, passed: &[Incarnation], now: Millis) -> Route {
         let me = self.options.me;
-        if let Some(owner) = key.minted_by() {
-            return if owner == me { Route::Here { ask: Vec::new() } } else { Route::There(owner) };
-        }
         let ranked = self.state.roster.ranked(key.hash());
         let eligible = |it: &&Incarnation| !self.member_leaving(**it) && !passed.contains(it);
         let fallback = || ranked.iter().find(|it| !passed.contains(it));
--- a/crates/crosslane/tests/scenarios/engine_killed_decoding.rhai
+++ b/crates/crosslane/tests/scenarios/engine_killed_decoding.rhai
@@ -5,8 +5,11 @@
 for place in 0..6 {
     asked.push(site.ask(place % 2, #{ prompt: place, tokens: 300, max_tokens: 400, deadline: 20000 }));
 }
-eventually("both engines decode", 8000, || site.look("decode-0", "/held").held.len() > 0 && site.look("decode-1", "/held").held.len() > 0);
-pause(300);
+eventually("both engines decode, and every prefill has ended", 8000, || {
+    let first = site.look("decode-0", "/held").held.len();
+    let second = site.look("decode-1", "/held").held.len();
+    first > 0 && second > 0 && first + second == 6 && site.held() == 6
+});
 site.kill("decode-0");
 for one in asked {
     let answer = one.wait();
--- a/crates/crosslane/tests/scenarios/not_repeatable.rhai
+++ b/crates/crosslane/tests/scenarios/not_repeatable.rhai
@@ -19,6 +19,14 @@
 check(answer.refusal[1] == "unknown", `${answer}`);
 check(site.runs("service-0", "/booking/bare") == 1, "one run");
 
+// The key that crosslane mints for such a request is no way to run it again.
+let minted = `cl-${site.status(0).incarnation}-0`;
+for place in 0..2 {
+    let answer = site.ask(place, #{ path: "/booking/bare", key: minted }).wait();
+    check(answer.refusal != () && answer.refusal[0] == "key_unknown", `${answer}`);
+}
+check(site.runs("service-0", minted) == 0, "not run under a minted key");
+
 // A caller that leaves does not undo it: the answer waits for the caller's return.
 site.fault("service-0", #{ delay_millis: 400 });
 let gone = site.ask(0, #{ path: "/booking/confirm", key: "left" });
