Say unknown for a key whose owner was not asked

Cause: a node that is leaving or not ready refused keyed requests as not_run before anybody had looked the key up; a caller who had sent the key before could take that for the word on both. Ruled out: asking the owner from a node that is leaving, which would be new work for it. Change: such refusals of keyed requests are unknown, with the advice to come back. Test: leaving asks with a key; before, not_run; after, unknown.

--- a/crates/crosslane/tests/scenarios/leaving.rhai
+++ b/crates/crosslane/tests/scenarios/leaving.rhai
@@ -53,6 +53,8 @@
     let answer = site.ask(2, #{ prompt: 301, tokens: 300 }).wait();
     answer.refusal != () && answer.refusal[0] == "leaving" && answer.refusal[1] == "not_run"
 });
+let keyed = site.ask(2, #{ path: "/booking/confirm", key: "asked-while-leaving" }).wait();
+check(keyed.refusal[0] == "leaving" && keyed.refusal[1] == "unknown", `its key was not looked up: ${keyed}`);
 check(!asked.done(), "the stream still runs");
 check(asked.wait().correct, "and is not cut off");
 eventually("it is safe to stop", 8000, || site.status(2).safe_to_stop);
--- a/crates/transport/src/entry.rs
+++ b/crates/transport/src/entry.rs
@@ -13,7 +13,7 @@
 use crosslane_protocol::refusal::{self, Code, Refusal};
 use crosslane_state::hash;
 use crosslane_state::incarnation::Incarnation;
-use crosslane_state::request::{Class, Key, Organisation, Verdict};
+use crosslane_state::request::{Class, Key, Organisation, Outcome, Verdict};
 use crosslane_state::runner::Role;
 use crosslane_state::time::Millis;
 use hyper::body::Incoming;
@@ -113,7 +113,7 @@
         };
         Refusal::not_run(code, error.to_string())
     })?;
-    admit(shared, inner)?;
+    admit(shared, inner).map_err(|refusal| unless_keyed(refusal, &head.headers))?;
     let target = target(shared, &head, &body)?;
     let hops = if inner { number(&head.headers, &HOPS)?.unwrap_or(1) as u32 } else { 0 };
     let passed = if inner { passed(&head.headers) } else { Vec::new() };
@@ -154,6 +154,13 @@
     Err(Refusal::not_run(code, message).retry_after(NOT_READY_MILLIS))
 }
 
+/// A refusal before the key's owner was asked says nothing of what ran under the key.
+fn unless_keyed(refusal: Refusal, headers: &HeaderMap) -> Refusal {
+    let keyed = headers.contains_key(KEY);
+    let outcome = if keyed { Outcome::Unknown } else { refusal.outcome };
+    Refusal { outcome, ..refusal }
+}
+
 fn target(shared: &Shared, head: &Parts, body: &Bytes) -> Result<Target, Refusal> {
     let path = head.uri.path();
     if let Some(form) = Form::at(path) {
