--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -3,16 +3,20 @@
 //! Events, the time and a seed go in; answers and actions come out. Nothing here does I/O,
 //! reads a clock or draws randomness of its own, so that any order of events can be replayed.
 
+pub mod allowance;
 pub mod claims;
 pub mod detector;
 pub mod fold;
 pub mod keyed;
+pub mod lease;
 pub mod ledger;
 pub mod node;
 pub mod placement;
+pub mod pool;
 pub mod program;
 pub mod reconcile;
 pub mod record;
 pub mod retry;
+pub mod stages;
 pub mod slots;
 pub mod splice;
--- /dev/null
+++ b/crates/coordination/src/pool.rs
@@ -0,0 +1,361 @@
+//! The endpoints this node may use, what they carry, and how well they have answered.
+//!
+//! Load is what this node has at an endpoint plus what other nodes last told they have there.
+//! Health is judged by the outcomes of real requests, here and at other nodes, and fades back.
+
+use crosslane_state::endpoint::{Endpoint, Key, Stage, Tag};
+use crosslane_state::time::Millis;
+use rand::Rng;
+use rand::rngs::SmallRng;
+use serde::{Deserialize, Serialize};
+use slotmap::SlotMap;
+use std::collections::{HashMap, HashSet};
+
+/// Half-life of an endpoint's failures, in milliseconds: long enough to be remembered over the
+/// 5 s that a fault usually lasts, short enough to come back soon after.
+const FAILURE_HALF_LIFE: f64 = 2_500.0;
+
+/// Failures, faded, that weigh as much as a full endpoint.
+const FAILURE_FULL: f64 = 1.5;
+
+/// Time that a load report is used, in milliseconds; plain calls last some 60 ms.
+const LOAD_LIFE: u64 = 400;
+
+/// Added to the load of endpoints in other failure domains, as a share of a full endpoint: traffic
+/// between domains is priced, but less than a late answer.
+const DOMAIN_PENALTY: f64 = 0.04;
+
+/// Width of the random part of a score, which keeps nodes from choosing alike.
+const JITTER: f64 = 0.06;
+
+/// Time that what a silent node had at endpoints is still counted, in milliseconds.
+const PEER_LIFE: u64 = 2_000;
+
+/// Time that an endpoint is kept after its record lapsed with the store, in milliseconds: live
+/// ones are back within about 2 s of the store's return.
+const LAPSE_GRACE: u64 = 2_000;
+
+/// What one node has at one endpoint.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Usage {
+    /// Requests.
+    pub requests: u32,
+    /// Tokens of KV cache taken or being computed.
+    pub tokens: u32,
+    /// Failures, faded.
+    pub failures: f32,
+}
+
+/// How a request at an endpoint ended, as far as the endpoint is to blame.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Answered.
+    Good,
+    /// Refused for lack of room.
+    Refused,
+    /// Answered with an error of its own, as some requests always are.
+    Error,
+    /// Broke off, answered nonsense or was silent.
+    Failed,
+}
+
+impl Outcome {
+    /// Weight as a failure.
+    fn weight(self) -> f64 {
+        match self {
+            Self::Good => -0.5,
+            Self::Refused => 0.15,
+            Self::Error => 0.35,
+            Self::Failed => 1.0,
+        }
+    }
+}
+
+/// A load report that came with an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Load {
+    /// Requests running.
+    pub running: u32,
+    /// Requests waiting.
+    pub waiting: u32,
+    /// Requests it works on at once.
+    pub slots: u32,
+}
+
+/// What is known of one endpoint.
+#[derive(Debug)]
+struct Entry {
+    endpoint: Endpoint,
+    here: Usage,
+    elsewhere: Usage,
+    failed_at: Millis,
+    load: Option<(Load, Millis)>,
+    /// When its record went, if it may come back.
+    lapsed: Option<Millis>,
+}
+
+impl Entry {
+    fn failures(&self, now: Millis) -> f64 {
+        let age = now.since(self.failed_at) as f64;
+        f64::from(self.here.failures) * 0.5_f64.powf(age / FAILURE_HALF_LIFE)
+    }
+}
+
+/// What one other node told.
+#[derive(Debug)]
+struct Told {
+    at: Millis,
+    usage: Vec<(Tag, Usage)>,
+}
+
+/// What a placement asks for.
+#[derive(Clone, Copy, Debug)]
+pub struct Query<'a> {
+    /// Service.
+    pub service: &'a str,
+    /// Stage.
+    pub stage: Stage,
+    /// Tokens of KV cache that one endpoint of this stage carries; zero for plain services.
+    pub capacity: u64,
+    /// Endpoints not to use.
+    pub except: &'a [Key],
+}
+
+/// All endpoints by key and by tag.
+#[derive(Debug)]
+pub struct Pool {
+    domain: String,
+    entries: SlotMap<Key, Entry>,
+    tags: HashMap<Tag, Key>,
+    told: HashMap<u64, Told>,
+    random: SmallRng,
+}
+
+impl Pool {
+    /// An empty pool of a node in this failure domain.
+    pub fn new(domain: String, random: SmallRng) -> Self {
+        Self {
+            domain,
+            entries: SlotMap::with_key(),
+            tags: HashMap::new(),
+            told: HashMap::new(),
+            random,
+        }
+    }
+
+    /// Takes the list of endpoints as it is now. Those missing from it are kept a while if
+    /// `lenient`: their records may have lapsed with the store away, and may come back.
+    pub fn replace(&mut self, endpoints: Vec<Endpoint>, lenient: bool, now: Millis) {
+        let listed: HashSet<Tag> = endpoints.iter().map(|it| Tag::of(&it.id)).collect();
+        let missing: Vec<Tag> = self.tags.keys().filter(|it| !listed.contains(it)).copied().collect();
+        for tag in missing {
+            let entry = self.tags.get(&tag).and_then(|key| self.entries.get_mut(*key));
+            match entry {
+                Some(entry) if lenient || entry.lapsed.is_some() => {
+                    entry.lapsed.get_or_insert(now);
+                }
+                _ => self.remove(tag),
+            }
+        }
+        for endpoint in endpoints {
+            self.put(endpoint);
+        }
+    }
+
+    /// Drops endpoints whose records lapsed and did not come back.
+    pub fn expire(&mut self, now: Millis) {
+        let gone = |it: &Entry| it.lapsed.is_some_and(|at| now.since(at) > LAPSE_GRACE);
+        let entries = self.entries.values().filter(|it| gone(it));
+        let tags: Vec<Tag> = entries.map(|it| Tag::of(&it.endpoint.id)).collect();
+        tags.into_iter().for_each(|tag| self.remove(tag));
+    }
+
+    fn remove(&mut self, tag: Tag) {
+        if let Some(key) = self.tags.remove(&tag) {
+            self.entries.remove(key);
+        }
+    }
+
+    fn put(&mut self, endpoint: Endpoint) {
+        let tag = Tag::of(&endpoint.id);
+        if let Some(entry) = self.tags.get(&tag).and_then(|key| self.entries.get_mut(*key)) {
+            entry.endpoint = endpoint;
+            entry.lapsed = None;
+            return;
+        }
+        let elsewhere = self.sum(tag);
+        let key = self.entries.insert(Entry {
+            endpoint,
+            here: Usage::default(),
+            elsewhere,
+            failed_at: Millis::default(),
+            load: None,
+            lapsed: None,
+        });
+        self.tags.insert(tag, key);
+    }
+
+    fn sum(&self, tag: Tag) -> Usage {
+        let all = self.told.values().flat_map(|it| &it.usage).filter(|it| it.0 == tag);
+        all.fold(Usage::default(), |sum, (_, it)| plus(sum, *it))
+    }
+
+    /// The endpoint at a key.
+    pub fn get(&self, key: Key) -> Option<&Endpoint> {
+        self.entries.get(key).map(|it| &it.endpoint)
+    }
+
+    /// Whether an endpoint may still be given work.
+    pub fn usable(&self, key: Key) -> bool {
+        self.entries.get(key).is_some_and(|it| !it.endpoint.draining)
+    }
+
+    /// Engines that are not leaving, by service.
+    pub fn engines(&self) -> HashMap<&str, Vec<(Key, &Endpoint)>> {
+        let mut services: HashMap<&str, Vec<(Key, &Endpoint)>> = HashMap::new();
+        for (key, entry) in &self.entries {
+            let endpoint = &entry.endpoint;
+            if endpoint.stage == Stage::Plain || endpoint.draining || entry.lapsed.is_some() {
+                continue;
+            }
+            services.entry(&endpoint.service).or_default().push((key, endpoint));
+        }
+        services
+    }
+
+    /// Endpoints known.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether no endpoint is known.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// The best endpoint for a query with its score: a share of a full endpoint, so that one or
+    /// more means that it is believed to be full.
+    pub fn choose(&mut self, query: Query<'_>, now: Millis) -> Option<(Key, f64)> {
+        let random = &mut self.random;
+        let entries = self.entries.iter().filter(|(key, it)| {
+            !it.endpoint.draining
+                && it.endpoint.stage == query.stage
+                && it.endpoint.service == query.service
+                && !query.except.contains(key)
+        });
+        let scored = entries.map(|(key, entry)| {
+            let mut score = fullness(entry, query.capacity, now);
+            score += (entry.failures(now) + f64::from(entry.elsewhere.failures)) / FAILURE_FULL;
+            if entry.endpoint.domain != self.domain {
+                score += DOMAIN_PENALTY;
+            }
+            if entry.lapsed.is_some() {
+                score += 0.5;
+            }
+            (key, score + random.random_range(0.0..JITTER))
+        });
+        scored.min_by(|one, other| one.1.total_cmp(&other.1))
+    }
+
+    /// Share of the KV cache of a service's decoding engines that is believed to be taken.
+    pub fn occupancy(&self, service: &str, capacity: u64) -> f64 {
+        let decoding = self.entries.values().filter(|it| {
+            it.endpoint.stage == Stage::Decode
+                && it.endpoint.service == service
+                && !it.endpoint.draining
+        });
+        let (taken, count) = decoding.fold((0.0, 0.0), |(taken, count), it| {
+            (taken + f64::from(it.here.tokens + it.elsewhere.tokens), count + 1.0)
+        });
+        if count == 0.0 { 1.0 } else { taken / (count * capacity.max(1) as f64) }
+    }
+
+    /// Counts a request and its tokens at an endpoint.
+    pub fn enter(&mut self, key: Key, tokens: u32) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.here.requests += 1;
+            entry.here.tokens += tokens;
+        }
+    }
+
+    /// Counts a request and its tokens as gone.
+    pub fn leave(&mut self, key: Key, tokens: u32) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.here.requests = entry.here.requests.saturating_sub(1);
+            entry.here.tokens = entry.here.tokens.saturating_sub(tokens);
+        }
+    }
+
+    /// Notes how a request ended.
+    pub fn note(&mut self, key: Key, outcome: Outcome, now: Millis) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            let failures = (entry.failures(now) + outcome.weight()).clamp(0.0, 4.0);
+            entry.here.failures = failures as f32;
+            entry.failed_at = now;
+        }
+    }
+
+    /// Notes a load report.
+    pub fn load(&mut self, key: Key, load: Load, now: Millis) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.load = Some((load, now));
+        }
+    }
+
+    /// What this node has at endpoints, to be told to others.
+    pub fn usage(&self, now: Millis) -> Vec<(Tag, Usage)> {
+        let rows = self.entries.values().map(|it| {
+            let failures = it.failures(now) as f32;
+            (Tag::of(&it.endpoint.id), Usage { failures, ..it.here })
+        });
+        let worth_telling = |it: &Usage| it.requests > 0 || it.tokens > 0 || it.failures > 0.1;
+        rows.filter(|(_, usage)| worth_telling(usage)).collect()
+    }
+
+    /// Takes what another node has at endpoints.
+    pub fn hear(&mut self, peer: u64, usage: Vec<(Tag, Usage)>, now: Millis) {
+        let before = self.told.insert(peer, Told { at: now, usage });
+        let silent: Vec<u64> = self
+            .told
+            .iter()
+            .filter(|(_, it)| now.since(it.at) > PEER_LIFE)
+            .map(|(peer, _)| *peer)
+            .collect();
+        let mut changed: HashSet<Tag> = before.into_iter().flat_map(|it| tags(&it)).collect();
+        for peer in silent {
+            changed.extend(self.told.remove(&peer).iter().flat_map(tags));
+        }
+        changed.extend(self.told.get(&peer).iter().flat_map(|it| tags(it)));
+        for tag in changed {
+            let sum = self.sum(tag);
+            if let Some(entry) = self.tags.get(&tag).and_then(|key| self.entries.get_mut(*key)) {
+                entry.elsewhere = sum;
+            }
+        }
+    }
+}
+
+fn tags(told: &Told) -> Vec<Tag> {
+    told.usage.iter().map(|it| it.0).collect()
+}
+
+fn plus(one: Usage, other: Usage) -> Usage {
+    Usage {
+        requests: one.requests + other.requests,
+        tokens: one.tokens + other.tokens,
+        failures: one.failures + other.failures,
+    }
+}
+
+/// Load as a share of what the endpoint carries.
+fn fullness(entry: &Entry, capacity: u64, now: Millis) -> f64 {
+    if capacity > 0 {
+        return f64::from(entry.here.tokens + entry.elsewhere.tokens) / capacity as f64;
+    }
+    let slots = f64::from(entry.endpoint.slots.max(1));
+    let reported = match entry.load {
+        Some((load, at)) if now.since(at) < LOAD_LIFE => load.running + load.waiting,
+        _ => 0,
+    };
+    f64::from(reported.max(entry.here.requests)) / slots
+}
--- /dev/null
+++ b/crates/coordination/src/stages.rs
@@ -0,0 +1,65 @@
+//! How many engines of a service prefill and how many decode.
+//!
+//! Decode memory runs out long before prefill power does, so a quarter of the engines prefill and
+//! the rest decode. The way back is taken only when the prefill side is nearly gone.
+
+use crosslane_state::endpoint::{Endpoint, Key, Stage};
+use crosslane_state::time::Millis;
+use std::collections::HashMap;
+
+/// Engines per prefilling engine. At the sites' prompt lengths prefill engines stand at a third of
+/// their power when a third of the engines prefill; a quarter was best in trials of 9 and 18.
+const ENGINES_PER_PREFILL: usize = 4;
+
+/// Engines per prefilling engine below which one is taken back from decoding.
+const ENGINES_PER_PREFILL_MOST: usize = 8;
+
+/// Time before the same engine is ordered again, in milliseconds: an order may be carried out 12 s
+/// late, and a change of stage takes about 6 s more.
+const REORDER: u64 = 20_000;
+
+/// A change of stage to order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Change {
+    /// Engine to order.
+    pub key: Key,
+    /// Stage to take.
+    pub stage: Stage,
+}
+
+/// Plans changes of stage.
+#[derive(Debug, Default)]
+pub struct Plan {
+    ordered: HashMap<Key, (Stage, Millis)>,
+}
+
+impl Plan {
+    /// Changes wanted among the live engines of one service.
+    pub fn changes(&mut self, engines: &[(Key, &Endpoint)], now: Millis) -> Vec<Change> {
+        self.ordered.retain(|key, (_, at)| {
+            now.since(*at) < REORDER && engines.iter().any(|(it, _)| it == key)
+        });
+        let stage = |key: &Key, endpoint: &Endpoint| {
+            self.ordered.get(key).map_or(endpoint.stage, |(stage, _)| *stage)
+        };
+        let prefill = engines.iter().filter(|(key, it)| stage(key, it) == Stage::Prefill).count();
+        let wanted = engines.len().div_ceil(ENGINES_PER_PREFILL);
+        let least = engines.len().div_ceil(ENGINES_PER_PREFILL_MOST);
+        let (count, from, to) = if prefill > wanted {
+            (prefill - wanted, Stage::Prefill, Stage::Decode)
+        } else if prefill < least && engines.len() > 1 {
+            (least - prefill, Stage::Decode, Stage::Prefill)
+        } else {
+            return Vec::new();
+        };
+        let free = engines.iter().filter(|(key, it)| {
+            it.stage == from && !it.draining && !self.ordered.contains_key(key)
+        });
+        free.take(count).map(|(key, _)| Change { key: *key, stage: to }).collect()
+    }
+
+    /// Remembers that an order was sent.
+    pub fn sent(&mut self, change: Change, now: Millis) {
+        self.ordered.insert(change.key, (change.stage, now));
+    }
+}
--- a/crates/crosslane/src/bin/crosslaned.rs
+++ b/crates/crosslane/src/bin/crosslaned.rs
@@ -3,6 +3,7 @@
 use clap::{Arg, Command};
 use crosslane::error::{Error, FENCED};
 use crosslane::{config, logs};
+use crosslane_platform::settings::{self as site_settings, FILE_VARIABLE};
 use crosslane_protocol::settings::Settings;
 use crosslane_transport::node;
 use serde_json::json;
@@ -13,10 +14,15 @@
     let matches = Command::new("crosslaned")
         .version(env!("CARGO_PKG_VERSION"))
         .about("Routes requests of callers to engines and services")
+        .args_conflicts_with_subcommands(true)
         .arg(Arg::new("config").long("config").value_name("FILE").required(true))
+        .subcommand(Command::new("site").about("Serves a site through the platform"))
         .get_matches();
-    let path = matches.get_one::<String>("config").map_or("", String::as_str);
-    match start(path) {
+    let started = match matches.subcommand_name() {
+        Some(_) => site(),
+        None => start(matches.get_one::<String>("config").map_or("", String::as_str)),
+    };
+    match started {
         Ok(code) => code,
         Err(error) => {
             eprintln!("error: {error}");
@@ -25,6 +31,18 @@
     }
 }
 
+/// Serves a site on one thread: its VMs have a fraction of a core.
+fn site() -> Result<ExitCode, Error> {
+    logs::start_queued()?;
+    let path = std::env::var(FILE_VARIABLE)
+        .map_err(|_| Error::failed(format!("{FILE_VARIABLE} is not set")))?;
+    let settings = site_settings::Settings::read(&path)?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(crosslane_gateway::site::run(settings, &path))?;
+    logs::flush();
+    Ok(ExitCode::SUCCESS)
+}
+
 fn start(path: &str) -> Result<ExitCode, Error> {
     let settings = config::load(path)?;
     logs::start(settings.json_logs)?;
--- a/crates/crosslane/src/error.rs
+++ b/crates/crosslane/src/error.rs
@@ -33,6 +33,10 @@
     Start(node::StartError),
     /// A call failed.
     Call(http::Error),
+    /// The platform's settings are wrong.
+    SiteSettings(crosslane_platform::settings::Error),
+    /// A node that serves through the platform can't run.
+    Site(crosslane_gateway::site::Error),
     /// The system refused something.
     System(io::Error),
     /// Logs can't be set up.
@@ -63,6 +67,7 @@
     pub fn code(&self) -> u8 {
         match self {
             Self::Settings(_) | Self::Argument { .. } | Self::Program(_) => USAGE,
+            Self::SiteSettings(_) => USAGE,
             Self::File { .. } => USAGE,
             _ => 1,
         }
--- /dev/null
+++ b/crates/gateway/src/duty.rs
@@ -0,0 +1,108 @@
+//! Orders to engines: one node at a time, under a lease in the store.
+
+use crate::event;
+use crate::node::{Node, lock};
+use crosslane_coordination::lease::{Lease, ORDER_WINDOW, Record as Held, Step};
+use crosslane_coordination::stages::{Change, Plan};
+use crosslane_platform::engine::{self, Order};
+use crosslane_platform::store::{Client, Error, Record};
+use log::{debug, info};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// Topic of the lease.
+const TOPIC: &str = "keyed.duty";
+
+/// Key of the lease.
+const KEY: &str = "orders";
+
+/// Time between looks at the engines' stages.
+const LOOK: Duration = Duration::from_millis(500);
+
+/// Time after the start in which nodes find each other, so that one alone asks for the lease.
+const SETTLE: Duration = Duration::from_millis(900);
+
+/// Time for an order's answer.
+const ANSWER: Duration = Duration::from_millis(800);
+
+/// Gives orders when it is this node's turn, for good.
+pub async fn run(node: Arc<Node>) {
+    sleep(SETTLE).await;
+    let mut client = Client::new(node.settings.store);
+    let mut lease = Lease::new(node.settings.vm.clone(), node.settings.lease);
+    let mut plan = Plan::default();
+    loop {
+        let steady = node.stopping.borrow().is_none();
+        let first = lock(&node.members).first(&node.settings.vm, node.now());
+        if steady && first {
+            round(&node, &mut client, &mut lease, &mut plan).await;
+        }
+        sleep(LOOK).await;
+    }
+}
+
+async fn round(node: &Arc<Node>, client: &mut Client, lease: &mut Lease, plan: &mut Plan) {
+    let changes = changes(node, plan);
+    if changes.is_empty() {
+        return;
+    }
+    let began = Instant::now();
+    match acquire(node, client, lease).await {
+        Ok(Some(fence)) => {
+            info!(fence, orders = changes.len(); "{}", event::LEASE);
+            for change in changes {
+                if began.elapsed() < Duration::from_millis(ORDER_WINDOW) {
+                    plan.sent(change, node.now());
+                    tokio::spawn(order(node.clone(), change, fence));
+                }
+            }
+        }
+        Ok(None) => {}
+        Err(error) => {
+            lease.reset();
+            debug!("lease on orders: {error}");
+        }
+    }
+}
+
+fn changes(node: &Node, plan: &mut Plan) -> Vec<Change> {
+    let now = node.now();
+    let pool = node.pool();
+    let services = pool.engines();
+    services.values().flat_map(|engines| plan.changes(engines, now)).collect()
+}
+
+/// Takes the lease, and returns its fencing token.
+async fn acquire(
+    node: &Node,
+    client: &mut Client,
+    lease: &mut Lease,
+) -> Result<Option<u64>, Error> {
+    let page = client.newest(TOPIC).await?;
+    let holder = page.records.iter().rfind(|it| it.key == KEY).and_then(|it| it.value.as_deref());
+    let holder = holder.map(|it| String::from_utf8_lossy(it).into_owned());
+    let held = Held { holder, end: page.end };
+    let Step::Append { end } = lease.step(&held, node.now()) else {
+        return Ok(None);
+    };
+    let value = node.settings.vm.clone();
+    let record = Record { key: KEY.into(), value: Some(value.into()) };
+    // Tokens start from one, since zero may mean none.
+    client.append(TOPIC, &record, Some(end)).await.map(|offset| Some(offset + 1))
+}
+
+async fn order(node: Arc<Node>, change: Change, fence: u64) {
+    let Some(endpoint) = node.pool().get(change.key).cloned() else {
+        return;
+    };
+    let request = engine::order(&endpoint, change.stage, &node.settings.vm, fence);
+    let answer = node.control.call(endpoint.address, request, ANSWER).await;
+    let id = endpoint.id;
+    let stage = format!("{:?}", change.stage);
+    match answer.map(|it| engine::ordered(it.status)) {
+        Ok(Order::Fenced) => info!(id, stage, fence, outcome = "fenced"; "{}", event::ORDER),
+        Ok(outcome) => info!(id, stage, fence, outcome:? = outcome; "{}", event::ORDER),
+        Err(error) => info!(id, stage, fence, outcome:% = error; "{}", event::ORDER),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/event.rs
@@ -0,0 +1,51 @@
+//! Names of log events: a closed set, listed in docs/LOGS.md.
+
+/// A node starts.
+pub const START: &str = "start";
+/// A node begins or ends its stop.
+pub const STOP: &str = "stop";
+/// The settings changed.
+pub const RELOAD: &str = "reload";
+/// A configuration came in force.
+pub const CONFIGURATION: &str = "configuration";
+/// The list of endpoints changed.
+pub const ENDPOINTS: &str = "endpoints";
+/// The store, or another dependency, can't be reached.
+pub const LOST: &str = "lost";
+/// A dependency answers again.
+pub const REGAINED: &str = "regained";
+/// A view was taken from another node.
+pub const PULLED: &str = "pulled";
+/// An order was given to an engine.
+pub const ORDER: &str = "order";
+/// The lease on orders was taken or refused.
+pub const LEASE: &str = "lease";
+/// Memory was reserved at an engine, or was not to be had.
+pub const RESERVE: &str = "reserve";
+/// An attempt at an endpoint failed.
+pub const ATTEMPT: &str = "attempt";
+/// A request ended.
+pub const REQUEST: &str = "request";
+/// Something that can't be decoded was left out.
+pub const SKIPPED: &str = "skipped";
+/// Log lines were dropped.
+pub const DROPPED: &str = "dropped";
+
+/// Every event.
+pub const EVENTS: [&str; 15] = [
+    START,
+    STOP,
+    RELOAD,
+    CONFIGURATION,
+    ENDPOINTS,
+    LOST,
+    REGAINED,
+    PULLED,
+    ORDER,
+    LEASE,
+    RESERVE,
+    ATTEMPT,
+    REQUEST,
+    SKIPPED,
+    DROPPED,
+];
--- /dev/null
+++ b/crates/gateway/src/exchange.rs
@@ -0,0 +1,217 @@
+//! One attempt: a request sent to one endpoint, and the answer's head.
+//!
+//! An attempt counts at its endpoint until its answer has been read or dropped. Dropping it closes
+//! the connection, which ends the run.
+
+use crate::control::CONNECT;
+use crate::event;
+use crate::node::Node;
+use bytes::Bytes;
+use crosslane_coordination::pool::Outcome;
+use crosslane_platform::answer::Head;
+use crosslane_platform::ask::{Ask, Purpose};
+use crosslane_state::endpoint::{Endpoint, Key};
+use crosslane_transport::connection::{Connection, Error, Outgoing};
+use derive_more::Display;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::http::response::Parts;
+use hyper::{Method, Request, StatusCode, Uri};
+use log::info;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, timeout_at};
+
+/// A request with its body read.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// What its headers say.
+    pub ask: Arc<Ask>,
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// Body.
+    pub body: Bytes,
+    /// When its head had arrived.
+    pub arrived: Instant,
+    /// When it must have ended: the caller's deadline or the route's timeout.
+    pub deadline: Instant,
+}
+
+impl Call {
+    /// Time left until its deadline.
+    pub fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+}
+
+/// Why an attempt has no answer.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Failure {
+    /// It was not sent.
+    #[display("unreachable")]
+    Unsent,
+    /// The endpoint says that it did not run it.
+    #[display("refused")]
+    Refused,
+    /// It was sent, and no usable answer came.
+    #[display("broken")]
+    Broken,
+    /// It was sent, and the time ran out.
+    #[display("timeout")]
+    Timeout,
+}
+
+impl Failure {
+    /// Whether the endpoint may have run the request.
+    pub fn may_have_run(self) -> bool {
+        matches!(self, Self::Broken | Self::Timeout)
+    }
+}
+
+/// A request's place at an endpoint; given up when dropped.
+#[derive(Debug)]
+pub struct Seat {
+    node: Arc<Node>,
+    /// Endpoint.
+    pub key: Key,
+    tokens: u32,
+}
+
+impl Seat {
+    /// Counts a request with its tokens of KV cache at an endpoint.
+    pub fn take(node: &Arc<Node>, key: Key, tokens: u32) -> Self {
+        node.pool().enter(key, tokens);
+        Self { node: node.clone(), key, tokens }
+    }
+
+    /// Notes how the request ended.
+    pub fn note(&self, outcome: Outcome) {
+        self.node.pool().note(self.key, outcome, self.node.now());
+    }
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        self.node.pool().leave(self.key, self.tokens);
+    }
+}
+
+/// An answer whose body is still to be read.
+#[derive(Debug)]
+pub struct Answer {
+    /// Head as it came.
+    pub parts: Parts,
+    /// What it says.
+    pub head: Head,
+    /// Body.
+    pub body: Incoming,
+    /// Endpoint that answers.
+    pub endpoint: Endpoint,
+    seat: Seat,
+    _connection: Connection,
+}
+
+impl Answer {
+    /// Notes how the request ended.
+    pub fn note(&self, outcome: Outcome) {
+        self.seat.note(outcome);
+    }
+
+    /// Reads a whole body of limited length.
+    pub async fn read(self, limit: usize, until: Instant) -> Result<(Parts, Bytes), Failure> {
+        let Self { parts, body, seat, _connection, .. } = self;
+        match timeout_at(until, Limited::new(body, limit).collect()).await {
+            Err(_) => Err(Failure::Timeout),
+            Ok(Ok(body)) => Ok((parts, body.to_bytes())),
+            Ok(Err(error)) => {
+                let long = error.downcast_ref::<LengthLimitError>().is_some();
+                seat.note(if long { Outcome::Error } else { Outcome::Failed });
+                Err(Failure::Broken)
+            }
+        }
+    }
+}
+
+/// Sends a call to an endpoint and waits for the answer's head.
+pub async fn send(
+    call: &Call,
+    seat: Seat,
+    purpose: &Purpose<'_>,
+    until: Instant,
+) -> Result<Answer, Failure> {
+    let node = seat.node.clone();
+    let Some(endpoint) = node.pool().get(seat.key).cloned() else {
+        return Err(Failure::Unsent);
+    };
+    let attempt = attempt(call, &endpoint, purpose, until).await;
+    let (connection, parts, body) = match attempt {
+        Ok(answered) => answered,
+        Err(error) => {
+            let failure = Failure::from(&error);
+            seat.note(Outcome::Failed);
+            told(call, &endpoint, failure, &error.to_string());
+            return Err(failure);
+        }
+    };
+    let head = Head::read(&parts, &call.ask.id);
+    if let Some(load) = head.load {
+        node.pool().load(seat.key, load, node.now());
+    }
+    let failure = judge(&head, parts.status, purpose);
+    if let Some((failure, outcome)) = failure {
+        seat.note(outcome);
+        told(call, &endpoint, failure, &parts.status.to_string());
+        return Err(failure);
+    }
+    Ok(Answer { parts, head, body, endpoint, seat, _connection: connection })
+}
+
+async fn attempt(
+    call: &Call,
+    endpoint: &Endpoint,
+    purpose: &Purpose<'_>,
+    until: Instant,
+) -> Result<(Connection, Parts, Incoming), Error> {
+    let connect = CONNECT.min(until.saturating_duration_since(Instant::now()));
+    let mut connection = Connection::open(endpoint.address, connect).await?;
+    let request = request(call, endpoint, purpose);
+    let response = connection.send(request, until).await?;
+    let (parts, body) = response.into_parts();
+    Ok((connection, parts, body))
+}
+
+fn request(call: &Call, endpoint: &Endpoint, purpose: &Purpose<'_>) -> Outgoing {
+    let mut request = Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = call.uri.clone();
+    *request.headers_mut() = call.ask.headers(&endpoint.id, call.left(), purpose);
+    request
+}
+
+/// Why an answer can't be used, if so, and what that says of the endpoint.
+fn judge(head: &Head, status: StatusCode, purpose: &Purpose<'_>) -> Option<(Failure, Outcome)> {
+    let sealed = head.sealed || matches!(purpose, Purpose::Prefill);
+    if !head.matches || !sealed || status.is_informational() {
+        return Some((Failure::Broken, Outcome::Failed));
+    }
+    head.refused.then_some((Failure::Refused, Outcome::Refused))
+}
+
+fn told(call: &Call, endpoint: &Endpoint, failure: Failure, why: &str) {
+    let request = call.ask.id.as_str();
+    let left_ms = call.left().as_millis() as u64;
+    let to = endpoint.id.as_str();
+    info!(request, to, failure:% = failure, why, left_ms; "{}", event::ATTEMPT);
+}
+
+impl From<&Error> for Failure {
+    fn from(error: &Error) -> Self {
+        match error {
+            Error::Connect { .. } => Self::Unsent,
+            Error::Broken { .. } => Self::Broken,
+            Error::Timeout { .. } => Self::Timeout,
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/follower.rs
@@ -0,0 +1,68 @@
+//! Follows the store's topics by waiting reads.
+
+use crate::event;
+use crate::node::Node;
+use crosslane_platform::store::{Client, Error};
+use log::{info, warn};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Time that a read waits for a record. Each call is priced; one that waits longer would notice a
+/// store that came back, but lost the waiting read, too late for a new configuration.
+const WAIT: Duration = Duration::from_millis(2_000);
+
+/// Pause after a failed call: refused calls are priced too.
+const PAUSE: Duration = Duration::from_millis(350);
+
+/// Pause after the first failure, which is often a single dead connection.
+const FIRST_PAUSE: Duration = Duration::from_millis(40);
+
+/// Follows one topic for good.
+pub async fn follow(node: Arc<Node>, topic: &'static str) {
+    let mut client = Client::new(node.settings.store);
+    let mut whole = true;
+    let mut failures = 0_u32;
+    loop {
+        match step(&node, &mut client, topic, &mut whole).await {
+            Ok(()) => {
+                if failures > 0 {
+                    node.store_returned();
+                    info!(topic, failures; "{}", event::REGAINED);
+                }
+                failures = 0;
+            }
+            Err(Error::Gone) => whole = true,
+            Err(error) => {
+                node.meter.store_failed(topic);
+                if failures == 0 {
+                    warn!(topic, why:% = error; "{}", event::LOST);
+                }
+                sleep(if failures == 0 { FIRST_PAUSE } else { PAUSE }).await;
+                failures += 1;
+            }
+        }
+    }
+}
+
+/// Reads once: everything at first, then what is new.
+async fn step(
+    node: &Node,
+    client: &mut Client,
+    topic: &'static str,
+    whole: &mut bool,
+) -> Result<(), Error> {
+    let from = (!*whole).then(|| node.mirror().end(topic));
+    let page = match from {
+        None => client.newest(topic).await?,
+        Some(from) => client.read(topic, from, WAIT).await?,
+    };
+    let empty = page.end == 0;
+    *whole = empty;
+    let change = node.mirror().take(topic, page, from);
+    node.apply(change, "store");
+    if empty {
+        sleep(PAUSE).await;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/gateway/src/front.rs
@@ -0,0 +1,286 @@
+//! Connections of callers, from accept to the last answer.
+
+use crate::event;
+use crate::exchange::Call;
+use crate::node::{Node, Reply};
+use crate::refusal::{Reason, Refusal};
+use crate::{plain, stream};
+use bytes::Bytes;
+use crosslane_platform::answer;
+use crosslane_platform::ask::Ask;
+use crosslane_state::hash;
+use crosslane_state::route::{Kind, Limits, Route};
+use crosslane_transport::connection;
+use crosslane_transport::http::{self, ReadError};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{HeaderMap, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use log::{debug, info};
+use std::convert::Infallible;
+use std::pin::{Pin, pin};
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{Instant, sleep};
+use tokio_util::task::TaskTracker;
+
+/// Limits before a configuration is known.
+const UNCONFIGURED: Limits = Limits {
+    header_bytes: 16_384,
+    body_bytes: 4 << 20,
+    header_millis: 3_000,
+    idle_millis: 15_000,
+};
+
+/// Smallest buffer that hyper takes, in bytes.
+const LEAST_BUFFER: usize = 8_192;
+
+/// Time after a stop's announcement in which new requests are still taken: the balancer needs two
+/// questions a second apart to see it, and a stream begun later may not end within the grace.
+pub const TAKE_WHILE_STOPPING: u64 = 2_800;
+
+/// Time held for a route where the caller names no deadline comes from the route itself.
+const COME_BACK: Duration = Duration::from_millis(300);
+
+/// Pause after a failed accept: descriptors may be short.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Accepts callers for good; their connections are tracked.
+pub async fn run(node: Arc<Node>, listener: TcpListener, connections: TaskTracker) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                connections.spawn(serve(node.clone(), stream));
+            }
+            Err(error) => {
+                debug!("accept: {error}");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve(node: Arc<Node>, stream: TcpStream) {
+    if let Err(error) = connection::prepare(&stream) {
+        debug!("options of a caller's connection: {error}");
+    }
+    let limits = node.table().map_or(UNCONFIGURED, |it| it.limits);
+    let mut stop = node.stopping.subscribe();
+    let stopping = stop.borrow_and_update().is_some();
+    let service = service_fn({
+        let node = node.clone();
+        move |request| {
+            let node = node.clone();
+            async move { Ok::<_, Infallible>(handle(node, request).await) }
+        }
+    });
+    let connection = http1::Builder::new()
+        .keep_alive(!stopping)
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(limits.idle_millis))
+        .max_buf_size(limits.header_bytes.max(LEAST_BUFFER))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        _ = stop.changed() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        debug!("a caller's connection ended: {error}");
+    }
+}
+
+async fn handle(node: Arc<Node>, request: Request<Incoming>) -> Response<Reply> {
+    let arrived = Instant::now();
+    let asked = Ask::try_from(request.headers());
+    let id = asked.as_ref().ok().map(|it| it.id.clone());
+    let mut story = Story::new(node.clone(), id.clone(), arrived);
+    let answered = match asked {
+        Ok(ask) => answer_to(&node, request, ask, arrived, &mut story).await,
+        Err(_) => Err(Reason::NoId.into()),
+    };
+    let mut response = match answered {
+        Ok(response) => response,
+        Err(refusal) => {
+            node.meter.refused(refusal.reason);
+            story.ending = refusal.reason.name();
+            refusal.answer(id.as_deref())
+        }
+    };
+    if node.stopping.borrow().is_some() {
+        answer::close(response.headers_mut());
+    }
+    story.status = response.status();
+    response.map(|body| Reply::new(Told { body, story }))
+}
+
+async fn answer_to(
+    node: &Arc<Node>,
+    request: Request<Incoming>,
+    ask: Ask,
+    arrived: Instant,
+    story: &mut Story,
+) -> Result<Response<Reply>, Refusal> {
+    let Some(table) = node.table() else {
+        return Err(Refusal::later(Reason::NotReady, COME_BACK));
+    };
+    story.version = table.version;
+    let (head, body) = request.into_parts();
+    let route = table.find(&ask.host, head.uri.path()).ok_or(Reason::NoRoute)?;
+    story.route.clone_from(&route.name);
+    let held = Duration::from_millis(route.timeout);
+    let deadline = arrived + ask.patience.map_or(held, |it| it.min(held));
+    let body = read(body, table.limits, deadline).await?;
+    let since = *node.stopping.borrow();
+    if since.is_some_and(|at| node.now().since(at) > TAKE_WHILE_STOPPING) {
+        return Err(Refusal::later(Reason::Stopping, COME_BACK));
+    }
+    let service = share(route, &ask.id);
+    node.count_request(service);
+    let mut parts = hyper::http::uri::Parts::default();
+    parts.path_and_query = head.uri.path_and_query().cloned();
+    let uri = hyper::Uri::from_parts(parts).map_err(|_| Reason::NoRoute)?;
+    let method = head.method;
+    let call = Call { ask: Arc::new(ask), method, uri, body, arrived, deadline };
+    let engine = table.services.get(service).and_then(|it| it.engine);
+    match (route.kind, engine) {
+        (Kind::Stream { .. }, Some(engine)) => {
+            let run = stream::Run::new(node.clone(), route.clone(), service.into(), engine, call);
+            run.start().await
+        }
+        _ => plain::run(node, route, service, &call).await,
+    }
+}
+
+async fn read(body: Incoming, limits: Limits, deadline: Instant) -> Result<Bytes, Refusal> {
+    let left = deadline.saturating_duration_since(Instant::now());
+    http::read(body, limits.body_bytes, left).await.map_err(|error| match error {
+        ReadError::TooLong => Reason::TooLong.into(),
+        ReadError::Incomplete => Refusal::later(Reason::Incomplete, COME_BACK),
+    })
+}
+
+/// The service that a request falls to, by the weights of its route.
+fn share<'a>(route: &'a Route, id: &str) -> &'a str {
+    let total: u64 = route.shares.iter().map(|it| u64::from(it.weight)).sum();
+    let mut place = hash::of(id.as_bytes()) % total.max(1);
+    for share in &route.shares {
+        let weight = u64::from(share.weight);
+        if place < weight {
+            return &share.service;
+        }
+        place -= weight;
+    }
+    route.shares.first().map_or("", |it| &it.service)
+}
+
+/// What is told of a request when it ends.
+struct Story {
+    node: Arc<Node>,
+    id: Option<String>,
+    route: String,
+    version: u64,
+    arrived: Instant,
+    status: StatusCode,
+    ending: &'static str,
+}
+
+impl Story {
+    fn new(node: Arc<Node>, id: Option<String>, arrived: Instant) -> Self {
+        let route = String::new();
+        // Unless it gets to an answer or a refusal, the caller left before.
+        let (status, ending) = (StatusCode::OK, "caller_left");
+        Self { node, id, route, version: 0, arrived, status, ending }
+    }
+}
+
+impl Drop for Story {
+    fn drop(&mut self) {
+        self.node.meter.ending(self.ending);
+        let request = self.id.as_deref().unwrap_or_default();
+        let status = self.status.as_u16();
+        let took_ms = self.arrived.elapsed().as_millis() as u64;
+        let (route, ending, version) = (self.route.as_str(), self.ending, self.version);
+        info!(request, route, version, status, ending, took_ms; "{}", event::REQUEST);
+    }
+}
+
+/// A body that tells how its request ended.
+struct Told {
+    body: Reply,
+    story: Story,
+}
+
+impl Body for Told {
+    type Data = Bytes;
+    type Error = http::BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(context));
+        let ended = frame.is_none() || self.body.is_end_stream();
+        if self.story.ending == "caller_left" {
+            match &frame {
+                Some(Err(_)) => self.story.ending = "cut",
+                _ if ended => self.story.ending = "answered",
+                _ => {}
+            }
+        }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// Answers whether callers may be sent here, and with metrics under their path.
+pub async fn status(node: Arc<Node>, listener: TcpListener, metrics: &'static str) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let node = node.clone();
+        tokio::spawn(async move {
+            let service = service_fn(move |request: Request<Incoming>| {
+                let response = tell(&node, request.uri().path(), metrics);
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let served = http1::Builder::new()
+                .max_buf_size(LEAST_BUFFER)
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+            if let Err(error) = served {
+                debug!("a status connection ended: {error}");
+            }
+        });
+    }
+}
+
+fn tell(node: &Node, path: &str, metrics: &str) -> Response<Reply> {
+    let (status, body) = match path {
+        path if path == metrics => match node.meter.text() {
+            Ok(text) => (StatusCode::OK, Bytes::from(text)),
+            Err(error) => (StatusCode::INTERNAL_SERVER_ERROR, error.to_string().into()),
+        },
+        _ if node.ready() => (StatusCode::OK, Bytes::from_static(b"ready")),
+        _ => (StatusCode::SERVICE_UNAVAILABLE, Bytes::from_static(b"not ready")),
+    };
+    let mut response = Response::new(http::full(body));
+    *response.status_mut() = status;
+    *response.headers_mut() = HeaderMap::new();
+    response
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,21 @@
+//! The node that serves a site through the platform.
+//!
+//! `front` takes callers' requests; `plain` and `stream` carry them to endpoints by `exchange`.
+//! `follower` reads the store into the `mirror`, `peers` keep nodes at the same view, `duty` gives
+//! orders to engines. Decisions are made in the coordination layer.
+
+pub mod control;
+pub mod duty;
+pub mod event;
+pub mod events;
+pub mod exchange;
+pub mod follower;
+pub mod front;
+pub mod meter;
+pub mod mirror;
+pub mod node;
+pub mod peers;
+pub mod plain;
+pub mod refusal;
+pub mod site;
+pub mod stream;
--- /dev/null
+++ b/crates/gateway/src/meter.rs
@@ -0,0 +1,129 @@
+//! Counters and latency histograms, served as text in the usual exposition format.
+
+use crate::refusal::{REASONS, Reason};
+use prometheus::{Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry};
+use prometheus::{Result, TextEncoder};
+use std::time::Duration;
+
+/// Upper bounds of the histograms' buckets, in seconds: around the sites' targets of 0.3 and 0.9 s.
+const BUCKETS: [f64; 11] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.6, 0.9, 2.0, 5.0];
+
+/// Why a request was sent again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Retry {
+    /// No connection.
+    Unreachable,
+    /// The endpoint said that it did not run it.
+    Refused,
+    /// The endpoint broke off.
+    Broken,
+    /// The endpoint answered with an error of its own.
+    Error,
+    /// A stream was continued elsewhere.
+    Resumed,
+    /// Denied: the budget is spent.
+    DeniedBudget,
+}
+
+/// Every retry reason with its name.
+pub const RETRIES: [(Retry, &str); 6] = [
+    (Retry::Unreachable, "unreachable"),
+    (Retry::Refused, "refused"),
+    (Retry::Broken, "broken"),
+    (Retry::Error, "error"),
+    (Retry::Resumed, "resumed"),
+    (Retry::DeniedBudget, "denied_budget"),
+];
+
+/// All metrics of a node.
+#[derive(Debug)]
+pub struct Meter {
+    registry: Registry,
+    requests: IntCounterVec,
+    refusals: IntCounterVec,
+    retries: IntCounterVec,
+    store_errors: IntCounterVec,
+    /// Time to the first byte or event.
+    pub first: Histogram,
+    /// Time until memory was reserved at an engine.
+    pub wait: Histogram,
+    /// Time of a prefill.
+    pub prefill: Histogram,
+    /// Pauses between events.
+    pub gap: Histogram,
+    /// Version of the configuration in force.
+    pub version: IntGauge,
+    /// Endpoints known.
+    pub endpoints: IntGauge,
+    /// Other nodes heard.
+    pub peers: IntGauge,
+}
+
+impl Meter {
+    /// Metrics that start from zero.
+    pub fn new() -> Result<Self> {
+        let registry = Registry::new();
+        let counters = |name: &str, help: &str, label: &str| {
+            let counters = IntCounterVec::new(Opts::new(name, help), &[label])?;
+            registry.register(Box::new(counters.clone()))?;
+            Ok::<_, prometheus::Error>(counters)
+        };
+        let histogram = |name: &str, help: &str| {
+            let options = HistogramOpts::new(name, help).buckets(BUCKETS.to_vec());
+            let histogram = Histogram::with_opts(options)?;
+            registry.register(Box::new(histogram.clone()))?;
+            Ok::<_, prometheus::Error>(histogram)
+        };
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok::<_, prometheus::Error>(gauge)
+        };
+        Ok(Self {
+            requests: counters("crosslane_requests", "Requests by ending", "ending")?,
+            refusals: counters("crosslane_refusals", "Own answers by reason", "reason")?,
+            retries: counters("crosslane_retries", "Retries by reason", "reason")?,
+            store_errors: counters("crosslane_store_errors", "Failed store calls", "topic")?,
+            first: histogram("crosslane_first_seconds", "Time to the first byte or event")?,
+            wait: histogram("crosslane_reserve_seconds", "Time until memory was reserved")?,
+            prefill: histogram("crosslane_prefill_seconds", "Time of a prefill")?,
+            gap: histogram("crosslane_gap_seconds", "Pauses between events")?,
+            version: gauge("crosslane_config_version", "Version of the configuration in force")?,
+            endpoints: gauge("crosslane_endpoints", "Endpoints known")?,
+            peers: gauge("crosslane_peers", "Other nodes heard")?,
+            registry,
+        })
+    }
+
+    /// Counts a request's ending.
+    pub fn ending(&self, ending: &str) {
+        self.requests.with_label_values(&[ending]).inc();
+    }
+
+    /// Counts a refusal.
+    pub fn refused(&self, reason: Reason) {
+        self.refusals.with_label_values(&[REASONS[reason as usize].1]).inc();
+    }
+
+    /// Counts a retry, or one denied.
+    pub fn retried(&self, retry: Retry) {
+        self.retries.with_label_values(&[RETRIES[retry as usize].1]).inc();
+    }
+
+    /// Counts a failed call to the store.
+    pub fn store_failed(&self, topic: &str) {
+        self.store_errors.with_label_values(&[topic]).inc();
+    }
+
+    /// Notes a time in a histogram.
+    pub fn time(histogram: &Histogram, time: Duration) {
+        histogram.observe(time.as_secs_f64());
+    }
+
+    /// All metrics as text.
+    pub fn text(&self) -> Result<Vec<u8>> {
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
+        Ok(text)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/node.rs
@@ -0,0 +1,180 @@
+//! The parts that a node's tasks share.
+
+use crate::control::Control;
+use crate::event;
+use crate::meter::Meter;
+use crate::mirror::{Change, Mirror};
+use crate::peers::Members;
+use crosslane_coordination::allowance::{Allowance, Budget};
+use crosslane_coordination::pool::Pool;
+use crosslane_platform::settings::Settings;
+use crosslane_platform::{configuration, discovery};
+use crosslane_state::route::Table;
+use crosslane_state::time::Millis;
+use crosslane_transport::clock::Clock;
+use log::{info, warn};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::sync::{Notify, watch};
+
+pub use crosslane_transport::http::Reply;
+
+/// Time after the store's return in which endpoints' records may still come back, in
+/// milliseconds: about 2 s for live ones, and a margin for reading them.
+const LAPSE_WINDOW: u64 = 2_500;
+
+/// Share of the endpoints (one in so many) whose records going at once looks like a store that
+/// lost them rather than like endpoints that left.
+const MASS_LAPSE: usize = 3;
+
+/// What a node shares between its tasks.
+#[derive(Debug)]
+pub struct Node {
+    /// Settings.
+    pub settings: Settings,
+    /// Clock.
+    pub clock: Clock,
+    /// Metrics.
+    pub meter: Meter,
+    /// Calls to engines besides requests.
+    pub control: Control,
+    /// Other nodes.
+    pub members: Mutex<Members>,
+    /// Wakes what tells others of a change.
+    pub changed: Notify,
+    /// When the stop was announced.
+    pub stopping: watch::Sender<Option<Millis>>,
+    mirror: Mutex<Mirror>,
+    table: Mutex<Option<Arc<Table>>>,
+    pool: Mutex<Pool>,
+    allowance: Mutex<Allowance>,
+    store_back: Mutex<Millis>,
+}
+
+impl Node {
+    /// A node that knows only its settings.
+    pub fn new(settings: Settings) -> prometheus::Result<Self> {
+        let budget = Budget {
+            ratio: settings.retry_ratio,
+            slack: settings.retry_slack,
+            window: settings.retry_window,
+        };
+        Ok(Self {
+            clock: Clock::start(),
+            meter: Meter::new()?,
+            control: Control::default(),
+            members: Mutex::new(Members::new(&settings)),
+            changed: Notify::new(),
+            stopping: watch::Sender::new(None),
+            mirror: Mutex::default(),
+            table: Mutex::default(),
+            pool: Mutex::new(Pool::new(settings.domain.clone(), SmallRng::from_os_rng())),
+            allowance: Mutex::new(Allowance::new(budget)),
+            store_back: Mutex::default(),
+            settings,
+        })
+    }
+
+    /// Time since the start.
+    pub fn now(&self) -> Millis {
+        self.clock.now()
+    }
+
+    /// The configuration in force, once there is one.
+    pub fn table(&self) -> Option<Arc<Table>> {
+        lock(&self.table).clone()
+    }
+
+    /// Endpoints.
+    pub fn pool(&self) -> MutexGuard<'_, Pool> {
+        lock(&self.pool)
+    }
+
+    /// What the store holds.
+    pub fn mirror(&self) -> MutexGuard<'_, Mirror> {
+        lock(&self.mirror)
+    }
+
+    /// Whether callers may be sent here.
+    pub fn ready(&self) -> bool {
+        self.stopping.borrow().is_none() && self.table().is_some() && !self.pool().is_empty()
+    }
+
+    /// Counts a request for a service.
+    pub fn count_request(&self, service: &str) {
+        lock(&self.allowance).request(service, self.now());
+    }
+
+    /// Takes a repeat for a service from the retry budget.
+    pub fn take_repeat(&self, service: &str) -> bool {
+        let members = lock(&self.members).count(self.now());
+        lock(&self.allowance).take(service, members, self.now())
+    }
+
+    /// Notes that the store answered again after a failure.
+    pub fn store_returned(&self) {
+        *lock(&self.store_back) = self.now();
+    }
+
+    /// Puts in force what changed in the mirror.
+    pub fn apply(&self, change: Change, source: &'static str) {
+        if change.configuration {
+            self.apply_configuration(source);
+        }
+        if change.endpoints {
+            self.apply_endpoints(source);
+        }
+        if change != Change::default() {
+            self.changed.notify_one();
+        }
+    }
+
+    fn apply_configuration(&self, source: &'static str) {
+        let decoded = self.mirror().configuration().map(|it| configuration::decode(it));
+        let table = match decoded {
+            None => return,
+            Some(Ok(table)) => table,
+            Some(Err(error)) => {
+                warn!(why:% = error; "{}", event::SKIPPED);
+                return;
+            }
+        };
+        let mut held = lock(&self.table);
+        let before = held.as_ref().map_or(0, |it| it.version);
+        if held.is_some() && table.version <= before {
+            return;
+        }
+        info!(version = table.version, before, source; "{}", event::CONFIGURATION);
+        self.meter.version.set(table.version.cast_signed());
+        *held = Some(Arc::new(table));
+    }
+
+    fn apply_endpoints(&self, source: &'static str) {
+        let mut endpoints = Vec::new();
+        let mirror = self.mirror();
+        for (id, bytes) in mirror.endpoints() {
+            match discovery::decode(id, bytes) {
+                Ok(endpoint) => endpoints.push(endpoint),
+                Err(error) => warn!(why:% = error; "{}", event::SKIPPED),
+            }
+        }
+        let end = mirror.ends().1;
+        drop(mirror);
+        let now = self.now();
+        let back = *lock(&self.store_back);
+        let mut pool = self.pool();
+        let draining = endpoints.iter().filter(|it| it.draining).count();
+        let missing = pool.len().saturating_sub(endpoints.len());
+        let lapsed = now.since(back) < LAPSE_WINDOW && back > Millis::default();
+        let lenient = lapsed || missing * MASS_LAPSE > pool.len();
+        info!(offset = end, listed = endpoints.len(), draining, lenient, source; "{}", event::ENDPOINTS);
+        pool.replace(endpoints, lenient, now);
+        self.meter.endpoints.set(pool.len() as i64);
+    }
+}
+
+/// Locks; what a panic left behind is used as it is, since every change is a single step.
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/gateway/src/peers.rs
@@ -0,0 +1,296 @@
+//! What nodes tell each other: beats by UDP, and the mirror by tarpc when one is behind.
+//!
+//! A beat says how far its sender has read the store and what it has at endpoints. A node that
+//! learns of something newer, and does not read it from the store itself at once, pulls it from
+//! the sender. So nodes that the store turns away follow those that it serves.
+
+use crate::event;
+use crate::mirror::Snapshot;
+use crate::node::{Node, lock};
+use crosslane_coordination::pool::Usage;
+use crosslane_platform::settings::Settings;
+use crosslane_platform::store::{Client, Record};
+use crosslane_state::endpoint::Tag;
+use crosslane_state::hash;
+use crosslane_state::time::Millis;
+use futures::StreamExt;
+use log::{debug, info, warn};
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+use tarpc::server::{BaseChannel, Channel};
+use tarpc::tokio_serde::formats::Bincode;
+use tarpc::{client, context};
+use tokio::net::UdpSocket;
+use tokio::time::{sleep, timeout};
+
+/// Topic in which nodes leave their addresses.
+const NODES: &str = "keyed.nodes";
+
+/// Time between beats. What others have at engines is this old at most; drafts last some 3 s.
+const BEAT: Duration = Duration::from_millis(250);
+
+/// Time without a beat after which a node counts as silent, in milliseconds: six beats.
+const SILENT: u64 = 1_500;
+
+/// Time that a silent node still counts towards the retry budget, in milliseconds: the window in
+/// which what it spent still counts.
+const REMEMBERED: u64 = 10_000;
+
+/// Beats between those to silent nodes.
+const SILENT_EVERY: u64 = 8;
+
+/// Time given to the store to bring what a beat told of, before it is pulled from its sender.
+const OWN_READ: Duration = Duration::from_millis(120);
+
+/// Time for a pull.
+const PULL: Duration = Duration::from_millis(1_000);
+
+/// Largest datagram.
+const DATAGRAM: usize = 60_000;
+
+/// What a node tells the others.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Beat {
+    /// VM of the sender.
+    pub vm: String,
+    /// Whether the sender may give orders: it is not stopping.
+    pub steady: bool,
+    /// How far it has read the operators' and the endpoints' topic.
+    pub ends: (u64, u64),
+    /// What it has at endpoints.
+    pub usage: Vec<(Tag, Usage)>,
+}
+
+/// What is known of another node.
+#[derive(Clone, Debug, Default)]
+struct Member {
+    vm: String,
+    steady: bool,
+    heard: Option<Millis>,
+}
+
+/// Other nodes by address.
+#[derive(Debug)]
+pub struct Members {
+    me: IpAddr,
+    members: HashMap<IpAddr, Member>,
+}
+
+impl Members {
+    /// The nodes named in the settings, not heard yet.
+    pub fn new(settings: &Settings) -> Self {
+        let mut members = Self { me: settings.ip, members: HashMap::new() };
+        settings.seeds.iter().for_each(|ip| members.add(*ip));
+        members
+    }
+
+    fn add(&mut self, ip: IpAddr) {
+        if ip != self.me {
+            self.members.entry(ip).or_default();
+        }
+    }
+
+    fn hear(&mut self, ip: IpAddr, beat: &Beat, now: Millis) {
+        if ip != self.me {
+            let member = Member { vm: beat.vm.clone(), steady: beat.steady, heard: Some(now) };
+            self.members.insert(ip, member);
+        }
+    }
+
+    fn addresses(&self, all: bool, now: Millis) -> Vec<IpAddr> {
+        let heard = |it: &Member| it.heard.is_some_and(|at| now.since(at) < SILENT);
+        let members = self.members.iter().filter(|(_, it)| all || heard(it));
+        members.map(|(ip, _)| *ip).collect()
+    }
+
+    /// Nodes heard within the retry budget's window, this one among them.
+    pub fn count(&self, now: Millis) -> usize {
+        let recent = |it: &&Member| it.heard.is_some_and(|at| now.since(at) < REMEMBERED);
+        1 + self.members.values().filter(recent).count()
+    }
+
+    /// Whether this node comes first among those that may give orders.
+    pub fn first(&self, vm: &str, now: Millis) -> bool {
+        let mut others = self.members.values().filter(|it| {
+            it.steady && it.vm != vm && it.heard.is_some_and(|at| now.since(at) < SILENT)
+        });
+        others.all(|it| vm < it.vm.as_str())
+    }
+}
+
+/// What nodes ask each other by tarpc.
+#[tarpc::service]
+pub trait Peer {
+    /// What the store holds, as the node asked knows it.
+    async fn mirror() -> Snapshot;
+}
+
+#[derive(Clone)]
+struct Server(Arc<Node>);
+
+impl Peer for Server {
+    async fn mirror(self, _: context::Context) -> Snapshot {
+        self.0.mirror().snapshot()
+    }
+}
+
+/// Serves and follows other nodes for good.
+pub async fn run(node: Arc<Node>) -> io::Result<()> {
+    let address = SocketAddr::new(node.settings.ip, node.settings.peer_port);
+    let socket = Arc::new(UdpSocket::bind(address).await?);
+    tokio::spawn(serve(node.clone(), address));
+    tokio::spawn(enlist(node.clone()));
+    tokio::spawn(beat(node.clone(), socket.clone()));
+    listen(node, socket).await
+}
+
+async fn serve(node: Arc<Node>, address: SocketAddr) {
+    let listener = match tarpc::serde_transport::tcp::listen(address, Bincode::default).await {
+        Ok(listener) => listener,
+        Err(error) => {
+            warn!(dependency = "peers", why:% = error; "{}", event::LOST);
+            return;
+        }
+    };
+    let accepted = listener.filter_map(|it| async { it.ok() });
+    let channels = accepted.map(BaseChannel::with_defaults);
+    channels
+        .for_each(|channel| async {
+            let requests = channel.execute(Server(node.clone()).serve());
+            tokio::spawn(requests.for_each(|answer| async {
+                tokio::spawn(answer);
+            }));
+        })
+        .await;
+}
+
+/// Leaves this node's address in the store and reads the others'.
+async fn enlist(node: Arc<Node>) {
+    let mut client = Client::new(node.settings.store);
+    let value = node.settings.ip.to_string();
+    let record = Record { key: node.settings.vm.clone(), value: Some(value.into()) };
+    let mut appended = false;
+    loop {
+        let result = async {
+            if !appended {
+                client.append(NODES, &record, None).await?;
+                appended = true;
+            }
+            client.newest(NODES).await
+        };
+        match result.await {
+            Ok(page) => {
+                let values = page.records.iter().filter_map(|it| it.value.as_deref());
+                let texts = values.filter_map(|it| std::str::from_utf8(it).ok());
+                let mut members = lock(&node.members);
+                texts.filter_map(|it| it.parse().ok()).for_each(|ip| members.add(ip));
+                drop(members);
+                node.changed.notify_one();
+                return;
+            }
+            Err(error) => {
+                debug!("addresses of nodes: {error}");
+                sleep(Duration::from_millis(700)).await;
+            }
+        }
+    }
+}
+
+async fn beat(node: Arc<Node>, socket: Arc<UdpSocket>) {
+    let mut round = 0_u64;
+    loop {
+        let now = node.now();
+        let beat = Beat {
+            vm: node.settings.vm.clone(),
+            steady: node.stopping.borrow().is_none(),
+            ends: node.mirror().ends(),
+            usage: node.pool().usage(now),
+        };
+        let addresses = lock(&node.members).addresses(round.is_multiple_of(SILENT_EVERY), now);
+        node.meter.peers.set(addresses.len() as i64);
+        match bincode::serialize(&beat) {
+            Ok(bytes) => send(&socket, &bytes, &addresses, node.settings.peer_port).await,
+            Err(error) => warn!(why:% = error; "{}", event::SKIPPED),
+        }
+        round += 1;
+        if timeout(BEAT, node.changed.notified()).await.is_ok() {
+            round = 0;
+        }
+    }
+}
+
+async fn send(socket: &UdpSocket, bytes: &[u8], addresses: &[IpAddr], port: u16) {
+    for ip in addresses {
+        // A lost beat is made good by the next one; a node cut off gives an error each time.
+        if let Err(error) = socket.send_to(bytes, (*ip, port)).await {
+            debug!("beat to {ip}: {error}");
+        }
+    }
+}
+
+async fn listen(node: Arc<Node>, socket: Arc<UdpSocket>) -> io::Result<()> {
+    let mut buffer = vec![0; DATAGRAM];
+    let pulling = Arc::new(tokio::sync::Semaphore::new(1));
+    loop {
+        let (length, from) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(error) => {
+                debug!("beats: {error}");
+                sleep(Duration::from_millis(20)).await;
+                continue;
+            }
+        };
+        let beat: Beat = match bincode::deserialize(&buffer[..length]) {
+            Ok(beat) => beat,
+            Err(error) => {
+                warn!(from:% = from, why:% = error; "{}", event::SKIPPED);
+                continue;
+            }
+        };
+        let now = node.now();
+        lock(&node.members).hear(from.ip(), &beat, now);
+        let ahead = ahead(&node, beat.ends);
+        node.pool().hear(hash::of(beat.vm.as_bytes()), beat.usage, now);
+        if ahead && let Ok(permit) = pulling.clone().try_acquire_owned() {
+            let node = node.clone();
+            tokio::spawn(async move {
+                pull(&node, from.ip(), beat.ends).await;
+                drop(permit);
+            });
+        }
+    }
+}
+
+fn ahead(node: &Node, ends: (u64, u64)) -> bool {
+    let known = node.mirror().ends();
+    ends.0 > known.0 || ends.1 > known.1
+}
+
+/// Takes another node's mirror if the store has not brought the same meanwhile.
+async fn pull(node: &Arc<Node>, from: IpAddr, ends: (u64, u64)) {
+    if node.table().is_some() {
+        sleep(OWN_READ).await;
+    }
+    if !ahead(node, ends) {
+        return;
+    }
+    match timeout(PULL, ask(SocketAddr::new(from, node.settings.peer_port))).await {
+        Ok(Ok(snapshot)) => {
+            info!(from:% = from, offset = snapshot.endpoints_end; "{}", event::PULLED);
+            let change = node.mirror().merge(snapshot);
+            node.apply(change, "peer");
+        }
+        Ok(Err(error)) => debug!("pull from {from}: {error}"),
+        Err(_) => debug!("pull from {from}: timed out"),
+    }
+}
+
+async fn ask(address: SocketAddr) -> io::Result<Snapshot> {
+    let transport = tarpc::serde_transport::tcp::connect(address, Bincode::default).await?;
+    let peer = PeerClient::new(client::Config::default(), transport).spawn();
+    peer.mirror(context::current()).await.map_err(io::Error::other)
+}
--- /dev/null
+++ b/crates/gateway/src/plain.rs
@@ -0,0 +1,171 @@
+//! Calls to plain services.
+
+use crate::exchange::{self, Answer, Call, Failure, Seat};
+use crate::meter::{Meter, Retry};
+use crate::node::{Node, Reply};
+use crate::refusal::{Reason, Refusal};
+use bytes::Bytes;
+use crosslane_coordination::pool::{Outcome, Query};
+use crosslane_platform::answer;
+use crosslane_platform::ask::Purpose;
+use crosslane_state::endpoint::{Key, Stage};
+use crosslane_state::route::{Kind, Route};
+use crosslane_transport::http;
+use http_body_util::combinators::BoxBody;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::Response;
+use hyper::body::Frame;
+use hyper::http::response::Parts;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, timeout_at};
+
+/// Answers up to this length are read whole before they are passed on if the request is
+/// idempotent, so that one that breaks off can be asked for again. Pages are about 1 KB.
+const WHOLE_BYTES: u64 = 65_536;
+
+/// Share of the target after which an idempotent request is tried elsewhere: leaves time for a
+/// usual run at the other endpoint.
+const PATIENCE: f64 = 0.6;
+
+/// When a refused caller should come back: plain calls last some 60 ms, bursts seconds.
+const COME_BACK: Duration = Duration::from_millis(250);
+
+/// Carries a call to an endpoint of a service and back.
+pub async fn run(
+    node: &Arc<Node>,
+    route: &Route,
+    service: &str,
+    call: &Call,
+) -> Result<Response<Reply>, Refusal> {
+    let mut tried: Vec<Key> = Vec::new();
+    let mut sent = 0;
+    let mut last = Reason::NoEndpoint;
+    let mut kept: Option<Response<Reply>> = None;
+    loop {
+        let query = Query { service, stage: Stage::Plain, capacity: 0, except: &tried };
+        let chosen = node.pool().choose(query, node.now());
+        let Some((key, _)) = chosen else {
+            break;
+        };
+        if sent > 0 && !node.take_repeat(service) {
+            node.meter.retried(Retry::DeniedBudget);
+            break;
+        }
+        tried.push(key);
+        let last_try = sent + 1 >= route.attempts;
+        match attempt(node, route, call, key, last_try).await {
+            Ok(Attempt::Final(response)) => return Ok(response),
+            Ok(Attempt::Error(response)) => {
+                sent += 1;
+                kept = Some(response);
+                node.meter.retried(Retry::Error);
+            }
+            Err(failure) => {
+                last = reason(failure);
+                sent += u32::from(failure != Failure::Unsent);
+                if failure.may_have_run() && !route.kind.idempotent() {
+                    return Err(last.into());
+                }
+                node.meter.retried(retry(failure));
+            }
+        }
+        if sent >= route.attempts || call.left().is_zero() {
+            break;
+        }
+    }
+    kept.ok_or_else(|| refusal(last))
+}
+
+/// An endpoint's answer.
+enum Attempt {
+    /// To be passed on.
+    Final(Response<Reply>),
+    /// An error of the endpoint's own, for which another may have a better answer.
+    Error(Response<Reply>),
+}
+
+async fn attempt(
+    node: &Arc<Node>,
+    route: &Route,
+    call: &Call,
+    key: Key,
+    last: bool,
+) -> Result<Attempt, Failure> {
+    let seat = Seat::take(node, key, 0);
+    let until = until(route, call, last);
+    let answer = exchange::send(call, seat, &Purpose::Run, until).await?;
+    Meter::time(&node.meter.first, call.arrived.elapsed());
+    let error = answer.parts.status.is_server_error();
+    answer.note(if error { Outcome::Error } else { Outcome::Good });
+    let short = answer.head.length.is_some_and(|it| it <= WHOLE_BYTES);
+    if route.kind != Kind::Safe || !short {
+        return Ok(Attempt::Final(relay(answer, call.deadline)));
+    }
+    let (parts, body) = answer.read(WHOLE_BYTES as usize, until).await?;
+    let response = whole(parts, body);
+    Ok(if error && !last { Attempt::Error(response) } else { Attempt::Final(response) })
+}
+
+/// How long an attempt may take.
+fn until(route: &Route, call: &Call, last: bool) -> Instant {
+    if last || route.kind != Kind::Safe {
+        return call.deadline;
+    }
+    let patience = Duration::from_millis((route.target as f64 * PATIENCE) as u64);
+    call.deadline.min(Instant::now() + patience)
+}
+
+fn whole(parts: Parts, body: Bytes) -> Response<Reply> {
+    let mut response = Response::new(http::full(body));
+    *response.status_mut() = parts.status;
+    *response.headers_mut() = answer::headers(&parts.headers);
+    response
+}
+
+/// Passes an answer on as it comes; it is broken off if the time runs out.
+fn relay(answer: Answer, deadline: Instant) -> Response<Reply> {
+    let status = answer.parts.status;
+    let headers = answer::headers(&answer.parts.headers);
+    let frames = futures::stream::unfold(Some(answer), move |answer| async move {
+        let mut answer = answer?;
+        match timeout_at(deadline, answer.body.frame()).await {
+            Ok(None) => None,
+            Ok(Some(Ok(frame))) => Some((Ok(frame), Some(answer))),
+            Ok(Some(Err(error))) => {
+                answer.note(Outcome::Failed);
+                Some((Err::<Frame<Bytes>, http::BodyError>(error.into()), None))
+            }
+            Err(elapsed) => Some((Err(elapsed.into()), None)),
+        }
+    });
+    let mut response = Response::new(BoxBody::new(StreamBody::new(frames)));
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
+
+fn reason(failure: Failure) -> Reason {
+    match failure {
+        Failure::Unsent => Reason::NoEndpoint,
+        Failure::Refused => Reason::Refused,
+        Failure::Broken => Reason::Broken,
+        Failure::Timeout => Reason::Timeout,
+    }
+}
+
+fn retry(failure: Failure) -> Retry {
+    match failure {
+        Failure::Unsent => Retry::Unreachable,
+        Failure::Refused => Retry::Refused,
+        Failure::Broken | Failure::Timeout => Retry::Broken,
+    }
+}
+
+/// Says when to come back if the request has not run.
+fn refusal(reason: Reason) -> Refusal {
+    match reason {
+        Reason::Broken | Reason::Timeout => reason.into(),
+        _ => Refusal::later(reason, COME_BACK),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/stream.rs
@@ -0,0 +1,409 @@
+//! Streams of generated tokens: memory reserved, prompt read, tokens generated and relayed.
+//!
+//! Decode memory runs out first, and a prefill's result lives for half a second. So memory is
+//! reserved at a decoding engine before the prompt is read; the engine itself arbitrates between
+//! nodes. A stream that breaks off is continued at another engine if its route allows.
+
+use crate::event;
+use crate::events::Events;
+use crate::exchange::{self, Answer, Call, Failure, Seat};
+use crate::meter::{Meter, Retry};
+use crate::node::{Node, Reply};
+use crate::refusal::{Reason, Refusal};
+use bytes::Bytes;
+use crosslane_coordination::pool::{Outcome, Query};
+use crosslane_platform::ask::Purpose;
+use crosslane_platform::{answer, engine};
+use crosslane_state::endpoint::{Endpoint, Key, Stage};
+use crosslane_state::route::{Engine, Kind, Route};
+use crosslane_transport::http::BodyError;
+use http_body_util::combinators::BoxBody;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::Response;
+use hyper::body::Frame;
+use log::{debug, info};
+use rand::Rng;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep, timeout_at};
+
+/// Share of the target that a request may wait for memory: the rest is left for the prefill, the
+/// transfer and the first event.
+const WAIT_SHARE: f64 = 0.72;
+
+/// Pause before memory is asked for again: about the time in which one of the sites' engines ends
+/// a draft at full load.
+const PAUSE_MILLIS: std::ops::Range<u64> = 50..90;
+
+/// Engines asked for memory before a pause.
+const ASKED: usize = 2;
+
+/// Share of an engine's memory above which it is believed to be full and not asked.
+const FULL: f64 = 1.0;
+
+/// Time for the answer to a reservation.
+const HOLD_ANSWER: Duration = Duration::from_millis(300);
+
+/// Time for the answer to a release.
+const RELEASE_ANSWER: Duration = Duration::from_millis(800);
+
+/// Longest answer to a prefill, in bytes.
+const PREFILL_BYTES: usize = 16_384;
+
+/// Share of the most tokens that are expected where the caller gives no estimate.
+const USUAL_SHARE: f64 = 0.5;
+
+/// Silence, as a multiple of the longest pause on time, after which an engine counts as stalled.
+const STALL: u64 = 5;
+
+/// When a refused caller should come back, in milliseconds: drafts last some 3 s, and bursts are
+/// over within seconds. Spread, so that the refused don't come back at once.
+const COME_BACK_MILLIS: std::ops::Range<u64> = 900..2_600;
+
+/// A stream on its way.
+pub struct Run {
+    node: Arc<Node>,
+    call: Call,
+    route: Route,
+    service: String,
+    engine: Engine,
+    /// Endpoints to which the request was sent.
+    sent: u32,
+}
+
+/// Memory reserved at a decoding engine; released when dropped before its use.
+struct Hold {
+    node: Arc<Node>,
+    engine: Endpoint,
+    id: Option<String>,
+    seat: Option<Seat>,
+}
+
+impl Drop for Hold {
+    fn drop(&mut self) {
+        if let Some(id) = self.id.take() {
+            release(&self.node, &self.engine, engine::drop_hold(&self.engine, &id));
+        }
+    }
+}
+
+/// KV cache kept at a prefilling engine; freed when dropped before its use.
+struct Handle {
+    node: Arc<Node>,
+    engine: Endpoint,
+    id: Option<String>,
+}
+
+impl Drop for Handle {
+    fn drop(&mut self) {
+        if let Some(id) = self.id.take() {
+            release(&self.node, &self.engine, engine::drop_handle(&self.engine, &id));
+        }
+    }
+}
+
+/// Makes a call that gives something back; what is lost lapses at the engine by itself.
+fn release(
+    node: &Arc<Node>,
+    engine: &Endpoint,
+    request: crosslane_transport::connection::Outgoing,
+) {
+    let control = node.control.clone();
+    let to = engine.address;
+    tokio::spawn(async move {
+        if let Err(error) = control.call(to, request, RELEASE_ANSWER).await {
+            debug!("release at {to}: {error}");
+        }
+    });
+}
+
+impl Run {
+    /// A stream for a service's engines.
+    pub fn new(
+        node: Arc<Node>,
+        route: Route,
+        service: String,
+        engine: Engine,
+        call: Call,
+    ) -> Self {
+        Self { node, call, route, service, engine, sent: 0 }
+    }
+
+    /// Carries the request to engines and returns the stream.
+    pub async fn start(mut self) -> Result<Response<Reply>, Refusal> {
+        let patience = Duration::from_millis((self.route.target as f64 * WAIT_SHARE) as u64);
+        let until = self.call.deadline.min(self.call.arrived + patience);
+        let mut hold = self.reserve(until).await?;
+        Meter::time(&self.node.meter.wait, self.call.arrived.elapsed());
+        let mut handle = self.prefill().await?;
+        let answer = self.decode(&mut hold, handle.as_mut(), self.call.ask.last_event).await;
+        let answer = match answer {
+            Ok(answer) => answer,
+            Err(failure) => self.again(failure).await?,
+        };
+        Meter::time(&self.node.meter.first, self.call.arrived.elapsed());
+        Ok(self.relay(answer))
+    }
+
+    /// Tokens of KV cache that the request is expected to need.
+    fn tokens(&self) -> u32 {
+        let ask = &self.call.ask;
+        let usual = (f64::from(ask.most) * USUAL_SHARE) as u32;
+        ask.prompt + ask.hint.unwrap_or(usual).min(ask.most)
+    }
+
+    /// Reserves memory at a decoding engine.
+    async fn reserve(&self, until: Instant) -> Result<Hold, Refusal> {
+        let tokens = self.tokens();
+        let mut rounds = 0_u32;
+        loop {
+            let mut tried = Vec::new();
+            while tried.len() < ASKED {
+                let Some((key, score)) = self.choose(Stage::Decode, &tried) else {
+                    break;
+                };
+                let crowded = score > FULL;
+                if crowded {
+                    break;
+                }
+                match self.hold(key, tokens).await {
+                    Some(hold) => return Ok(hold),
+                    None => tried.push(key),
+                }
+            }
+            rounds += 1;
+            let pause = Duration::from_millis(rand::rng().random_range(PAUSE_MILLIS));
+            if Instant::now() + pause >= until {
+                let occupancy = self.node.pool().occupancy(&self.service, self.engine.capacity);
+                let request = self.call.ask.id.as_str();
+                info!(request, tokens, rounds, occupancy, outcome = "no_room"; "{}", event::RESERVE);
+                return Err(come_back(Reason::NoRoom));
+            }
+            sleep(pause).await;
+        }
+    }
+
+    fn choose(&self, stage: Stage, except: &[Key]) -> Option<(Key, f64)> {
+        let capacity = self.engine.capacity;
+        let query = Query { service: &self.service, stage, capacity, except };
+        self.node.pool().choose(query, self.node.now())
+    }
+
+    async fn hold(&self, key: Key, tokens: u32) -> Option<Hold> {
+        let engine = self.node.pool().get(key).cloned()?;
+        let seat = Seat::take(&self.node, key, tokens);
+        let request = engine::take_hold(&engine, tokens, self.engine.hold_limit);
+        let answer = self.node.control.call(engine.address, request, HOLD_ANSWER).await;
+        let id = match &answer {
+            Ok(answer) if answer.status.is_success() => engine::hold(&answer.body),
+            Ok(answer) => {
+                debug!("reservation at {}: {}", engine.id, answer.status);
+                seat.note(Outcome::Refused);
+                None
+            }
+            Err(error) => {
+                debug!("reservation at {}: {error}", engine.id);
+                seat.note(Outcome::Failed);
+                None
+            }
+        };
+        let id = id?;
+        Some(Hold { node: self.node.clone(), engine, id: Some(id), seat: Some(seat) })
+    }
+
+    /// Has the prompt read. Nothing is returned if that failed and the decoding engine is to read
+    /// it itself.
+    async fn prefill(&self) -> Result<Option<Handle>, Refusal> {
+        let Some((key, _)) = self.choose(Stage::Prefill, &[]) else {
+            return Ok(None);
+        };
+        let began = Instant::now();
+        let seat = Seat::take(&self.node, key, self.call.ask.prompt);
+        let sent = exchange::send(&self.call, seat, &Purpose::Prefill, self.call.deadline).await;
+        let Ok(answer) = sent else {
+            return Ok(None);
+        };
+        let engine = answer.endpoint.clone();
+        let read = answer.read(PREFILL_BYTES, self.call.deadline).await;
+        let id = read.ok().and_then(|(_, body)| engine::handle(&body));
+        Meter::time(&self.node.meter.prefill, began.elapsed());
+        Ok(id.map(|id| Handle { node: self.node.clone(), engine, id: Some(id) }))
+    }
+
+    /// Sends the request to the engine that holds its memory.
+    async fn decode(
+        &mut self,
+        hold: &mut Hold,
+        mut handle: Option<&mut Handle>,
+        last_event: Option<u64>,
+    ) -> Result<Answer, Failure> {
+        let Some(seat) = hold.seat.take() else {
+            return Err(Failure::Unsent);
+        };
+        let source = handle.as_deref().and_then(|it| Some((it.engine.address, it.id.as_deref()?)));
+        let purpose = Purpose::Decode { hold: hold.id.as_deref(), source, last_event };
+        let until = self.call.deadline;
+        let answer = exchange::send(&self.call, seat, &purpose, until).await;
+        self.sent += u32::from(!matches!(answer, Err(Failure::Unsent)));
+        if answer.is_ok() {
+            hold.id = None;
+            if let Some(handle) = &mut handle {
+                handle.id = None;
+            }
+        }
+        answer
+    }
+
+    /// Tries once more after an attempt that has no answer, where that is allowed.
+    async fn again(&mut self, failure: Failure) -> Result<Answer, Refusal> {
+        let kind = self.route.kind;
+        if failure.may_have_run() && !kind.idempotent() {
+            return Err(given_up(failure));
+        }
+        let mut failure = failure;
+        while self.sent < self.route.attempts.max(1) {
+            if self.sent > 0 && !self.node.take_repeat(&self.service) {
+                self.node.meter.retried(Retry::DeniedBudget);
+                break;
+            }
+            self.node.meter.retried(retry(failure));
+            match self.elsewhere(self.call.ask.last_event).await {
+                Ok(answer) => return Ok(answer),
+                Err(None) => break,
+                Err(Some(next)) if next.may_have_run() && !kind.idempotent() => {
+                    return Err(given_up(next));
+                }
+                Err(Some(next)) => failure = next,
+            }
+        }
+        Err(given_up(failure))
+    }
+
+    /// Runs the request at an engine that reads the prompt itself, after an event.
+    async fn elsewhere(&mut self, last_event: Option<u64>) -> Result<Answer, Option<Failure>> {
+        let patience = Duration::from_millis(self.route.target);
+        let until = self.call.deadline.min(Instant::now() + patience);
+        let mut hold = self.reserve(until).await.map_err(|_| None)?;
+        self.decode(&mut hold, None, last_event).await.map_err(Some)
+    }
+
+    fn relay(self, answer: Answer) -> Response<Reply> {
+        let status = answer.parts.status;
+        let headers = answer::headers(&answer.parts.headers);
+        let relay = Relay { run: self, answer: Some(answer), events: Events::default() };
+        let frames = futures::stream::unfold(relay, Relay::next);
+        let mut response = Response::new(BoxBody::new(StreamBody::new(frames)));
+        *response.status_mut() = status;
+        *response.headers_mut() = headers;
+        response
+    }
+}
+
+/// Passes events on.
+struct Relay {
+    run: Run,
+    answer: Option<Answer>,
+    events: Events,
+}
+
+/// What came of a stream.
+enum Piece {
+    Data(Bytes),
+    End,
+    Broken(&'static str),
+}
+
+type Item = (Result<Frame<Bytes>, BodyError>, Relay);
+
+impl Relay {
+    async fn next(mut self) -> Option<Item> {
+        loop {
+            self.answer.as_ref()?;
+            match self.piece().await {
+                Piece::Data(bytes) => {
+                    if let Some(whole) = self.events.push(&bytes) {
+                        return Some((Ok(Frame::data(whole)), self));
+                    }
+                }
+                Piece::End => {
+                    self.note(Outcome::Good);
+                    return None;
+                }
+                Piece::Broken(why) => {
+                    self.note(Outcome::Failed);
+                    self.answer = None;
+                    if !self.resume(why).await {
+                        return Some((Err(why.into()), self));
+                    }
+                }
+            }
+        }
+    }
+
+    fn note(&self, outcome: Outcome) {
+        if let Some(answer) = &self.answer {
+            answer.note(outcome);
+        }
+    }
+
+    async fn piece(&mut self) -> Piece {
+        let Some(answer) = &mut self.answer else {
+            return Piece::End;
+        };
+        let began = Instant::now();
+        let stall = Duration::from_millis(self.run.route.gap * STALL);
+        let until = self.run.call.deadline.min(began + stall);
+        let frame = timeout_at(until, answer.body.frame()).await;
+        Meter::time(&self.run.node.meter.gap, began.elapsed());
+        match frame {
+            Ok(Some(Ok(frame))) => Piece::Data(frame.into_data().unwrap_or_default()),
+            Ok(Some(Err(_))) => Piece::Broken("engine broke off"),
+            Ok(None) if self.events.partial() => Piece::Broken("engine ended within an event"),
+            Ok(None) => Piece::End,
+            Err(_) if self.run.call.left().is_zero() => Piece::Broken("time ran out"),
+            Err(_) => Piece::Broken("engine stalled"),
+        }
+    }
+
+    /// Continues the stream at another engine; false if that may not or could not be done.
+    async fn resume(&mut self, why: &str) -> bool {
+        let last = self.events.last_id().or(self.run.call.ask.last_event);
+        let resumable = self.run.route.kind == Kind::Stream { resumable: true };
+        let request = self.run.call.ask.id.clone();
+        let left = self.run.call.left();
+        let allowed = resumable && !left.is_zero() && self.run.sent < self.run.route.attempts;
+        if !allowed || !self.run.node.take_repeat(&self.run.service) {
+            info!(request, why, outcome = "cut", after = last.unwrap_or_default(); "{}", event::ATTEMPT);
+            return false;
+        }
+        self.events.discard();
+        let resumed = self.run.elsewhere(last).await;
+        let outcome = if resumed.is_ok() { "resumed" } else { "not resumed" };
+        info!(request, why, outcome, after = last.unwrap_or_default(); "{}", event::ATTEMPT);
+        self.run.node.meter.retried(Retry::Resumed);
+        self.answer = resumed.ok().filter(|it| it.parts.status.is_success());
+        self.answer.is_some()
+    }
+}
+
+fn come_back(reason: Reason) -> Refusal {
+    let wait = rand::rng().random_range(COME_BACK_MILLIS);
+    Refusal::later(reason, Duration::from_millis(wait))
+}
+
+fn given_up(failure: Failure) -> Refusal {
+    match failure {
+        Failure::Broken => Reason::Broken.into(),
+        Failure::Timeout => Reason::Timeout.into(),
+        Failure::Unsent => come_back(Reason::NoEndpoint),
+        Failure::Refused => come_back(Reason::Refused),
+    }
+}
+
+fn retry(failure: Failure) -> Retry {
+    match failure {
+        Failure::Unsent => Retry::Unreachable,
+        Failure::Refused => Retry::Refused,
+        Failure::Broken | Failure::Timeout => Retry::Broken,
+    }
+}
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -4,11 +4,13 @@
 
 pub mod answer;
 pub mod attempt;
+pub mod endpoint;
 pub mod hash;
 pub mod incarnation;
 pub mod load;
 pub mod member;
 pub mod policy;
 pub mod request;
+pub mod route;
 pub mod runner;
 pub mod time;
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod call;
 pub mod claims;
 pub mod clock;
+pub mod connection;
 pub mod drain;
 pub mod engine;
 pub mod entry;
