Order engines only on a settled list, and keep two of nine prefilling

Also: a failed prefill was an arrival, so the decode after it was a repeat nobody paid for (BUDGET), and an endpoint whose record lapsed was kept 2 s plus a tidying round (DRAIN), and the decoding engine was not looked at again after a long prefill (DRAIN). Ruled out: decode memory (no reservation was refused in that time).

--- a/crates/coordination/src/pool.rs
+++ b/crates/coordination/src/pool.rs
@@ -31,9 +31,10 @@
 /// Time that what a silent node had at endpoints is still counted, in milliseconds.
 const PEER_LIFE: u64 = 2_000;
 
-/// Time that an endpoint is kept after its record lapsed with the store, in milliseconds: live
-/// ones are back within about 2 s of the store's return.
-const LAPSE_GRACE: u64 = 2_000;
+/// Time that an endpoint is kept after its record lapsed with the store, in milliseconds. Live ones
+/// are back within about 2 s of the store's return; one that really left must get no work 2 s
+/// after its record went, and a request may be on its way for some hundred milliseconds.
+const LAPSE_GRACE: u64 = 1_200;
 
 /// What one node has at one endpoint.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
--- a/crates/coordination/src/stages.rs
+++ b/crates/coordination/src/stages.rs
@@ -11,8 +11,13 @@
 /// their power when a third of the engines prefill; a quarter was best in trials of 9 and 18.
 const ENGINES_PER_PREFILL: usize = 4;
 
-/// Engines per prefilling engine below which one is taken back from decoding.
-const ENGINES_PER_PREFILL_MOST: usize = 8;
+/// Engines per prefilling engine above which one is taken back from decoding: with one in eight
+/// left, a site's usual prompts kept it fully busy, and each waited a second.
+const ENGINES_PER_PREFILL_MOST: usize = 6;
+
+/// Time that the list of engines must stand still before anything is ordered, in milliseconds.
+/// Engines of a starting site appear over some 3 s, and a share of a part of them is wrong.
+const SETTLED: u64 = 800;
 
 /// Time before the same engine is ordered again, in milliseconds: an order may be carried out 12 s
 /// late, and a change of stage takes about 6 s more.
@@ -31,11 +36,16 @@
 #[derive(Debug, Default)]
 pub struct Plan {
     ordered: HashMap<Key, (Stage, Millis)>,
+    seen: Vec<Key>,
+    since: Millis,
 }
 
 impl Plan {
     /// Changes wanted among the live engines of one service.
     pub fn changes(&mut self, engines: &[(Key, &Endpoint)], now: Millis) -> Vec<Change> {
+        if !self.settled(engines, now) {
+            return Vec::new();
+        }
         self.ordered.retain(|key, (_, at)| {
             now.since(*at) < REORDER && engines.iter().any(|(it, _)| it == key)
         });
@@ -58,6 +68,14 @@
         free.take(count).map(|(key, _)| Change { key: *key, stage: to }).collect()
     }
 
+    fn settled(&mut self, engines: &[(Key, &Endpoint)], now: Millis) -> bool {
+        if !self.seen.iter().eq(engines.iter().map(|(key, _)| key)) {
+            self.seen = engines.iter().map(|(key, _)| *key).collect();
+            self.since = now;
+        }
+        now.since(self.since) >= SETTLED
+    }
+
     /// Remembers that an order was sent.
     pub fn sent(&mut self, change: Change, now: Millis) {
         self.ordered.insert(change.key, (change.stage, now));
--- a/crates/gateway/src/duty.rs
+++ b/crates/gateway/src/duty.rs
@@ -7,6 +7,7 @@
 use crosslane_platform::engine::{self, Order};
 use crosslane_platform::store::{Client, Error, Record};
 use log::{debug, info};
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -26,24 +27,27 @@
 /// Time for an order's answer.
 const ANSWER: Duration = Duration::from_millis(800);
 
+/// Plans by service.
+type Plans = HashMap<String, Plan>;
+
 /// Gives orders when it is this node's turn, for good.
 pub async fn run(node: Arc<Node>) {
     sleep(SETTLE).await;
     let mut client = Client::new(node.settings.store);
     let mut lease = Lease::new(node.settings.vm.clone(), node.settings.lease);
-    let mut plan = Plan::default();
+    let mut plans = HashMap::new();
     loop {
         let steady = node.stopping.borrow().is_none();
         let first = lock(&node.members).first(&node.settings.vm, node.now());
         if steady && first {
-            round(&node, &mut client, &mut lease, &mut plan).await;
+            round(&node, &mut client, &mut lease, &mut plans).await;
         }
         sleep(LOOK).await;
     }
 }
 
-async fn round(node: &Arc<Node>, client: &mut Client, lease: &mut Lease, plan: &mut Plan) {
-    let changes = changes(node, plan);
+async fn round(node: &Arc<Node>, client: &mut Client, lease: &mut Lease, plans: &mut Plans) {
+    let changes = changes(node, plans);
     if changes.is_empty() {
         return;
     }
@@ -51,9 +55,9 @@
     match acquire(node, client, lease).await {
         Ok(Some(fence)) => {
             info!(fence, orders = changes.len(); "{}", event::LEASE);
-            for change in changes {
+            for (service, change) in changes {
                 if began.elapsed() < Duration::from_millis(ORDER_WINDOW) {
-                    plan.sent(change, node.now());
+                    plans.entry(service).or_default().sent(change, node.now());
                     tokio::spawn(order(node.clone(), change, fence));
                 }
             }
@@ -66,11 +70,16 @@
     }
 }
 
-fn changes(node: &Node, plan: &mut Plan) -> Vec<Change> {
+fn changes(node: &Node, plans: &mut Plans) -> Vec<(String, Change)> {
     let now = node.now();
     let pool = node.pool();
-    let services = pool.engines();
-    services.values().flat_map(|engines| plan.changes(engines, now)).collect()
+    let mut wanted = Vec::new();
+    for (service, engines) in pool.engines() {
+        let plan = plans.entry(service.to_owned()).or_default();
+        let changes = plan.changes(&engines, now).into_iter();
+        wanted.extend(changes.map(|change| (service.to_owned(), change)));
+    }
+    wanted
 }
 
 /// Takes the lease, and returns its fencing token.
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -9,6 +9,7 @@
 use crosslane_coordination::pool::Pool;
 use crosslane_platform::settings::Settings;
 use crosslane_platform::{configuration, discovery};
+use crosslane_state::endpoint::Stage;
 use crosslane_state::route::Table;
 use crosslane_state::time::Millis;
 use crosslane_transport::clock::Clock;
@@ -168,7 +169,10 @@
         let missing = pool.len().saturating_sub(endpoints.len());
         let lapsed = now.since(back) < LAPSE_WINDOW && back > Millis::default();
         let lenient = lapsed || missing * MASS_LAPSE > pool.len();
-        info!(offset = end, listed = endpoints.len(), draining, lenient, source; "{}", event::ENDPOINTS);
+        let prefill = endpoints.iter().filter(|it| it.stage == Stage::Prefill).count();
+        let decode = endpoints.iter().filter(|it| it.stage == Stage::Decode).count();
+        let listed = endpoints.len();
+        info!(offset = end, listed, prefill, decode, draining, lenient, source; "{}", event::ENDPOINTS);
         pool.replace(endpoints, lenient, now);
         self.meter.endpoints.set(pool.len() as i64);
     }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -47,6 +47,10 @@
 /// Time for the answer to a release.
 const RELEASE_ANSWER: Duration = Duration::from_millis(800);
 
+/// Time for a prefill, queueing included: the longest prompts take some 200 ms. After it the
+/// decoding engine reads the prompt itself, while its reservation still lasts.
+const PREFILL_LIMIT: Duration = Duration::from_millis(1_000);
+
 /// Longest answer to a prefill, in bytes.
 const PREFILL_BYTES: usize = 16_384;
 
@@ -75,6 +79,7 @@
 struct Hold {
     node: Arc<Node>,
     engine: Endpoint,
+    key: Key,
     id: Option<String>,
     seat: Option<Seat>,
 }
@@ -135,7 +140,16 @@
         let until = self.call.deadline.min(self.call.arrived + patience);
         let mut hold = self.reserve(until).await?;
         Meter::time(&self.node.meter.wait, self.call.arrived.elapsed());
-        let mut handle = self.prefill().await?;
+        let mut handle = self.prefill().await;
+        if handle.is_none() && !self.node.take_repeat(&self.service) {
+            // The engine that was to read the prompt had an attempt; the next one is a repeat.
+            self.node.meter.retried(Retry::DeniedBudget);
+            return Err(come_back(Reason::Refused));
+        }
+        if !self.node.pool().usable(hold.key) {
+            // It announced that it leaves while the prompt was read.
+            hold = self.reserve(self.call.deadline.min(Instant::now() + patience)).await?;
+        }
         let answer = self.decode(&mut hold, handle.as_mut(), self.call.ask.last_event).await;
         let answer = match answer {
             Ok(answer) => answer,
@@ -208,26 +222,22 @@
             }
         };
         let id = id?;
-        Some(Hold { node: self.node.clone(), engine, id: Some(id), seat: Some(seat) })
+        Some(Hold { node: self.node.clone(), engine, key, id: Some(id), seat: Some(seat) })
     }
 
     /// Has the prompt read. Nothing is returned if that failed and the decoding engine is to read
     /// it itself.
-    async fn prefill(&self) -> Result<Option<Handle>, Refusal> {
-        let Some((key, _)) = self.choose(Stage::Prefill, &[]) else {
-            return Ok(None);
-        };
+    async fn prefill(&self) -> Option<Handle> {
+        let (key, _) = self.choose(Stage::Prefill, &[])?;
         let began = Instant::now();
         let seat = Seat::take(&self.node, key, self.call.ask.prompt);
-        let sent = exchange::send(&self.call, seat, &Purpose::Prefill, self.call.deadline).await;
-        let Ok(answer) = sent else {
-            return Ok(None);
-        };
+        let until = self.call.deadline.min(began + PREFILL_LIMIT);
+        let answer = exchange::send(&self.call, seat, &Purpose::Prefill, until).await.ok()?;
         let engine = answer.endpoint.clone();
-        let read = answer.read(PREFILL_BYTES, self.call.deadline).await;
-        let id = read.ok().and_then(|(_, body)| engine::handle(&body));
+        let (_, body) = answer.read(PREFILL_BYTES, until).await.ok()?;
+        let id = engine::handle(&body)?;
         Meter::time(&self.node.meter.prefill, began.elapsed());
-        Ok(id.map(|id| Handle { node: self.node.clone(), engine, id: Some(id) }))
+        Some(Handle { node: self.node.clone(), engine, id: Some(id) })
     }
 
     /// Sends the request to the engine that holds its memory.
--- a/crates/transport/src/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -10,6 +10,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
+use std::error::Error as _;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -107,7 +108,7 @@
             Ok(Ok(response)) => Ok(response),
             Ok(Err(mut error)) => {
                 let unsent = error.take_message().is_some();
-                let message = error.into_error().to_string();
+                let message = reason(&error.into_error());
                 let connect = Error::Connect { to, message: message.clone() };
                 Err(if unsent { connect } else { Error::Broken { to, message } })
             }
@@ -126,6 +127,11 @@
     }
 }
 
+/// What the system saw, rather than hyper's summary of it.
+fn reason(error: &hyper::Error) -> String {
+    error.source().map_or_else(|| error.to_string(), |source| format!("{error}: {source}"))
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.driver.abort();
