--- a/crates/coordination/src/pool.rs
+++ b/crates/coordination/src/pool.rs
@@ -16,7 +16,7 @@
 const FAILURE_HALF_LIFE: f64 = 2_500.0;
 
 /// Failures, faded, that weigh as much as a full endpoint.
-const FAILURE_FULL: f64 = 1.5;
+const FAILURE_FULL: f64 = 1.0;
 
 /// Most failures that count, here and elsewhere together: beyond, an endpoint is the last choice
 /// whatever the number of nodes that saw it fail.
@@ -62,6 +62,8 @@
     Error,
     /// Broke off, answered nonsense or was silent.
     Failed,
+    /// Took no connection. It looks empty, but must not be asked before those that are nearly full.
+    Down,
 }
 
 impl Outcome {
@@ -71,7 +73,8 @@
             Self::Good => -0.5,
             Self::Refused => 0.15,
             Self::Error => 0.35,
-            Self::Failed => 1.0,
+            Self::Failed => 0.6,
+            Self::Down => 1.5,
         }
     }
 }
--- a/crates/coordination/src/stages.rs
+++ b/crates/coordination/src/stages.rs
@@ -23,9 +23,9 @@
 /// late, and a change of stage takes about 6 s more.
 const REORDER: u64 = 20_000;
 
-/// Time that a number of engines is remembered, in milliseconds: crashes last some 5 s, and a
-/// change of stage takes about 6 s out of an engine's work.
-const REMEMBERED: u64 = 20_000;
+/// Time that a number of engines is remembered, in milliseconds: engines that crash are back after
+/// some 5 s, and a change of stage takes about 6 s out of an engine's work.
+const REMEMBERED: u64 = 8_000;
 
 /// A change of stage to order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -92,6 +92,11 @@
         now.since(self.since) >= SETTLED
     }
 
+    /// Takes notice of an order that another node sent, unless it is known.
+    pub fn told(&mut self, change: Change, now: Millis) {
+        self.ordered.entry(change.key).or_insert((change.stage, now));
+    }
+
     /// Remembers that an order was sent.
     pub fn sent(&mut self, change: Change, now: Millis) {
         self.ordered.insert(change.key, (change.stage, now));
--- a/crates/gateway/src/duty.rs
+++ b/crates/gateway/src/duty.rs
@@ -6,7 +6,9 @@
 use crosslane_coordination::stages::{Change, Plan};
 use crosslane_platform::engine::{self, Order};
 use crosslane_platform::store::{Client, Error, Record};
+use crosslane_state::endpoint::{Stage, Tag};
 use log::{debug, info};
+use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -46,14 +48,22 @@
     }
 }
 
+/// What the record of the lease says.
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct Turn {
+    /// Holder.
+    holder: String,
+    /// Orders of this turn, so that the next holder does not give them again.
+    orders: Vec<(Tag, Stage)>,
+}
+
 async fn round(node: &Arc<Node>, client: &mut Client, lease: &mut Lease, plans: &mut Plans) {
-    let changes = changes(node, plans);
-    if changes.is_empty() {
+    if changes(node, plans).is_empty() {
         return;
     }
     let began = Instant::now();
-    match acquire(node, client, lease).await {
-        Ok(Some(fence)) => {
+    match acquire(node, client, lease, plans).await {
+        Ok(Some((fence, changes))) => {
             info!(fence, orders = changes.len(); "{}", event::LEASE);
             for (service, change) in changes {
                 if began.elapsed() < Duration::from_millis(ORDER_WINDOW) {
@@ -82,23 +92,56 @@
     wanted
 }
 
-/// Takes the lease, and returns its fencing token.
+/// Counts the orders of an earlier turn as sent, unless they were carried out already.
+fn absorb(node: &Node, plans: &mut Plans, turn: &Turn) {
+    let now = node.now();
+    let pool = node.pool();
+    for (service, engines) in pool.engines() {
+        let plan = plans.entry(service.to_owned()).or_default();
+        for (key, engine) in engines {
+            let tag = Tag::of(&engine.id);
+            let order = turn.orders.iter().find(|it| it.0 == tag);
+            if let Some((_, stage)) = order.filter(|it| it.1 != engine.stage) {
+                plan.told(Change { key, stage: *stage }, now);
+            }
+        }
+    }
+}
+
+/// Takes the lease; returns its fencing token and the orders to give.
 async fn acquire(
     node: &Node,
     client: &mut Client,
     lease: &mut Lease,
-) -> Result<Option<u64>, Error> {
+    plans: &mut Plans,
+) -> Result<Option<(u64, Vec<(String, Change)>)>, Error> {
     let page = client.newest(TOPIC).await?;
-    let holder = page.records.iter().rfind(|it| it.key == KEY).and_then(|it| it.value.as_deref());
-    let holder = holder.map(|it| String::from_utf8_lossy(it).into_owned());
-    let held = Held { holder, end: page.end };
+    let record = page.records.iter().rfind(|it| it.key == KEY).and_then(|it| it.value.as_deref());
+    let turn: Option<Turn> = record.and_then(|it| bincode::deserialize(it).ok());
+    if let Some(turn) = &turn {
+        absorb(node, plans, turn);
+    }
+    let changes = changes(node, plans);
+    if changes.is_empty() {
+        return Ok(None);
+    }
+    let held = Held { holder: turn.map(|it| it.holder), end: page.end };
     let Step::Append { end } = lease.step(&held, node.now()) else {
         return Ok(None);
     };
-    let value = node.settings.vm.clone();
+    let orders = orders(node, &changes);
+    let turn = Turn { holder: node.settings.vm.clone(), orders };
+    let value = bincode::serialize(&turn).unwrap_or_default();
     let record = Record { key: KEY.into(), value: Some(value.into()) };
     // Tokens start from one, since zero may mean none.
-    client.append(TOPIC, &record, Some(end)).await.map(|offset| Some(offset + 1))
+    let offset = client.append(TOPIC, &record, Some(end)).await?;
+    Ok(Some((offset + 1, changes)))
+}
+
+fn orders(node: &Node, changes: &[(String, Change)]) -> Vec<(Tag, Stage)> {
+    let pool = node.pool();
+    let rows = changes.iter().filter_map(|(_, it)| Some((pool.get(it.key)?, it.stage)));
+    rows.map(|(engine, stage)| (Tag::of(&engine.id), stage)).collect()
 }
 
 async fn order(node: Arc<Node>, change: Change, fence: u64) {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -150,7 +150,7 @@
         Ok(answered) => answered,
         Err(error) => {
             let failure = Failure::from(&error);
-            seat.note(Outcome::Failed);
+            seat.note(outcome(&error));
             told(call, &endpoint, failure, &error.to_string());
             return Err(failure);
         }
@@ -206,6 +206,11 @@
     info!(request, to, failure:% = failure, why, left_ms; "{}", event::ATTEMPT);
 }
 
+/// What a failed connection says of the endpoint.
+pub fn outcome(error: &Error) -> Outcome {
+    if error.sent() { Outcome::Failed } else { Outcome::Down }
+}
+
 impl From<&Error> for Failure {
     fn from(error: &Error) -> Self {
         match error {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -35,8 +35,9 @@
 /// a draft at full load.
 const PAUSE_MILLIS: std::ops::Range<u64> = 50..90;
 
-/// Engines asked for memory before a pause.
-const ASKED: usize = 2;
+/// Engines asked for memory before a pause: some may have crashed, and a refusal costs one short
+/// call.
+const ASKED: usize = 4;
 
 /// Share of an engine's memory above which it is believed to be full and not asked.
 const FULL: f64 = 1.0;
@@ -172,35 +173,50 @@
 
     /// Reserves memory at a decoding engine.
     async fn reserve(&self, until: Instant) -> Result<Hold, Refusal> {
-        let tokens = self.tokens();
         let mut rounds = 0_u32;
         loop {
-            let mut tried = Vec::new();
-            while tried.len() < ASKED && self.prefill_free() {
-                let Some((key, score)) = self.choose(Stage::Decode, &tried) else {
-                    break;
-                };
-                let crowded = score > FULL;
-                if crowded {
-                    break;
-                }
-                match self.hold(key, tokens).await {
-                    Some(hold) => return Ok(hold),
-                    None => tried.push(key),
-                }
-            }
+            let bound = match self.round().await {
+                Ok(hold) => return Ok(hold),
+                Err(bound) => bound,
+            };
             rounds += 1;
             let pause = Duration::from_millis(rand::rng().random_range(PAUSE_MILLIS));
             if Instant::now() + pause >= until {
-                let occupancy = self.node.pool().occupancy(&self.service, self.engine.capacity);
-                let request = self.call.ask.id.as_str();
-                info!(request, tokens, rounds, occupancy, outcome = "no_room"; "{}", event::RESERVE);
+                self.no_room(bound, rounds);
                 return Err(come_back(Reason::NoRoom));
             }
             sleep(pause).await;
         }
     }
 
+    /// Asks the best engines for memory once, or says what is short.
+    async fn round(&self) -> Result<Hold, &'static str> {
+        let tokens = self.tokens();
+        let mut tried = Vec::new();
+        while tried.len() < ASKED {
+            if !self.prefill_free() {
+                return Err("prefill");
+            }
+            let (key, load) = self.choose(Stage::Decode, &tried).ok_or("engines")?;
+            if load > FULL {
+                return Err("memory");
+            }
+            match self.hold(key, tokens).await {
+                Some(hold) => return Ok(hold),
+                None => tried.push(key),
+            }
+        }
+        Err("reservations")
+    }
+
+    fn no_room(&self, bound: &'static str, rounds: u32) {
+        let tokens = self.tokens();
+        let occupancy = self.node.pool().occupancy(&self.service, self.engine.capacity);
+        let request = self.call.ask.id.as_str();
+        let outcome = "no_room";
+        info!(request, tokens, rounds, bound, occupancy, outcome; "{}", event::RESERVE);
+    }
+
     /// Whether a prompt would be read soon; true where no engine prefills.
     fn prefill_free(&self) -> bool {
         self.choose(Stage::Prefill, &[]).is_none_or(|(_, score)| score < FULL)
@@ -229,7 +245,7 @@
             }
             Err(error) => {
                 debug!("reservation at {}: {error}", engine.id);
-                seat.note(Outcome::Failed);
+                seat.note(exchange::outcome(error));
                 None
             }
         };
