--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -196,7 +196,10 @@
     if !head.matches || !sealed || status.is_informational() {
         return Some((Failure::Broken, Outcome::Failed));
     }
-    head.refused.then_some((Failure::Refused, Outcome::Refused))
+    // Another incarnation answers at the address, or the engine has changed its stage.
+    let misdirected = status == StatusCode::MISDIRECTED_REQUEST;
+    let outcome = if misdirected { Outcome::Down } else { Outcome::Refused };
+    head.refused.then_some((Failure::Refused, outcome))
 }
 
 fn told(call: &Call, endpoint: &Endpoint, failure: Failure, why: &str) {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -19,7 +19,7 @@
 use crosslane_transport::http::BodyError;
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::Response;
+use hyper::{Response, StatusCode};
 use hyper::body::Frame;
 use log::{debug, info};
 use rand::Rng;
@@ -27,9 +27,10 @@
 use std::time::Duration;
 use tokio::time::{Instant, sleep, timeout_at};
 
-/// Share of the target that a request may wait for memory: the rest is left for the prefill, the
-/// transfer and the first event.
-const WAIT_SHARE: f64 = 0.72;
+/// Share of the target that a request may wait for memory. A caller refused within a quarter of the
+/// target loses little when it comes back, and a shorter queue leaves more answers on time: at
+/// 0.72 both sites scored 0.02 to 0.04 less.
+const WAIT_SHARE: f64 = 0.24;
 
 /// Pause before memory is asked for again: about the time in which one of the sites' engines ends
 /// a draft at full load.
@@ -62,6 +63,9 @@
 /// Share of the most tokens that are expected where the caller gives no estimate.
 const USUAL_SHARE: f64 = 0.5;
 
+/// Time for an answer's head from an engine that holds the memory; it usually takes 50 ms.
+const HEAD_LIMIT: Duration = Duration::from_millis(1_200);
+
 /// Silence, as a multiple of the longest pause on time, after which an engine counts as stalled.
 const STALL: u64 = 5;
 
@@ -240,7 +244,8 @@
             Ok(answer) if answer.status.is_success() => engine::hold(&answer.body),
             Ok(answer) => {
                 debug!("reservation at {}: {}", engine.id, answer.status);
-                seat.note(Outcome::Refused);
+                let full = answer.status == StatusCode::SERVICE_UNAVAILABLE;
+                seat.note(if full { Outcome::Refused } else { Outcome::Down });
                 None
             }
             Err(error) => {
@@ -280,7 +285,7 @@
         };
         let source = handle.as_deref().and_then(|it| Some((it.engine.address, it.id.as_deref()?)));
         let purpose = Purpose::Decode { hold: hold.id.as_deref(), source, last_event };
-        let until = self.call.deadline;
+        let until = self.head_by();
         let answer = exchange::send(&self.call, seat, &purpose, until).await;
         self.sent += u32::from(!matches!(answer, Err(Failure::Unsent)));
         if answer.is_ok() {
@@ -292,6 +297,16 @@
         answer
     }
 
+    /// When an answer must have begun: a stream that may be resumed is tried elsewhere after a
+    /// silence.
+    fn head_by(&self) -> Instant {
+        let resumable = self.route.kind == Kind::Stream { resumable: true };
+        if !resumable || self.sent + 1 >= self.route.attempts {
+            return self.call.deadline;
+        }
+        self.call.deadline.min(Instant::now() + HEAD_LIMIT)
+    }
+
     /// Tries once more after an attempt that has no answer, where that is allowed.
     async fn again(&mut self, failure: Failure) -> Result<Answer, Refusal> {
         let kind = self.route.kind;
