--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -71,7 +71,7 @@
 
 /// When a refused caller should come back, in milliseconds: drafts last some 3 s, and bursts are
 /// over within seconds. Spread, so that the refused don't come back at once.
-const COME_BACK_MILLIS: std::ops::Range<u64> = 900..2_600;
+const COME_BACK_MILLIS: std::ops::Range<u64> = 2_000..4_400;
 
 /// A stream on its way.
 pub struct Run {
