Let two nodes of a failure domain read the store, and tell the others by deltas

Ways weighed: one reader a site (its silence unseen for seconds), one a domain (the same within the domain), two a domain chosen by name from the beats, without agreement (taken); pushing records in beats (not needed: pulls come within a few ms of a change).

--- a/crates/gateway/src/duty.rs
+++ b/crates/gateway/src/duty.rs
@@ -40,7 +40,7 @@
     let mut plans = HashMap::new();
     loop {
         let steady = node.stopping.borrow().is_none();
-        let first = lock(&node.members).first(&node.settings.vm, node.now());
+        let first = lock(&node.members).first(node.now());
         if steady && first {
             round(&node, &mut client, &mut lease, &mut plans).await;
         }
--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -1,7 +1,9 @@
 //! Follows the store's topics by waiting reads.
+//!
+//! Each call is priced, so only some nodes of a failure domain read; the others are told by them.
 
 use crate::event;
-use crate::node::Node;
+use crate::node::{Node, STORE, lock};
 use crosslane_platform::store::{Client, Error};
 use log::{info, warn};
 use std::sync::Arc;
@@ -12,6 +14,9 @@
 /// store that came back, but lost the waiting read, too late for a new configuration.
 const WAIT: Duration = Duration::from_millis(2_000);
 
+/// Time between looks at whether this node is to read.
+const IDLE: Duration = Duration::from_millis(100);
+
 /// Pause after a failed call: refused calls are priced too.
 const PAUSE: Duration = Duration::from_millis(350);
 
@@ -24,17 +29,21 @@
     let mut whole = true;
     let mut failures = 0_u32;
     loop {
+        if !lock(&node.members).reads(node.now()) && !whole {
+            sleep(IDLE).await;
+            continue;
+        }
         match step(&node, &mut client, topic, &mut whole).await {
             Ok(()) => {
+                node.store_answered(failures > 0);
                 if failures > 0 {
-                    node.store_returned();
                     info!(topic, failures; "{}", event::REGAINED);
                 }
                 failures = 0;
             }
             Err(Error::Gone) => whole = true,
             Err(error) => {
-                node.meter.store_failed(topic);
+                node.store_failed(topic);
                 if failures == 0 {
                     warn!(topic, why:% = error; "{}", event::LOST);
                 }
@@ -60,7 +69,7 @@
     let empty = page.end == 0;
     *whole = empty;
     let change = node.mirror().take(topic, page, from);
-    node.apply(change, "store");
+    node.apply(change, STORE);
     if empty {
         sleep(PAUSE).await;
     }
--- a/crates/gateway/src/mirror.rs
+++ b/crates/gateway/src/mirror.rs
@@ -5,19 +5,33 @@
 use bytes::Bytes;
 use crosslane_platform::store::{self, Page, Record};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
-/// A copy that can be sent to another node.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
-pub struct Snapshot {
-    /// Offset after the newest record of the operators' topic.
-    pub operators_end: u64,
-    /// The configuration.
-    pub configuration: Option<Vec<u8>>,
-    /// Offset after the newest record of the endpoints' topic.
-    pub endpoints_end: u64,
-    /// Endpoints' records by id.
-    pub endpoints: Vec<(String, Vec<u8>)>,
+/// Records of a topic that are kept for nodes that are a little behind: more than a site's
+/// endpoints write when they all start.
+const RECENT: usize = 512;
+
+/// A record with its offset, as nodes send it.
+type Numbered = (u64, String, Option<Vec<u8>>);
+
+/// What another node lacks of one topic.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Part {
+    /// Offset after the newest record.
+    pub end: u64,
+    /// Whether these are the newest records of all keys, rather than those that were lacking.
+    pub whole: bool,
+    /// Records.
+    pub records: Vec<Numbered>,
+}
+
+/// What another node lacks of both topics.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Delta {
+    /// Of the operators' topic.
+    pub operators: Part,
+    /// Of the endpoints' topic.
+    pub endpoints: Part,
 }
 
 /// What changed.
@@ -29,100 +43,128 @@
     pub endpoints: bool,
 }
 
+/// One topic.
+#[derive(Debug, Default)]
+struct Topic {
+    end: u64,
+    /// Newest record of each key.
+    newest: BTreeMap<String, Bytes>,
+    recent: VecDeque<(u64, Record)>,
+}
+
+impl Topic {
+    /// Takes records from an offset on, or without one all there are; false if nothing is new.
+    fn take(&mut self, page: Page, from: Option<u64>) -> bool {
+        if page.end <= self.end {
+            return false;
+        }
+        match from {
+            Some(from) => {
+                let told = self.end.saturating_sub(from) as usize;
+                let numbered = page.records.into_iter().enumerate().skip(told);
+                numbered.for_each(|(place, record)| self.put(from + place as u64, record));
+            }
+            None => {
+                self.newest.clear();
+                self.recent.clear();
+                let values = page.records.into_iter();
+                self.newest.extend(values.filter_map(|it| Some((it.key, it.value?))));
+            }
+        }
+        self.end = page.end;
+        true
+    }
+
+    fn put(&mut self, offset: u64, record: Record) {
+        match &record.value {
+            Some(value) => self.newest.insert(record.key.clone(), value.clone()),
+            None => self.newest.remove(&record.key),
+        };
+        if self.recent.len() == RECENT {
+            self.recent.pop_front();
+        }
+        self.recent.push_back((offset, record));
+    }
+
+    /// What a node lacks that has read up to an offset.
+    fn part(&self, from: u64) -> Part {
+        let kept = self.recent.front().is_some_and(|(offset, _)| *offset <= from);
+        let whole = from < self.end && !kept;
+        let bytes = |it: &Bytes| it.to_vec();
+        let records = if whole {
+            let newest = self.newest.iter();
+            newest.map(|(key, value)| (0, key.clone(), Some(bytes(value)))).collect()
+        } else {
+            let lacking = self.recent.iter().filter(|(offset, _)| *offset >= from);
+            let numbered = |(offset, it): &(u64, Record)| {
+                (*offset, it.key.clone(), it.value.as_ref().map(bytes))
+            };
+            lacking.map(numbered).collect()
+        };
+        Part { end: self.end, whole, records }
+    }
+
+    /// Takes what another node knows.
+    fn merge(&mut self, part: Part) -> bool {
+        let first = part.records.first().map_or(self.end, |it| it.0);
+        if !part.whole && first > self.end {
+            // What lies between was not sent.
+            return false;
+        }
+        let from = (!part.whole).then_some(first);
+        let record = |(_, key, value): Numbered| Record { key, value: value.map(Bytes::from) };
+        let records = part.records.into_iter().map(record).collect();
+        self.take(Page { records, end: part.end }, from)
+    }
+}
+
 /// The newest records of both topics.
 #[derive(Debug, Default)]
 pub struct Mirror {
-    operators_end: u64,
-    configuration: Option<Bytes>,
-    endpoints_end: u64,
-    endpoints: BTreeMap<String, Bytes>,
+    operators: Topic,
+    endpoints: Topic,
 }
 
 impl Mirror {
     /// Offsets after the newest records of the operators' and the endpoints' topic.
     pub fn ends(&self) -> (u64, u64) {
-        (self.operators_end, self.endpoints_end)
+        (self.operators.end, self.endpoints.end)
+    }
+
+    /// Offset after the newest record of a topic.
+    pub fn end(&self, topic: &str) -> u64 {
+        if topic == store::OPERATORS { self.operators.end } else { self.endpoints.end }
     }
 
     /// The configuration.
     pub fn configuration(&self) -> Option<&Bytes> {
-        self.configuration.as_ref()
+        self.operators.newest.get(store::CONFIGURATION)
     }
 
     /// Endpoints' records by id.
     pub fn endpoints(&self) -> impl Iterator<Item = (&String, &Bytes)> {
-        self.endpoints.iter()
+        self.endpoints.newest.iter()
     }
 
     /// Takes records of a topic: those from an offset on, or without one all there are. What
     /// another node told meanwhile is left out.
     pub fn take(&mut self, topic: &str, page: Page, from: Option<u64>) -> Change {
-        let known = self.end(topic);
-        if page.end <= known {
-            return Change::default();
-        }
-        let told = from.map_or(0, |from| known.saturating_sub(from));
-        let records = page.records.into_iter().skip(told as usize).collect();
         if topic == store::OPERATORS {
-            self.operators_end = page.end;
-            return self.take_operators(records);
-        }
-        self.endpoints_end = page.end;
-        self.take_endpoints(records, from.is_none())
-    }
-
-    /// Offset after the newest record of a topic.
-    pub fn end(&self, topic: &str) -> u64 {
-        if topic == store::OPERATORS { self.operators_end } else { self.endpoints_end }
-    }
-
-    fn take_operators(&mut self, records: Vec<Record>) -> Change {
-        let newest = records.into_iter().rfind(|it| it.key == store::CONFIGURATION);
-        let Some(value) = newest.and_then(|it| it.value) else {
-            return Change::default();
-        };
-        self.configuration = Some(value);
-        Change { configuration: true, endpoints: false }
-    }
-
-    fn take_endpoints(&mut self, records: Vec<Record>, whole: bool) -> Change {
-        if whole {
-            self.endpoints.clear();
-        }
-        for record in records {
-            match record.value {
-                Some(value) => self.endpoints.insert(record.key, value),
-                None => self.endpoints.remove(&record.key),
-            };
+            return Change { configuration: self.operators.take(page, from), endpoints: false };
         }
-        Change { configuration: false, endpoints: true }
+        Change { configuration: false, endpoints: self.endpoints.take(page, from) }
     }
 
-    /// A copy for another node.
-    pub fn snapshot(&self) -> Snapshot {
-        let endpoints = self.endpoints.iter().map(|(id, it)| (id.clone(), it.to_vec()));
-        Snapshot {
-            operators_end: self.operators_end,
-            configuration: self.configuration.as_ref().map(|it| it.to_vec()),
-            endpoints_end: self.endpoints_end,
-            endpoints: endpoints.collect(),
-        }
+    /// What a node lacks that has read both topics up to these offsets.
+    pub fn delta(&self, ends: (u64, u64)) -> Delta {
+        Delta { operators: self.operators.part(ends.0), endpoints: self.endpoints.part(ends.1) }
     }
 
-    /// Takes what is newer in another node's copy.
-    pub fn merge(&mut self, snapshot: Snapshot) -> Change {
-        let mut change = Change::default();
-        if snapshot.operators_end > self.operators_end && snapshot.configuration.is_some() {
-            self.operators_end = snapshot.operators_end;
-            self.configuration = snapshot.configuration.map(Bytes::from);
-            change.configuration = true;
-        }
-        if snapshot.endpoints_end > self.endpoints_end {
-            self.endpoints_end = snapshot.endpoints_end;
-            let endpoints = snapshot.endpoints.into_iter();
-            self.endpoints = endpoints.map(|(id, it)| (id, Bytes::from(it))).collect();
-            change.endpoints = true;
+    /// Takes what another node knows.
+    pub fn merge(&mut self, delta: Delta) -> Change {
+        Change {
+            configuration: self.operators.merge(delta.operators),
+            endpoints: self.endpoints.merge(delta.endpoints),
         }
-        change
     }
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -25,10 +25,17 @@
 /// milliseconds: about 2 s for live ones, and a margin for reading them.
 const LAPSE_WINDOW: u64 = 2_500;
 
+/// Time after a read in which the store counts as answering, in milliseconds: a waiting read and
+/// the time for its answer.
+const FED: u64 = 3_300;
+
 /// Share of the endpoints (one in so many) whose records going at once looks like a store that
 /// lost them rather than like endpoints that left.
 const MASS_LAPSE: usize = 3;
 
+/// Source of what was read from the store by this node.
+pub const STORE: &str = "store";
+
 /// What a node shares between its tasks.
 #[derive(Debug)]
 pub struct Node {
@@ -51,6 +58,7 @@
     pool: Mutex<Pool>,
     allowance: Mutex<Allowance>,
     store_back: Mutex<Millis>,
+    store_read: Mutex<Option<Millis>>,
 }
 
 impl Node {
@@ -73,6 +81,7 @@
             pool: Mutex::new(Pool::new(settings.domain.clone(), SmallRng::from_os_rng())),
             allowance: Mutex::new(Allowance::new(budget)),
             store_back: Mutex::default(),
+            store_read: Mutex::default(),
             settings,
         })
     }
@@ -113,9 +122,24 @@
         lock(&self.allowance).take(service, members, self.now())
     }
 
-    /// Notes that the store answered again after a failure.
-    pub fn store_returned(&self) {
-        *lock(&self.store_back) = self.now();
+    /// Notes that the store answered, for the first time since a failure if `returned`.
+    pub fn store_answered(&self, returned: bool) {
+        let now = self.now();
+        *lock(&self.store_read) = Some(now);
+        if returned {
+            *lock(&self.store_back) = now;
+        }
+    }
+
+    /// Notes that the store failed.
+    pub fn store_failed(&self, topic: &str) {
+        *lock(&self.store_read) = None;
+        self.meter.store_failed(topic);
+    }
+
+    /// Whether this node reads the store, and the store answers.
+    pub fn fed(&self) -> bool {
+        lock(&self.store_read).is_some_and(|at| self.now().since(at) < FED)
     }
 
     /// Puts in force what changed in the mirror.
@@ -126,7 +150,7 @@
         if change.endpoints {
             self.apply_endpoints(source);
         }
-        if change != Change::default() {
+        if change != Change::default() && source == STORE {
             self.changed.notify_one();
         }
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -2,10 +2,13 @@
 //!
 //! A beat says how far its sender has read the store and what it has at endpoints. A node that
 //! learns of something newer, and does not read it from the store itself at once, pulls it from
-//! the sender. So nodes that the store turns away follow those that it serves.
+//! the sender. So few nodes need to read, and those that the store turns away follow the others.
+//!
+//! Which nodes read follows from the beats, without agreement: the first few of a failure domain
+//! by name, passing over those whose reads fail. Two that differ for a moment read both.
 
 use crate::event;
-use crate::mirror::Snapshot;
+use crate::mirror::Delta;
 use crate::node::{Node, lock};
 use crosslane_coordination::pool::Usage;
 use crosslane_platform::settings::Settings;
@@ -30,11 +33,19 @@
 /// Topic in which nodes leave their addresses.
 const NODES: &str = "keyed.nodes";
 
-/// Time between beats. What others have at engines is this old at most; drafts last some 3 s.
+/// Shortest time between beats. What others have at engines is this old at most; drafts last
+/// some 3 s.
 const BEAT: Duration = Duration::from_millis(250);
 
-/// Time without a beat after which a node counts as silent, in milliseconds: six beats.
-const SILENT: u64 = 1_500;
+/// Time between beats for each other node: a node sends and takes some 130 beats a second at most.
+const BEAT_EACH: Duration = Duration::from_micros(7_500);
+
+/// Time without a beat after which a node counts as silent, in beats.
+const SILENT_BEATS: u32 = 6;
+
+/// Nodes of a failure domain that read the store: with one, its silence would be noticed only
+/// after seconds.
+const READERS: usize = 2;
 
 /// Time that a silent node still counts towards the retry budget, in milliseconds: the window in
 /// which what it spent still counts.
@@ -57,8 +68,12 @@
 pub struct Beat {
     /// VM of the sender.
     pub vm: String,
-    /// Whether the sender may give orders: it is not stopping.
+    /// Failure domain of the sender.
+    pub domain: String,
+    /// Whether the sender goes on: it is not stopping.
     pub steady: bool,
+    /// Whether the store answers the sender's reads.
+    pub fed: bool,
     /// How far it has read the operators' and the endpoints' topic.
     pub ends: (u64, u64),
     /// What it has at endpoints.
@@ -69,7 +84,9 @@
 #[derive(Clone, Debug, Default)]
 struct Member {
     vm: String,
+    domain: String,
     steady: bool,
+    fed: bool,
     heard: Option<Millis>,
 }
 
@@ -77,13 +94,20 @@
 #[derive(Debug)]
 pub struct Members {
     me: IpAddr,
+    vm: String,
+    domain: String,
     members: HashMap<IpAddr, Member>,
 }
 
 impl Members {
     /// The nodes named in the settings, not heard yet.
     pub fn new(settings: &Settings) -> Self {
-        let mut members = Self { me: settings.ip, members: HashMap::new() };
+        let mut members = Self {
+            me: settings.ip,
+            vm: settings.vm.clone(),
+            domain: settings.domain.clone(),
+            members: HashMap::new(),
+        };
         settings.seeds.iter().for_each(|ip| members.add(*ip));
         members
     }
@@ -95,16 +119,35 @@
     }
 
     fn hear(&mut self, ip: IpAddr, beat: &Beat, now: Millis) {
-        if ip != self.me {
-            let member = Member { vm: beat.vm.clone(), steady: beat.steady, heard: Some(now) };
-            self.members.insert(ip, member);
+        if ip == self.me {
+            return;
         }
+        let member = Member {
+            vm: beat.vm.clone(),
+            domain: beat.domain.clone(),
+            steady: beat.steady,
+            fed: beat.fed,
+            heard: Some(now),
+        };
+        self.members.insert(ip, member);
+    }
+
+    /// Time between beats, which grows with the number of nodes.
+    fn interval(&self) -> Duration {
+        BEAT.max(BEAT_EACH * self.members.len() as u32)
+    }
+
+    fn live(&self, now: Millis) -> impl Iterator<Item = (&IpAddr, &Member)> {
+        let silent = (self.interval() * SILENT_BEATS).as_millis() as u64;
+        let heard = move |it: &Member| it.heard.is_some_and(|at| now.since(at) < silent);
+        self.members.iter().filter(move |(_, it)| heard(it))
     }
 
     fn addresses(&self, all: bool, now: Millis) -> Vec<IpAddr> {
-        let heard = |it: &Member| it.heard.is_some_and(|at| now.since(at) < SILENT);
-        let members = self.members.iter().filter(|(_, it)| all || heard(it));
-        members.map(|(ip, _)| *ip).collect()
+        if all {
+            return self.members.keys().copied().collect();
+        }
+        self.live(now).map(|(ip, _)| *ip).collect()
     }
 
     /// Nodes heard within the retry budget's window, this one among them.
@@ -114,27 +157,33 @@
     }
 
     /// Whether this node comes first among those that may give orders.
-    pub fn first(&self, vm: &str, now: Millis) -> bool {
-        let mut others = self.members.values().filter(|it| {
-            it.steady && it.vm != vm && it.heard.is_some_and(|at| now.since(at) < SILENT)
+    pub fn first(&self, now: Millis) -> bool {
+        let mut others = self.live(now).filter(|(_, it)| it.steady && it.fed);
+        others.all(|(_, it)| self.vm < it.vm)
+    }
+
+    /// Whether this node is one of its failure domain's readers of the store.
+    pub fn reads(&self, now: Millis) -> bool {
+        let before = self.live(now).filter(|(_, it)| {
+            it.domain == self.domain && it.steady && it.fed && it.vm < self.vm
         });
-        others.all(|it| vm < it.vm.as_str())
+        before.count() < READERS
     }
 }
 
 /// What nodes ask each other by tarpc.
 #[tarpc::service]
 pub trait Peer {
-    /// What the store holds, as the node asked knows it.
-    async fn mirror() -> Snapshot;
+    /// What the store holds beyond these offsets, as the node asked knows it.
+    async fn lacking(ends: (u64, u64)) -> Delta;
 }
 
 #[derive(Clone)]
 struct Server(Arc<Node>);
 
 impl Peer for Server {
-    async fn mirror(self, _: context::Context) -> Snapshot {
-        self.0.mirror().snapshot()
+    async fn lacking(self, _: context::Context, ends: (u64, u64)) -> Delta {
+        self.0.mirror().delta(ends)
     }
 }
 
@@ -206,7 +255,9 @@
         let now = node.now();
         let beat = Beat {
             vm: node.settings.vm.clone(),
+            domain: node.settings.domain.clone(),
             steady: node.stopping.borrow().is_none(),
+            fed: node.fed(),
             ends: node.mirror().ends(),
             usage: node.pool().usage(now),
         };
@@ -217,9 +268,9 @@
             Err(error) => warn!(why:% = error; "{}", event::SKIPPED),
         }
         round += 1;
-        if timeout(BEAT, node.changed.notified()).await.is_ok() {
-            round = 0;
-        }
+        let interval = lock(&node.members).interval();
+        // A change is told at once.
+        let _ = timeout(interval, node.changed.notified()).await;
     }
 }
 
@@ -272,16 +323,19 @@
 
 /// Takes another node's mirror if the store has not brought the same meanwhile.
 async fn pull(node: &Arc<Node>, from: IpAddr, ends: (u64, u64)) {
-    if node.table().is_some() {
+    if node.fed() && node.table().is_some() {
         sleep(OWN_READ).await;
     }
     if !ahead(node, ends) {
         return;
     }
-    match timeout(PULL, ask(SocketAddr::new(from, node.settings.peer_port))).await {
-        Ok(Ok(snapshot)) => {
-            info!(from:% = from, offset = snapshot.endpoints_end; "{}", event::PULLED);
-            let change = node.mirror().merge(snapshot);
+    let known = node.mirror().ends();
+    let address = SocketAddr::new(from, node.settings.peer_port);
+    match timeout(PULL, ask(address, known)).await {
+        Ok(Ok(delta)) => {
+            let (offset, whole) = (delta.endpoints.end, delta.endpoints.whole);
+            info!(from:% = from, offset, whole; "{}", event::PULLED);
+            let change = node.mirror().merge(delta);
             node.apply(change, "peer");
         }
         Ok(Err(error)) => debug!("pull from {from}: {error}"),
@@ -289,8 +343,8 @@
     }
 }
 
-async fn ask(address: SocketAddr) -> io::Result<Snapshot> {
+async fn ask(address: SocketAddr, known: (u64, u64)) -> io::Result<Delta> {
     let transport = tarpc::serde_transport::tcp::connect(address, Bincode::default).await?;
     let peer = PeerClient::new(client::Config::default(), transport).spawn();
-    peer.mirror(context::current()).await.map_err(io::Error::other)
+    peer.lacking(context::current(), known).await.map_err(io::Error::other)
 }
