--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -17,6 +17,6 @@
 pub mod reconcile;
 pub mod record;
 pub mod retry;
-pub mod stages;
 pub mod slots;
 pub mod splice;
+pub mod stages;
--- a/crates/coordination/src/pool.rs
+++ b/crates/coordination/src/pool.rs
@@ -163,7 +163,8 @@
     /// `lenient`: their records may have lapsed with the store away, and may come back.
     pub fn replace(&mut self, endpoints: Vec<Endpoint>, lenient: bool, now: Millis) {
         let listed: HashSet<Tag> = endpoints.iter().map(|it| Tag::of(&it.id)).collect();
-        let missing: Vec<Tag> = self.tags.keys().filter(|it| !listed.contains(it)).copied().collect();
+        let missing: Vec<Tag> =
+            self.tags.keys().filter(|it| !listed.contains(it)).copied().collect();
         for tag in missing {
             let entry = self.tags.get(&tag).and_then(|key| self.entries.get_mut(*key));
             match entry {
--- a/crates/coordination/tests/lease.rs
+++ b/crates/coordination/tests/lease.rs
@@ -41,8 +41,11 @@
 })]
 fn steps(#[case] case: Case) {
     let mut lease = Lease::new("me".into(), LENGTH);
-    let steps: Vec<Step> =
-        case.seen.iter().map(|(end, at)| lease.step(&held(case.holder, *end), Millis(*at))).collect();
+    let steps: Vec<Step> = case
+        .seen
+        .iter()
+        .map(|(end, at)| lease.step(&held(case.holder, *end), Millis(*at)))
+        .collect();
     assert_eq!(steps.last(), Some(&case.step), "{}", case.name);
 }
 
--- a/crates/crosslane/src/logs.rs
+++ b/crates/crosslane/src/logs.rs
@@ -111,8 +111,7 @@
         let dropped = self.dropped.swap(0, Ordering::Relaxed);
         if dropped > 0 {
             let time = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-            let told =
-                json!({"time_ms": time.as_millis() as u64, "event": event::DROPPED, "lines": dropped});
+            let told = json!({"time_ms": time.as_millis() as u64, "event": event::DROPPED, "lines": dropped});
             writeln!(line, "{told}")?;
         }
         Lines.encode(&mut SimpleWriter(&mut line), record)?;
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -28,12 +28,8 @@
 use tokio_util::task::TaskTracker;
 
 /// Limits before a configuration is known.
-const UNCONFIGURED: Limits = Limits {
-    header_bytes: 16_384,
-    body_bytes: 4 << 20,
-    header_millis: 3_000,
-    idle_millis: 15_000,
-};
+const UNCONFIGURED: Limits =
+    Limits { header_bytes: 16_384, body_bytes: 4 << 20, header_millis: 3_000, idle_millis: 15_000 };
 
 /// Smallest buffer that hyper takes, in bytes.
 const LEAST_BUFFER: usize = 8_192;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -164,9 +164,9 @@
 
     /// Whether this node is one of its failure domain's readers of the store.
     pub fn reads(&self, now: Millis) -> bool {
-        let before = self.live(now).filter(|(_, it)| {
-            it.domain == self.domain && it.steady && it.fed && it.vm < self.vm
-        });
+        let before = self
+            .live(now)
+            .filter(|(_, it)| it.domain == self.domain && it.steady && it.fed && it.vm < self.vm);
         before.count() < READERS
     }
 }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -19,8 +19,8 @@
 use crosslane_transport::http::BodyError;
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::{Response, StatusCode};
 use hyper::body::Frame;
+use hyper::{Response, StatusCode};
 use log::{debug, info};
 use rand::Rng;
 use std::sync::Arc;
@@ -133,13 +133,7 @@
 
 impl Run {
     /// A stream for a service's engines.
-    pub fn new(
-        node: Arc<Node>,
-        route: Route,
-        service: String,
-        engine: Engine,
-        call: Call,
-    ) -> Self {
+    pub fn new(node: Arc<Node>, route: Route, service: String, engine: Engine, call: Call) -> Self {
         Self { node, call, route, service, engine, sent: 0 }
     }
 
