Explain a request's ending from nodes' logs

crosslane explain REQUEST-ID reads log lines of any number of nodes on standard input, in any order, and tells the story and the cause; bad lines are counted.

--- a/crates/crosslane/src/arguments.rs
+++ b/crates/crosslane/src/arguments.rs
@@ -1,7 +1,7 @@
 //! Arguments of the operator's command.
 
 use crate::error::Error;
-use crate::{capacity, config, demo, load, policy, standin, vm};
+use crate::{capacity, config, demo, explain, load, policy, standin, vm};
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use std::net::SocketAddr;
 
@@ -31,6 +31,7 @@
         Some(("status", inner)) => vm::status(&vm::Access::try_from(inner)?).await,
         Some(("vm", inner)) => vm::run(inner).await,
         Some(("policy", inner)) => policy::run(inner).await,
+        Some(("explain", inner)) => explain::run(&text(inner, "request")?),
         Some(("capacity", inner)) => capacity::run(&text(inner, "file")?),
         Some(("stand-in", inner)) => standin::run(inner).await,
         _ => Ok(()),
@@ -74,6 +75,11 @@
         .subcommand(access(Command::new("status").about("Shows a node's status")))
         .subcommand(vm_command())
         .subcommand(policy_command())
+        .subcommand(
+            Command::new("explain")
+                .about("Tells the story of a request from nodes' logs on standard input")
+                .arg(Arg::new("request").value_name("REQUEST-ID").required(true)),
+        )
         .subcommand(
             Command::new("capacity")
                 .about("Redoes the arithmetic of docs/CAPACITY.md")
--- a/crates/crosslane/src/lib.rs
+++ b/crates/crosslane/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod config;
 pub mod demo;
 pub mod error;
+pub mod explain;
 pub mod fleet;
 pub mod load;
 pub mod logs;
