--- a/crates/coordination/src/pool.rs
+++ b/crates/coordination/src/pool.rs
@@ -23,9 +23,12 @@
 /// they know of each other, and would all choose the same one.
 const ALL_LOOKED_AT: usize = 24;
 
-/// Endpoints drawn among more.
+/// Engines drawn among more.
 const DRAWN: usize = 3;
 
+/// Plain endpoints drawn: their requests are over before other nodes hear of them.
+const DRAWN_PLAIN: usize = 2;
+
 /// Most failures that count, here and elsewhere together: beyond, an endpoint is the last choice
 /// whatever the number of nodes that saw it fail.
 const FAILURE_MOST: f64 = 3.0;
@@ -261,9 +264,14 @@
                 && !query.except.contains(key)
         });
         let mut entries: Vec<(Key, &Entry)> = entries.collect();
-        if entries.len() > ALL_LOOKED_AT {
-            entries.partial_shuffle(random, DRAWN);
-            entries = entries.split_off(entries.len() - DRAWN);
+        let drawn = match query.stage {
+            Stage::Plain => DRAWN_PLAIN,
+            Stage::Prefill | Stage::Decode if entries.len() > ALL_LOOKED_AT => DRAWN,
+            Stage::Prefill | Stage::Decode => entries.len(),
+        };
+        if entries.len() > drawn {
+            entries.partial_shuffle(random, drawn);
+            entries = entries.split_off(entries.len() - drawn);
         }
         let scored = entries.into_iter().map(|(key, entry)| {
             let fullness = fullness(entry, query.capacity, now);
@@ -381,5 +389,6 @@
         Some((load, at)) if now.since(at) < LOAD_LIFE => load.running + load.waiting,
         _ => 0,
     };
-    f64::from(reported.max(entry.here.requests)) / slots
+    let counted = entry.here.requests + entry.elsewhere.requests;
+    f64::from(reported.max(counted)) / slots
 }
