Log where each request goes, and tell endings right

Cause: explain called answers with empty bodies 'caller left', said nothing of a request whose node was killed, and nothing of a page that broke off. A line 'place' tells each choice with its inputs.

--- a/crates/crosslane/src/explain.rs
+++ b/crates/crosslane/src/explain.rs
@@ -66,14 +66,20 @@
     pub fn cause(&self) -> String {
         let ended = self.lines.iter().rfind(|it| it.event == event::REQUEST);
         let Some(ended) = ended else {
-            return "not ended: its node stopped, was killed, or dropped the line".into();
+            let last = self.lines.last().map(summary).unwrap_or_default();
+            return format!("no ending: its node was killed or dropped the line, after {last}");
         };
         let ending = text(ended, "ending");
-        let before = self.lines.iter().rfind(|it| it.event != event::REQUEST);
+        let trouble = [event::ATTEMPT, event::RESERVE];
+        let before = self.lines.iter().rfind(|it| trouble.contains(&it.event.as_str()));
+        let took = text(ended, "took_ms");
         match (ending.as_str(), before) {
-            ("answered", None) => "answered at the first attempt".into(),
-            ("answered", Some(line)) => format!("answered, after {}", summary(line)),
-            ("caller_left", _) => "the caller left before the end".into(),
+            ("answered", None) => format!("answered at the first attempt after {took} ms"),
+            ("answered", Some(line)) => format!("answered after {took} ms and {}", summary(line)),
+            ("caller_left", None) => format!("the caller left after {took} ms"),
+            ("caller_left", Some(line)) => {
+                format!("the caller left after {took} ms and {}", summary(line))
+            }
             (ending, None) => format!("{ending}, with nothing sent to an endpoint"),
             (ending, Some(line)) => format!("{ending}: {}", summary(line)),
         }
--- a/crates/crosslane/tests/explain.rs
+++ b/crates/crosslane/tests/explain.rs
@@ -15,8 +15,8 @@
 #[rstest]
 #[case(Case {
     name: "answered",
-    lines: &[OTHER, r#"{"time_ms":9,"event":"request","request":"r1","ending":"answered"}"#],
-    cause: "cause: answered at the first attempt",
+    lines: &[OTHER, r#"{"time_ms":9,"event":"request","request":"r1","ending":"answered","took_ms":7}"#],
+    cause: "cause: answered at the first attempt after 7 ms",
 })]
 #[case(Case {
     name: "refused for memory, lines in any order and behind a collector's prefix",
@@ -38,7 +38,7 @@
 #[case(Case {
     name: "its node was killed",
     lines: &[r#"{"time_ms":8,"event":"attempt","request":"r1","failure":"refused"}"#],
-    cause: "cause: not ended",
+    cause: "cause: no ending: its node was killed or dropped the line, after attempt failure=refused",
 })]
 fn story(#[case] case: Case) {
     let mut command = Command::new(env!("CARGO_BIN_EXE_crosslane"))
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -22,6 +22,8 @@
 pub const LEASE: &str = "lease";
 /// Memory was reserved at an engine, or was not to be had.
 pub const RESERVE: &str = "reserve";
+/// An endpoint was chosen for a request, which is sent there.
+pub const PLACE: &str = "place";
 /// An attempt at an endpoint failed.
 pub const ATTEMPT: &str = "attempt";
 /// A request ended.
@@ -32,7 +34,7 @@
 pub const DROPPED: &str = "dropped";
 
 /// Every event.
-pub const EVENTS: [&str; 15] = [
+pub const EVENTS: [&str; 16] = [
     START,
     STOP,
     RELOAD,
@@ -44,6 +46,7 @@
     ORDER,
     LEASE,
     RESERVE,
+    PLACE,
     ATTEMPT,
     REQUEST,
     SKIPPED,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -77,13 +77,15 @@
     /// Endpoint.
     pub key: Key,
     tokens: u32,
+    /// Load for which the endpoint was chosen, as a share of a full one.
+    load: f64,
 }
 
 impl Seat {
-    /// Counts a request with its tokens of KV cache at an endpoint.
-    pub fn take(node: &Arc<Node>, key: Key, tokens: u32) -> Self {
+    /// Counts a request with its tokens of KV cache at an endpoint that was chosen for its load.
+    pub fn take(node: &Arc<Node>, (key, load): (Key, f64), tokens: u32) -> Self {
         node.pool().enter(key, tokens);
-        Self { node: node.clone(), key, tokens }
+        Self { node: node.clone(), key, tokens, load }
     }
 
     /// Notes how the request ended.
@@ -145,6 +147,7 @@
     let Some(endpoint) = node.pool().get(seat.key).cloned() else {
         return Err(Failure::Unsent);
     };
+    placed(&node, call, &seat, &endpoint, purpose);
     let attempt = attempt(call, &endpoint, purpose, until).await;
     let (connection, parts, body) = match attempt {
         Ok(answered) => answered,
@@ -165,9 +168,29 @@
         told(call, &endpoint, failure, &parts.status.to_string());
         return Err(failure);
     }
+    if parts.status.is_server_error() {
+        let (request, to) = (call.ask.id.as_str(), endpoint.id.as_str());
+        let status = parts.status.as_u16();
+        info!(request, to, status, outcome = "error"; "{}", event::ATTEMPT);
+    }
     Ok(Answer { parts, head, body, endpoint, seat, _connection: connection })
 }
 
+/// Tells where a request goes, and what decided it.
+fn placed(node: &Node, call: &Call, seat: &Seat, endpoint: &Endpoint, purpose: &Purpose<'_>) {
+    let request = call.ask.id.as_str();
+    let to = endpoint.id.as_str();
+    let purpose = match purpose {
+        Purpose::Run => "run",
+        Purpose::Prefill => "prefill",
+        Purpose::Decode { source: Some(_), .. } => "decode",
+        Purpose::Decode { source: None, .. } => "prefill and decode",
+    };
+    let (load, offset) = (seat.load, node.mirror().ends().1);
+    let left_ms = call.left().as_millis() as u64;
+    info!(request, to, purpose, load, offset, left_ms; "{}", event::PLACE);
+}
+
 async fn attempt(
     call: &Call,
     endpoint: &Endpoint,
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -27,6 +27,15 @@
 use tokio::time::{Instant, sleep};
 use tokio_util::task::TaskTracker;
 
+/// The caller left before the end.
+const CALLER_LEFT: &str = "caller_left";
+
+/// The whole answer was passed on.
+const ANSWERED: &str = "answered";
+
+/// The answer was broken off.
+const CUT: &str = "cut";
+
 /// Limits before a configuration is known.
 const UNCONFIGURED: Limits =
     Limits { header_bytes: 16_384, body_bytes: 4 << 20, header_millis: 3_000, idle_millis: 15_000 };
@@ -113,6 +122,9 @@
         answer::close(response.headers_mut());
     }
     story.status = response.status();
+    if response.body().is_end_stream() && story.ending == CALLER_LEFT {
+        story.ending = ANSWERED;
+    }
     response.map(|body| Reply::new(Told { body, story }))
 }
 
@@ -191,7 +203,7 @@
     fn new(node: Arc<Node>, id: Option<String>, arrived: Instant) -> Self {
         let route = String::new();
         // Unless it gets to an answer or a refusal, the caller left before.
-        let (status, ending) = (StatusCode::OK, "caller_left");
+        let (status, ending) = (StatusCode::OK, CALLER_LEFT);
         Self { node, id, route, version: 0, arrived, status, ending }
     }
 }
@@ -223,10 +235,10 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
         let frame = ready!(Pin::new(&mut self.body).poll_frame(context));
         let ended = frame.is_none() || self.body.is_end_stream();
-        if self.story.ending == "caller_left" {
+        if self.story.ending == CALLER_LEFT {
             match &frame {
-                Some(Err(_)) => self.story.ending = "cut",
-                _ if ended => self.story.ending = "answered",
+                Some(Err(_)) => self.story.ending = CUT,
+                _ if ended => self.story.ending = ANSWERED,
                 _ => {}
             }
         }
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -1,5 +1,6 @@
 //! Calls to plain services.
 
+use crate::event;
 use crate::exchange::{self, Answer, Call, Failure, Seat};
 use crate::meter::{Meter, Retry};
 use crate::node::{Node, Reply};
@@ -16,6 +17,7 @@
 use hyper::Response;
 use hyper::body::Frame;
 use hyper::http::response::Parts;
+use log::info;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
@@ -45,7 +47,7 @@
     loop {
         let query = Query { service, stage: Stage::Plain, capacity: 0, except: &tried };
         let chosen = node.pool().choose(query, node.now());
-        let Some((key, _)) = chosen else {
+        let Some((key, load)) = chosen else {
             break;
         };
         if sent > 0 && !node.take_repeat(service) {
@@ -54,7 +56,7 @@
         }
         tried.push(key);
         let last_try = sent + 1 >= route.attempts;
-        match attempt(node, route, call, key, last_try).await {
+        match attempt(node, route, call, (key, load), last_try).await {
             Ok(Attempt::Final(response)) => return Ok(response),
             Ok(Attempt::Error(response)) => {
                 sent += 1;
@@ -89,10 +91,10 @@
     node: &Arc<Node>,
     route: &Route,
     call: &Call,
-    key: Key,
+    place: (Key, f64),
     last: bool,
 ) -> Result<Attempt, Failure> {
-    let seat = Seat::take(node, key, 0);
+    let seat = Seat::take(node, place, 0);
     let until = until(route, call, last);
     let answer = exchange::send(call, seat, &Purpose::Run, until).await?;
     Meter::time(&node.meter.first, call.arrived.elapsed());
@@ -100,7 +102,7 @@
     answer.note(if error { Outcome::Error } else { Outcome::Good });
     let short = answer.head.length.is_some_and(|it| it <= WHOLE_BYTES);
     if route.kind != Kind::Safe || !short {
-        return Ok(Attempt::Final(relay(answer, call.deadline)));
+        return Ok(Attempt::Final(relay(answer, call)));
     }
     let (parts, body) = answer.read(WHOLE_BYTES as usize, until).await?;
     let response = whole(parts, body);
@@ -124,20 +126,23 @@
 }
 
 /// Passes an answer on as it comes; it is broken off if the time runs out.
-fn relay(answer: Answer, deadline: Instant) -> Response<Reply> {
+fn relay(answer: Answer, call: &Call) -> Response<Reply> {
+    let deadline = call.deadline;
+    let ask = call.ask.clone();
     let status = answer.parts.status;
     let headers = answer::headers(&answer.parts.headers);
-    let frames = futures::stream::unfold(Some(answer), move |answer| async move {
-        let mut answer = answer?;
-        match timeout_at(deadline, answer.body.frame()).await {
-            Ok(None) => None,
-            Ok(Some(Ok(frame))) => Some((Ok(frame), Some(answer))),
-            Ok(Some(Err(error))) => {
-                answer.note(Outcome::Failed);
-                Some((Err::<Frame<Bytes>, http::BodyError>(error.into()), None))
-            }
-            Err(elapsed) => Some((Err(elapsed.into()), None)),
-        }
+    let frames = futures::stream::unfold(Some((answer, ask)), move |state| async move {
+        let (mut answer, ask) = state?;
+        let error: http::BodyError = match timeout_at(deadline, answer.body.frame()).await {
+            Ok(None) => return None,
+            Ok(Some(Ok(frame))) => return Some((Ok(frame), Some((answer, ask)))),
+            Ok(Some(Err(error))) => error.into(),
+            Err(elapsed) => elapsed.into(),
+        };
+        answer.note(Outcome::Failed);
+        let (request, to) = (ask.id.as_str(), answer.endpoint.id.as_str());
+        info!(request, to, why:% = error, outcome = "cut"; "{}", event::ATTEMPT);
+        Some((Err::<Frame<Bytes>, _>(error), None))
     });
     let mut response = Response::new(BoxBody::new(StreamBody::new(frames)));
     *response.status_mut() = status;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -199,7 +199,7 @@
             if load > FULL {
                 return Err("memory");
             }
-            match self.hold(key, tokens).await {
+            match self.hold((key, load), tokens).await {
                 Some(hold) => return Ok(hold),
                 None => tried.push(key),
             }
@@ -229,9 +229,10 @@
         self.node.pool().choose(query, self.node.now())
     }
 
-    async fn hold(&self, key: Key, tokens: u32) -> Option<Hold> {
+    async fn hold(&self, place: (Key, f64), tokens: u32) -> Option<Hold> {
+        let key = place.0;
         let engine = self.node.pool().get(key).cloned()?;
-        let seat = Seat::take(&self.node, key, tokens);
+        let seat = Seat::take(&self.node, place, tokens);
         let request = engine::take_hold(&engine, tokens, self.engine.hold_limit);
         let answer = self.node.control.call(engine.address, request, HOLD_ANSWER).await;
         let id = match &answer {
@@ -255,9 +256,9 @@
     /// Has the prompt read. Nothing is returned if that failed and the decoding engine is to read
     /// it itself.
     async fn prefill(&self) -> Option<Handle> {
-        let (key, _) = self.choose(Stage::Prefill, &[])?;
+        let place = self.choose(Stage::Prefill, &[])?;
         let began = Instant::now();
-        let seat = Seat::take(&self.node, key, self.call.ask.prompt);
+        let seat = Seat::take(&self.node, place, self.call.ask.prompt);
         let until = self.call.deadline.min(began + PREFILL_LIMIT);
         let answer = exchange::send(&self.call, seat, &Purpose::Prefill, until).await.ok()?;
         let engine = answer.endpoint.clone();
