--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -43,8 +43,9 @@
 /// Share of an engine's memory above which it is believed to be full and not asked.
 const FULL: f64 = 1.0;
 
-/// Time for the answer to a reservation.
-const HOLD_ANSWER: Duration = Duration::from_millis(300);
+/// Time for the answer to a reservation, which usually takes 5 ms. One silent engine must leave time
+/// to ask another within `WAIT_SHARE`.
+const HOLD_ANSWER: Duration = Duration::from_millis(90);
 
 /// Time for the answer to a release.
 const RELEASE_ANSWER: Duration = Duration::from_millis(800);
