--- a/crates/crosslane/src/bin/crosslaned.rs
+++ b/crates/crosslane/src/bin/crosslaned.rs
@@ -1,8 +1,9 @@
 //! The node that stands between callers and runners.
 
-use clap::{Arg, Command};
+use clap::{Arg, Command, value_parser};
 use crosslane::error::{Error, FENCED};
 use crosslane::{config, logs};
+use crosslane_gateway::site::METRICS_PORT;
 use crosslane_platform::settings::{self as site_settings, FILE_VARIABLE};
 use crosslane_protocol::settings::Settings;
 use crosslane_transport::node;
@@ -16,10 +17,18 @@
         .about("Routes requests of callers to engines and services")
         .args_conflicts_with_subcommands(true)
         .arg(Arg::new("config").long("config").value_name("FILE").required(true))
-        .subcommand(Command::new("site").about("Serves a site through the platform"))
+        .subcommand(
+            Command::new("site").about("Serves a site through the platform").arg(
+                Arg::new("metrics-port")
+                    .long("metrics-port")
+                    .value_name("PORT")
+                    .value_parser(value_parser!(u16))
+                    .help("Port of the metrics; 19464 if not given"),
+            ),
+        )
         .get_matches();
-    let started = match matches.subcommand_name() {
-        Some(_) => site(),
+    let started = match matches.subcommand() {
+        Some((_, inner)) => site(inner.get_one("metrics-port").copied().unwrap_or(METRICS_PORT)),
         None => start(matches.get_one::<String>("config").map_or("", String::as_str)),
     };
     match started {
@@ -32,13 +41,13 @@
 }
 
 /// Serves a site on one thread: its VMs have a fraction of a core.
-fn site() -> Result<ExitCode, Error> {
+fn site(metrics_port: u16) -> Result<ExitCode, Error> {
     logs::start_queued()?;
     let path = std::env::var(FILE_VARIABLE)
         .map_err(|_| Error::failed(format!("{FILE_VARIABLE} is not set")))?;
     let settings = site_settings::Settings::read(&path)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(crosslane_gateway::site::run(settings, &path))?;
+    runtime.block_on(crosslane_gateway::site::run(settings, &path, metrics_port))?;
     logs::flush();
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/gateway/src/site.rs
+++ b/crates/gateway/src/site.rs
@@ -15,7 +15,7 @@
 use tokio::time::{Instant, sleep};
 use tokio_util::task::TaskTracker;
 
-/// Port of the metrics, on every VM; deploy/system.toml names the same.
+/// Usual port of the metrics, on every VM; deploy/system.toml names the same.
 pub const METRICS_PORT: u16 = 19_464;
 
 /// Path of the metrics.
@@ -36,10 +36,10 @@
 }
 
 /// Runs a node until it was stopped and its last request has ended.
-pub async fn run(settings: Settings, path: &str) -> Result<(), Error> {
+pub async fn run(settings: Settings, path: &str, metrics_port: u16) -> Result<(), Error> {
     let node = Arc::new(Node::new(settings)?);
     let connections = TaskTracker::new();
-    start(&node, &connections).await?;
+    start(&node, &connections, metrics_port).await?;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut reload = signal(SignalKind::hangup())?;
     loop {
@@ -52,11 +52,15 @@
     Ok(())
 }
 
-async fn start(node: &Arc<Node>, connections: &TaskTracker) -> Result<(), Error> {
+async fn start(
+    node: &Arc<Node>,
+    connections: &TaskTracker,
+    metrics_port: u16,
+) -> Result<(), Error> {
     let settings = &node.settings;
     let callers = TcpListener::bind(settings.callers).await?;
     let ready = TcpListener::bind(settings.ready).await?;
-    let metrics = TcpListener::bind(SocketAddr::new(settings.ip, METRICS_PORT)).await?;
+    let metrics = TcpListener::bind(SocketAddr::new(settings.ip, metrics_port)).await?;
     info!(vm = settings.vm, domain = settings.domain, callers:% = settings.callers; "{}", event::START);
     tokio::spawn(follower::follow(node.clone(), store::OPERATORS));
     tokio::spawn(follower::follow(node.clone(), store::ENDPOINTS));
