--- a/crates/crosslane/tests/pages.rs
+++ b/crates/crosslane/tests/pages.rs
@@ -1,5 +1,8 @@
 //! The pages say what the code does.
 
+use crosslane_gateway::event::EVENTS;
+use crosslane_gateway::meter::RETRIES;
+use crosslane_gateway::refusal::REASONS;
 use crosslane_protocol::refusal::CODES;
 use crosslane_transport::metrics::COUNTERS;
 use rstest::rstest;
@@ -35,6 +38,31 @@
     }
 }
 
+#[rstest]
+fn every_event_and_reason_is_listed_and_no_event_besides() {
+    let text = page("docs/LOGS.md");
+    let listed = quoted(&text);
+    let reasons = REASONS.iter().map(|it| it.1).chain(RETRIES.iter().map(|it| it.1));
+    for name in EVENTS.into_iter().chain(reasons) {
+        assert!(listed.contains(name), "{name} is not in LOGS.md");
+    }
+    let rows = text.lines().skip_while(|it| !it.starts_with("| event")).skip(2);
+    for row in rows.take_while(|it| it.starts_with('|')) {
+        let event = row.split('`').nth(1).unwrap();
+        assert!(EVENTS.contains(&event), "{event} is no event");
+    }
+}
+
+#[rstest]
+fn reasons_stand_in_the_order_of_their_tables() {
+    for (place, (reason, name, _)) in REASONS.iter().enumerate() {
+        assert_eq!(*reason as usize, place, "{name}");
+    }
+    for (place, (retry, name)) in RETRIES.iter().enumerate() {
+        assert_eq!(*retry as usize, place, "{name}");
+    }
+}
+
 #[rstest]
 fn counters_stand_in_the_order_of_their_table() {
     for (place, (counter, name)) in COUNTERS.iter().enumerate() {
@@ -80,8 +108,13 @@
 
 #[rstest]
 fn links_lead_somewhere() {
-    let pages = std::fs::read_dir(root().join("docs")).unwrap().map(|it| it.unwrap().path());
-    for path in pages.chain([root().join("README.md")]) {
+    let files = |folder: &str| {
+        let entries = std::fs::read_dir(root().join(folder)).unwrap();
+        let paths = entries.map(|it| it.unwrap().path());
+        paths.filter(|it| it.is_file()).collect::<Vec<_>>()
+    };
+    let root_pages = ["README.md", "DEVELOPERS.md"].map(|it| root().join(it));
+    for path in [files("docs"), files("docs/incidents"), root_pages.to_vec()].concat() {
         let text = std::fs::read_to_string(&path).unwrap();
         for link in text.split("](").skip(1).filter_map(|it| it.split(')').next()) {
             let file = link.split('#').next().unwrap_or_default();
