--- a/crates/crosslane/src/bin/crosslaned.rs
+++ b/crates/crosslane/src/bin/crosslaned.rs
@@ -3,7 +3,7 @@
 use clap::{Arg, Command, value_parser};
 use crosslane::error::{Error, FENCED};
 use crosslane::{config, logs};
-use crosslane_gateway::site::METRICS_PORT;
+use crosslane_gateway::site::{self, METRICS_PORT};
 use crosslane_platform::settings::{self as site_settings, FILE_VARIABLE};
 use crosslane_protocol::settings::Settings;
 use crosslane_transport::node;
@@ -28,7 +28,9 @@
         )
         .get_matches();
     let started = match matches.subcommand() {
-        Some((_, inner)) => site(inner.get_one("metrics-port").copied().unwrap_or(METRICS_PORT)),
+        Some((_, inner)) => {
+            serve_site(inner.get_one("metrics-port").copied().unwrap_or(METRICS_PORT))
+        }
         None => start(matches.get_one::<String>("config").map_or("", String::as_str)),
     };
     match started {
@@ -41,13 +43,17 @@
 }
 
 /// Serves a site on one thread: its VMs have a fraction of a core.
-fn site(metrics_port: u16) -> Result<ExitCode, Error> {
+fn serve_site(metrics_port: u16) -> Result<ExitCode, Error> {
     logs::start_queued()?;
     let path = std::env::var(FILE_VARIABLE)
         .map_err(|_| Error::failed(format!("{FILE_VARIABLE} is not set")))?;
     let settings = site_settings::Settings::read(&path)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(crosslane_gateway::site::run(settings, &path, metrics_port))?;
+    runtime.block_on(async {
+        let mut terminate = signal(SignalKind::terminate())?;
+        let announced = async move { terminate.recv().await.unwrap_or_default() };
+        site::run(settings, &path, metrics_port, announced).await.map_err(Error::from)
+    })?;
     logs::flush();
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/crosslane/tests/pages.rs
+++ b/crates/crosslane/tests/pages.rs
@@ -85,7 +85,14 @@
 fn promises_name_only_tests_that_exist() {
     let text = page("docs/PROMISES.md");
     let mut tests = String::new();
-    for folder in ["crates/crosslane/tests", "crates/coordination/tests", "crates/protocol/tests"] {
+    let folders = [
+        "crates/crosslane/tests",
+        "crates/coordination/tests",
+        "crates/protocol/tests",
+        "crates/gateway/tests",
+        "platform/tests",
+    ];
+    for folder in folders {
         for entry in std::fs::read_dir(root().join(folder)).unwrap() {
             let path = entry.unwrap().path();
             if path.extension().is_some_and(|it| it == "rs") {
--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -17,6 +17,10 @@
 /// Time between looks at whether this node is to read.
 const IDLE: Duration = Duration::from_millis(100);
 
+/// Time after the first read in which nodes hear of each other, so that only those go on that are
+/// to read. What changes meanwhile is told by others, or read after it.
+const SETTLE: Duration = Duration::from_millis(600);
+
 /// Pause after a failed call: refused calls are priced too.
 const PAUSE: Duration = Duration::from_millis(350);
 
@@ -67,10 +71,13 @@
         Some(from) => client.read(topic, from, WAIT).await?,
     };
     let empty = page.end == 0;
+    let first = *whole && node.mirror().end(topic) == 0;
     *whole = empty;
     let change = node.mirror().take(topic, page, from);
     node.apply(change, STORE);
-    if empty {
+    if first {
+        sleep(SETTLE).await;
+    } else if empty {
         sleep(PAUSE).await;
     }
     Ok(())
--- a/crates/gateway/src/site.rs
+++ b/crates/gateway/src/site.rs
@@ -8,6 +8,7 @@
 use log::{info, warn};
 use std::io;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -35,16 +36,22 @@
     Metrics(prometheus::Error),
 }
 
-/// Runs a node until it was stopped and its last request has ended.
-pub async fn run(settings: Settings, path: &str, metrics_port: u16) -> Result<(), Error> {
+/// Runs a node until its stop is announced and its last request has ended. SIGHUP has the settings
+/// file read again.
+pub async fn run(
+    settings: Settings,
+    path: &str,
+    metrics_port: u16,
+    announced: impl Future<Output = ()>,
+) -> Result<(), Error> {
     let node = Arc::new(Node::new(settings)?);
     let connections = TaskTracker::new();
     start(&node, &connections, metrics_port).await?;
-    let mut terminate = signal(SignalKind::terminate())?;
+    let mut announced = pin!(announced);
     let mut reload = signal(SignalKind::hangup())?;
     loop {
         tokio::select! {
-            _ = terminate.recv() => break,
+            () = &mut announced => break,
             _ = reload.recv() => reread(path),
         }
     }
