Move runs away from leaving engines

Cause: engines that leave end about 3.5 s after they say so, and drafts last up to 8 s; those that may not be resumed were cut, the others read again. A run still going 1 s after its engine's announcement is stopped and copied with its memory, and goes on from the last event passed on.

--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -26,6 +26,8 @@
 pub const PLACE: &str = "place";
 /// An attempt at an endpoint failed.
 pub const ATTEMPT: &str = "attempt";
+/// A run was moved away from a leaving engine, or was not.
+pub const MOVE: &str = "move";
 /// A request ended.
 pub const REQUEST: &str = "request";
 /// Something that can't be decoded was left out.
@@ -34,7 +36,7 @@
 pub const DROPPED: &str = "dropped";
 
 /// Every event.
-pub const EVENTS: [&str; 16] = [
+pub const EVENTS: [&str; 17] = [
     START,
     STOP,
     RELOAD,
@@ -48,6 +50,7 @@
     RESERVE,
     PLACE,
     ATTEMPT,
+    MOVE,
     REQUEST,
     SKIPPED,
     DROPPED,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -121,6 +121,11 @@
         self.seat.note(outcome);
     }
 
+    /// Place of the endpoint in the pool.
+    pub fn key(&self) -> Key {
+        self.seat.key
+    }
+
     /// Reads a whole body of limited length.
     pub async fn read(self, limit: usize, until: Instant) -> Result<(Parts, Bytes), Failure> {
         let Self { parts, body, seat, _connection, .. } = self;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -10,9 +10,10 @@
 use crate::meter::{Meter, Retry};
 use crate::node::{Node, Reply};
 use crate::refusal::{Reason, Refusal};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use crosslane_coordination::pool::{Outcome, Query};
 use crosslane_platform::ask::Purpose;
+use crosslane_platform::engine::Move;
 use crosslane_platform::{answer, engine};
 use crosslane_state::endpoint::{Endpoint, Key, Stage};
 use crosslane_state::route::{Engine, Kind, Route};
@@ -70,6 +71,19 @@
 /// Silence, as a multiple of the longest pause on time, after which an engine counts as stalled.
 const STALL: u64 = 5;
 
+/// Time after an engine's announcement that it leaves before its runs are moved: short ones end by
+/// themselves, and it serves for 2 s at least.
+const MOVE_AFTER: Duration = Duration::from_millis(1_000);
+
+/// Pause before a move is tried again, when other engines have no room.
+const MOVE_PAUSE: Duration = Duration::from_millis(300);
+
+/// Moves tried for a run: those that fit into the time for which a leaving engine serves.
+const MOVES: u32 = 4;
+
+/// Time for a move: 100 MB over the engines' links take some 10 ms, behind other moves.
+const MOVE_ANSWER: Duration = Duration::from_millis(600);
+
 /// When a refused caller should come back, in milliseconds: drafts last some 3 s, and bursts are
 /// over within seconds. Spread, so that the refused don't come back at once.
 const COME_BACK_MILLIS: std::ops::Range<u64> = 2_000..4_400;
@@ -339,7 +353,14 @@
     fn relay(self, answer: Answer) -> Response<Reply> {
         let status = answer.parts.status;
         let headers = answer::headers(&answer.parts.headers);
-        let relay = Relay { run: self, answer: Some(answer), events: Events::default() };
+        let relay = Relay {
+            run: self,
+            answer: Some(answer),
+            events: Events::default(),
+            move_at: None,
+            moves: MOVES,
+            broken: None,
+        };
         let frames = futures::stream::unfold(relay, Relay::next);
         let mut response = Response::new(BoxBody::new(StreamBody::new(frames)));
         *response.status_mut() = status;
@@ -353,6 +374,12 @@
     run: Run,
     answer: Option<Answer>,
     events: Events,
+    /// When the run is to be moved away from an engine that leaves.
+    move_at: Option<Instant>,
+    /// Moves that may still be tried.
+    moves: u32,
+    /// Why the stream is to be cut.
+    broken: Option<&'static str>,
 }
 
 /// What came of a stream.
@@ -367,7 +394,17 @@
 impl Relay {
     async fn next(mut self) -> Option<Item> {
         loop {
+            if let Some(why) = self.broken.take() {
+                return Some((Err(why.into()), self));
+            }
+            // Only after the error that cut it is a stream without an answer.
             self.answer.as_ref()?;
+            if self.must_move() {
+                match self.hand_over().await {
+                    Some(whole) => return Some((Ok(Frame::data(whole)), self)),
+                    None => continue,
+                }
+            }
             match self.piece().await {
                 Piece::Data(bytes) => {
                     if let Some(whole) = self.events.push(&bytes) {
@@ -397,7 +434,7 @@
 
     async fn piece(&mut self) -> Piece {
         let Some(answer) = &mut self.answer else {
-            return Piece::End;
+            return Piece::Broken("no engine");
         };
         let began = Instant::now();
         let stall = Duration::from_millis(self.run.route.gap * STALL);
@@ -414,9 +451,87 @@
         }
     }
 
+    /// Whether the engine has been leaving for so long that the run is to go on elsewhere.
+    fn must_move(&mut self) -> bool {
+        let Some(key) = self.answer.as_ref().map(Answer::key) else {
+            return false;
+        };
+        if self.moves == 0 || self.run.node.pool().usable(key) {
+            return false;
+        }
+        let now = Instant::now();
+        now >= *self.move_at.get_or_insert(now + MOVE_AFTER)
+    }
+
+    /// Moves the run with its memory to another engine. Returns events that came meanwhile.
+    async fn hand_over(&mut self) -> Option<Bytes> {
+        self.moves -= 1;
+        self.move_at = Some(Instant::now() + MOVE_PAUSE);
+        let (source, key) = self.answer.as_ref().map(|it| (it.endpoint.clone(), it.key()))?;
+        let place = self.run.choose(Stage::Decode, &[key]).filter(|it| it.1 < FULL)?;
+        let target = self.run.node.pool().get(place.0).cloned()?;
+        if !self.run.node.take_repeat(&self.run.service) {
+            return None;
+        }
+        let request = engine::move_run(&source, &self.run.call.ask.id, target.address);
+        let control = self.run.node.control.clone();
+        let answer = control.call(source.address, request, MOVE_ANSWER).await;
+        let outcome = match &answer {
+            Ok(answer) => engine::moved(answer.status, &answer.body),
+            Err(_) => Move::Refused,
+        };
+        self.told_move(&source, &target, &outcome);
+        let (handle, place) = match outcome {
+            Move::Copied { handle } => (handle, place),
+            Move::Stopped { handle } => (handle, (key, 0.0)),
+            Move::Ended | Move::Refused => return None,
+        };
+        self.move_at = None;
+        let rest = self.drain().await;
+        self.go_on(&source, &handle, place).await;
+        rest
+    }
+
+    fn told_move(&self, from: &Endpoint, to: &Endpoint, outcome: &Move) {
+        let (request, from, to) = (self.run.call.ask.id.as_str(), from.id.as_str(), to.id.as_str());
+        info!(request, from, to, outcome:? = outcome; "{}", event::MOVE);
+    }
+
+    /// Reads what a stopped run had still sent.
+    async fn drain(&mut self) -> Option<Bytes> {
+        let answer = self.answer.as_mut()?;
+        let until = Instant::now() + MOVE_ANSWER;
+        let mut rest = BytesMut::new();
+        while let Ok(Some(Ok(frame))) = timeout_at(until, answer.body.frame()).await {
+            let bytes = frame.into_data().unwrap_or_default();
+            rest.extend(self.events.push(&bytes).into_iter().flatten());
+        }
+        self.events.discard();
+        (!rest.is_empty()).then(|| rest.freeze())
+    }
+
+    /// Lets a stopped run go on from its memory.
+    async fn go_on(&mut self, source: &Endpoint, handle: &str, place: (Key, f64)) {
+        let last_event = self.last_event();
+        let source = Some((source.address, handle));
+        let purpose = Purpose::Decode { hold: None, source, last_event };
+        let seat = Seat::take(&self.run.node, place, self.run.tokens());
+        let until = self.run.call.deadline;
+        // Without an answer the stream is continued or cut as one that broke off.
+        self.answer = exchange::send(&self.run.call, seat, &purpose, until).await.ok();
+        if self.answer.is_none() && !self.resume("move failed").await {
+            self.broken = Some("move failed");
+        }
+    }
+
+    /// The last event passed on, here or before the caller took the stream up again.
+    fn last_event(&self) -> Option<u64> {
+        self.events.last_id().or(self.run.call.ask.last_event)
+    }
+
     /// Continues the stream at another engine; false if that may not or could not be done.
     async fn resume(&mut self, why: &str) -> bool {
-        let last = self.events.last_id().or(self.run.call.ask.last_event);
+        let last = self.last_event();
         let resumable = self.run.route.kind == Kind::Stream { resumable: true };
         let request = self.run.call.ask.id.clone();
         let left = self.run.call.left();
