Never tell a request as refused once an attempt may have run

Cause, found by reading: an idempotent request whose first attempt broke off and whose second was refused was answered 503, which promises that it has not run. Also: holds and the relay have files of their own, and each reason is derived once.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -5,7 +5,9 @@
 
 use crate::control::CONNECT;
 use crate::event;
+use crate::meter::Retry;
 use crate::node::Node;
+use crate::refusal::Reason;
 use bytes::Bytes;
 use crosslane_coordination::pool::Outcome;
 use crosslane_platform::answer::Head;
@@ -242,6 +244,27 @@
     if error.sent() { Outcome::Failed } else { Outcome::Down }
 }
 
+impl From<Failure> for Retry {
+    fn from(failure: Failure) -> Self {
+        match failure {
+            Failure::Unsent => Self::Unreachable,
+            Failure::Refused => Self::Refused,
+            Failure::Broken | Failure::Timeout => Self::Broken,
+        }
+    }
+}
+
+impl From<Failure> for Reason {
+    fn from(failure: Failure) -> Self {
+        match failure {
+            Failure::Unsent => Self::NoEndpoint,
+            Failure::Refused => Self::Refused,
+            Failure::Broken => Self::Broken,
+            Failure::Timeout => Self::Timeout,
+        }
+    }
+}
+
 impl From<&Error> for Failure {
     fn from(error: &Error) -> Self {
         match error {
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -47,7 +47,7 @@
 /// questions a second apart to see it, and a stream begun later may not end within the grace.
 pub const TAKE_WHILE_STOPPING: u64 = 2_800;
 
-/// Time held for a route where the caller names no deadline comes from the route itself.
+/// When a caller refused here should come back: a restart takes about as long.
 const COME_BACK: Duration = Duration::from_millis(300);
 
 /// Pause after a failed accept: descriptors may be short.
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -42,6 +42,8 @@
 ) -> Result<Response<Reply>, Refusal> {
     let mut tried: Vec<Key> = Vec::new();
     let mut sent = 0;
+    // Once an attempt may have run, a later refusal does not make the request one that has not.
+    let mut ran = false;
     let mut last = Reason::NoEndpoint;
     let mut kept: Option<Response<Reply>> = None;
     loop {
@@ -64,12 +66,15 @@
                 node.meter.retried(Retry::Error);
             }
             Err(failure) => {
-                last = reason(failure);
+                ran |= failure.may_have_run();
+                if failure.may_have_run() || !ran {
+                    last = failure.into();
+                }
                 sent += u32::from(failure != Failure::Unsent);
                 if failure.may_have_run() && !route.kind.idempotent() {
                     return Err(last.into());
                 }
-                node.meter.retried(retry(failure));
+                node.meter.retried(failure.into());
             }
         }
         if sent >= route.attempts || call.left().is_zero() {
@@ -150,23 +155,6 @@
     response
 }
 
-fn reason(failure: Failure) -> Reason {
-    match failure {
-        Failure::Unsent => Reason::NoEndpoint,
-        Failure::Refused => Reason::Refused,
-        Failure::Broken => Reason::Broken,
-        Failure::Timeout => Reason::Timeout,
-    }
-}
-
-fn retry(failure: Failure) -> Retry {
-    match failure {
-        Failure::Unsent => Retry::Unreachable,
-        Failure::Refused => Retry::Refused,
-        Failure::Broken | Failure::Timeout => Retry::Broken,
-    }
-}
-
 /// Says when to come back if the request has not run.
 fn refusal(reason: Reason) -> Refusal {
     match reason {
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -27,8 +27,6 @@
     NoRoom,
     /// Endpoints refused it, and the retry budget is spent or no attempt is left.
     Refused,
-    /// The time ran out before it was sent.
-    Expired,
     /// It was sent, and the endpoint broke off.
     Broken,
     /// It was sent, and the time ran out.
@@ -37,7 +35,7 @@
 
 /// Every reason with its name and its status. Where the status is 408, 429 or 503 the request has
 /// not run.
-pub const REASONS: [(Reason, &str, StatusCode); 12] = [
+pub const REASONS: [(Reason, &str, StatusCode); 11] = [
     (Reason::NoId, "no_id", StatusCode::BAD_REQUEST),
     (Reason::NoRoute, "no_route", StatusCode::NOT_FOUND),
     (Reason::TooLong, "too_long", StatusCode::PAYLOAD_TOO_LARGE),
@@ -47,7 +45,6 @@
     (Reason::NoEndpoint, "no_endpoint", StatusCode::SERVICE_UNAVAILABLE),
     (Reason::NoRoom, "no_room", StatusCode::SERVICE_UNAVAILABLE),
     (Reason::Refused, "refused", StatusCode::SERVICE_UNAVAILABLE),
-    (Reason::Expired, "expired", StatusCode::SERVICE_UNAVAILABLE),
     (Reason::Broken, "broken", StatusCode::BAD_GATEWAY),
     (Reason::Timeout, "timeout", StatusCode::GATEWAY_TIMEOUT),
 ];
--- /dev/null
+++ b/crates/gateway/src/relay.rs
@@ -0,0 +1,233 @@
+//! Passes a stream of events on, over moves and breaks of the engines that make them.
+//!
+//! Only whole events are passed on. A run at an engine that leaves is moved to another with its memory;
+//! one that breaks off is continued at another if its route allows, and else is cut for the caller
+//! too.
+
+use crate::event;
+use crate::events::Events;
+use crate::exchange::{self, Answer, Seat};
+use crate::meter::{Meter, Retry};
+use crate::node::Reply;
+use crate::stream::{FULL, Run};
+use bytes::{Bytes, BytesMut};
+use crosslane_coordination::pool::Outcome;
+use crosslane_platform::ask::Purpose;
+use crosslane_platform::engine::{self, Move};
+use crosslane_state::endpoint::{Endpoint, Key, Stage};
+use crosslane_state::route::Kind;
+use crosslane_transport::http::BodyError;
+use http_body_util::combinators::BoxBody;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
+use log::info;
+use std::time::Duration;
+use tokio::time::{Instant, timeout_at};
+
+/// Silence, as a multiple of the longest pause on time, after which an engine counts as stalled.
+const STALL: u64 = 5;
+
+/// Time after an engine's announcement that it leaves before its runs are moved: short ones end by
+/// themselves, and it serves for 2 s at least.
+const MOVE_AFTER: Duration = Duration::from_millis(1_000);
+
+/// Pause before a move is tried again, when other engines have no room.
+const MOVE_PAUSE: Duration = Duration::from_millis(300);
+
+/// Moves tried for a run: those that fit into the time for which a leaving engine serves.
+const MOVES: u32 = 4;
+
+/// Time for a move: 100 MB over the engines' links take some 10 ms, behind other moves.
+const MOVE_ANSWER: Duration = Duration::from_millis(600);
+
+/// Passes events on.
+pub struct Relay {
+    run: Run,
+    answer: Option<Answer>,
+    events: Events,
+    /// When the run is to be moved away from an engine that leaves.
+    move_at: Option<Instant>,
+    /// Moves that may still be tried.
+    moves: u32,
+    /// Why the stream is to be cut.
+    broken: Option<&'static str>,
+}
+
+/// What came of a stream.
+enum Piece {
+    Data(Bytes),
+    End,
+    Broken(&'static str),
+}
+
+type Item = (Result<Frame<Bytes>, BodyError>, Relay);
+
+impl Relay {
+    /// Passes an engine's answer to a run on.
+    pub fn new(run: Run, answer: Answer) -> Self {
+        let events = Events::default();
+        Self { run, answer: Some(answer), events, move_at: None, moves: MOVES, broken: None }
+    }
+
+    /// The stream as the caller gets it.
+    pub fn body(self) -> Reply {
+        BoxBody::new(StreamBody::new(futures::stream::unfold(self, Self::next)))
+    }
+
+    async fn next(mut self) -> Option<Item> {
+        loop {
+            if let Some(why) = self.broken.take() {
+                return Some((Err(why.into()), self));
+            }
+            // Only after the error that cut it is a stream without an answer.
+            self.answer.as_ref()?;
+            if self.must_move() {
+                match self.hand_over().await {
+                    Some(whole) => return Some((Ok(Frame::data(whole)), self)),
+                    None => continue,
+                }
+            }
+            match self.piece().await {
+                Piece::Data(bytes) => {
+                    if let Some(whole) = self.events.push(&bytes) {
+                        return Some((Ok(Frame::data(whole)), self));
+                    }
+                }
+                Piece::End => {
+                    self.note(Outcome::Good);
+                    return None;
+                }
+                Piece::Broken(why) => {
+                    self.note(Outcome::Failed);
+                    self.answer = None;
+                    if !self.resume(why).await {
+                        return Some((Err(why.into()), self));
+                    }
+                }
+            }
+        }
+    }
+
+    fn note(&self, outcome: Outcome) {
+        if let Some(answer) = &self.answer {
+            answer.note(outcome);
+        }
+    }
+
+    async fn piece(&mut self) -> Piece {
+        let Some(answer) = &mut self.answer else {
+            return Piece::Broken("no engine");
+        };
+        let began = Instant::now();
+        let stall = Duration::from_millis(self.run.route.gap * STALL);
+        let until = self.run.call.deadline.min(began + stall);
+        let frame = timeout_at(until, answer.body.frame()).await;
+        Meter::time(&self.run.node.meter.gap, began.elapsed());
+        match frame {
+            Ok(Some(Ok(frame))) => Piece::Data(frame.into_data().unwrap_or_default()),
+            Ok(Some(Err(_))) => Piece::Broken("engine broke off"),
+            Ok(None) if self.events.partial() => Piece::Broken("engine ended within an event"),
+            Ok(None) => Piece::End,
+            Err(_) if self.run.call.left().is_zero() => Piece::Broken("time ran out"),
+            Err(_) => Piece::Broken("engine stalled"),
+        }
+    }
+
+    /// Whether the engine has been leaving for so long that the run is to go on elsewhere.
+    fn must_move(&mut self) -> bool {
+        let Some(key) = self.answer.as_ref().map(Answer::key) else {
+            return false;
+        };
+        if self.moves == 0 || self.run.node.pool().usable(key) {
+            return false;
+        }
+        let now = Instant::now();
+        now >= *self.move_at.get_or_insert(now + MOVE_AFTER)
+    }
+
+    /// Moves the run with its memory to another engine. Returns events that came meanwhile.
+    async fn hand_over(&mut self) -> Option<Bytes> {
+        self.moves -= 1;
+        self.move_at = Some(Instant::now() + MOVE_PAUSE);
+        let (source, key) = self.answer.as_ref().map(|it| (it.endpoint.clone(), it.key()))?;
+        let place = self.run.choose(Stage::Decode, &[key]).filter(|it| it.1 < FULL)?;
+        let target = self.run.node.pool().get(place.0).cloned()?;
+        if !self.run.node.take_repeat(&self.run.service) {
+            return None;
+        }
+        let request = engine::move_run(&source, &self.run.call.ask.id, target.address);
+        let control = self.run.node.control.clone();
+        let answer = control.call(source.address, request, MOVE_ANSWER).await;
+        let outcome = match &answer {
+            Ok(answer) => engine::moved(answer.status, &answer.body),
+            Err(_) => Move::Refused,
+        };
+        self.told_move(&source, &target, &outcome);
+        let (handle, place) = match outcome {
+            Move::Copied { handle } => (handle, place),
+            Move::Stopped { handle } => (handle, (key, 0.0)),
+            Move::Ended | Move::Refused => return None,
+        };
+        self.move_at = None;
+        let rest = self.drain().await;
+        self.go_on(&source, &handle, place).await;
+        rest
+    }
+
+    fn told_move(&self, from: &Endpoint, to: &Endpoint, outcome: &Move) {
+        let (request, from, to) = (self.run.call.ask.id.as_str(), from.id.as_str(), to.id.as_str());
+        info!(request, from, to, outcome:? = outcome; "{}", event::MOVE);
+    }
+
+    /// Reads what a stopped run had still sent.
+    async fn drain(&mut self) -> Option<Bytes> {
+        let answer = self.answer.as_mut()?;
+        let until = Instant::now() + MOVE_ANSWER;
+        let mut rest = BytesMut::new();
+        while let Ok(Some(Ok(frame))) = timeout_at(until, answer.body.frame()).await {
+            let bytes = frame.into_data().unwrap_or_default();
+            rest.extend(self.events.push(&bytes).into_iter().flatten());
+        }
+        self.events.discard();
+        (!rest.is_empty()).then(|| rest.freeze())
+    }
+
+    /// Lets a stopped run go on from its memory.
+    async fn go_on(&mut self, source: &Endpoint, handle: &str, place: (Key, f64)) {
+        let last_event = self.last_event();
+        let source = Some((source.address, handle));
+        let purpose = Purpose::Decode { hold: None, source, last_event };
+        let seat = Seat::take(&self.run.node, place, self.run.tokens());
+        let until = self.run.call.deadline;
+        // Without an answer the stream is continued or cut as one that broke off.
+        self.answer = exchange::send(&self.run.call, seat, &purpose, until).await.ok();
+        if self.answer.is_none() && !self.resume("move failed").await {
+            self.broken = Some("move failed");
+        }
+    }
+
+    /// The last event passed on, here or before the caller took the stream up again.
+    fn last_event(&self) -> Option<u64> {
+        self.events.last_id().or(self.run.call.ask.last_event)
+    }
+
+    /// Continues the stream at another engine; false if that may not or could not be done.
+    async fn resume(&mut self, why: &str) -> bool {
+        let last = self.last_event();
+        let resumable = self.run.route.kind == Kind::Stream { resumable: true };
+        let request = self.run.call.ask.id.clone();
+        let left = self.run.call.left();
+        let allowed = resumable && !left.is_zero() && self.run.sent < self.run.route.attempts;
+        if !allowed || !self.run.node.take_repeat(&self.run.service) {
+            info!(request, why, outcome = "cut", after = last.unwrap_or_default(); "{}", event::ATTEMPT);
+            return false;
+        }
+        self.events.discard();
+        let resumed = self.run.elsewhere(last).await;
+        let outcome = if resumed.is_ok() { "resumed" } else { "not resumed" };
+        info!(request, why, outcome, after = last.unwrap_or_default(); "{}", event::ATTEMPT);
+        self.run.node.meter.retried(Retry::Resumed);
+        self.answer = resumed.ok().filter(|it| it.parts.status.is_success());
+        self.answer.is_some()
+    }
+}
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -5,28 +5,23 @@
 //! nodes. A stream that breaks off is continued at another engine if its route allows.
 
 use crate::event;
-use crate::events::Events;
 use crate::exchange::{self, Answer, Call, Failure, Seat};
+use crate::hold::{Handle, Hold};
 use crate::meter::{Meter, Retry};
 use crate::node::{Node, Reply};
 use crate::refusal::{Reason, Refusal};
-use bytes::{Bytes, BytesMut};
+use crate::relay::Relay;
 use crosslane_coordination::pool::{Outcome, Query};
 use crosslane_platform::ask::Purpose;
-use crosslane_platform::engine::Move;
 use crosslane_platform::{answer, engine};
-use crosslane_state::endpoint::{Endpoint, Key, Stage};
+use crosslane_state::endpoint::{Key, Stage};
 use crosslane_state::route::{Engine, Kind, Route};
-use crosslane_transport::http::BodyError;
-use http_body_util::combinators::BoxBody;
-use http_body_util::{BodyExt, StreamBody};
-use hyper::body::Frame;
 use hyper::{Response, StatusCode};
 use log::{debug, info};
 use rand::Rng;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, sleep};
 
 /// Share of the target that a request may wait for memory. A caller refused within a quarter of the
 /// target loses little when it comes back, and a shorter queue leaves more answers on time: at
@@ -42,15 +37,12 @@
 const ASKED: usize = 4;
 
 /// Share of an engine's memory above which it is believed to be full and not asked.
-const FULL: f64 = 1.0;
+pub const FULL: f64 = 1.0;
 
 /// Time for the answer to a reservation, which usually takes 5 ms. One silent engine must leave time
 /// to ask another within `WAIT_SHARE`.
 const HOLD_ANSWER: Duration = Duration::from_millis(90);
 
-/// Time for the answer to a release.
-const RELEASE_ANSWER: Duration = Duration::from_millis(800);
-
 /// Time for a prefill, queueing included: the longest prompts take some 200 ms. After it the
 /// decoding engine reads the prompt itself, while its reservation still lasts.
 const PREFILL_LIMIT: Duration = Duration::from_millis(1_000);
@@ -68,82 +60,23 @@
 /// Time for an answer's head from an engine that holds the memory; it usually takes 50 ms.
 const HEAD_LIMIT: Duration = Duration::from_millis(1_200);
 
-/// Silence, as a multiple of the longest pause on time, after which an engine counts as stalled.
-const STALL: u64 = 5;
-
-/// Time after an engine's announcement that it leaves before its runs are moved: short ones end by
-/// themselves, and it serves for 2 s at least.
-const MOVE_AFTER: Duration = Duration::from_millis(1_000);
-
-/// Pause before a move is tried again, when other engines have no room.
-const MOVE_PAUSE: Duration = Duration::from_millis(300);
-
-/// Moves tried for a run: those that fit into the time for which a leaving engine serves.
-const MOVES: u32 = 4;
-
-/// Time for a move: 100 MB over the engines' links take some 10 ms, behind other moves.
-const MOVE_ANSWER: Duration = Duration::from_millis(600);
-
 /// When a refused caller should come back, in milliseconds: drafts last some 3 s, and bursts are
 /// over within seconds. Spread, so that the refused don't come back at once.
 const COME_BACK_MILLIS: std::ops::Range<u64> = 2_000..4_400;
 
 /// A stream on its way.
 pub struct Run {
-    node: Arc<Node>,
-    call: Call,
-    route: Route,
-    service: String,
+    /// Node.
+    pub node: Arc<Node>,
+    /// Request.
+    pub call: Call,
+    /// Route it came by.
+    pub route: Route,
+    /// Service it falls to.
+    pub service: String,
     engine: Engine,
     /// Endpoints to which the request was sent.
-    sent: u32,
-}
-
-/// Memory reserved at a decoding engine; released when dropped before its use.
-struct Hold {
-    node: Arc<Node>,
-    engine: Endpoint,
-    key: Key,
-    id: Option<String>,
-    seat: Option<Seat>,
-}
-
-impl Drop for Hold {
-    fn drop(&mut self) {
-        if let Some(id) = self.id.take() {
-            release(&self.node, &self.engine, engine::drop_hold(&self.engine, &id));
-        }
-    }
-}
-
-/// KV cache kept at a prefilling engine; freed when dropped before its use.
-struct Handle {
-    node: Arc<Node>,
-    engine: Endpoint,
-    id: Option<String>,
-}
-
-impl Drop for Handle {
-    fn drop(&mut self) {
-        if let Some(id) = self.id.take() {
-            release(&self.node, &self.engine, engine::drop_handle(&self.engine, &id));
-        }
-    }
-}
-
-/// Makes a call that gives something back; what is lost lapses at the engine by itself.
-fn release(
-    node: &Arc<Node>,
-    engine: &Endpoint,
-    request: crosslane_transport::connection::Outgoing,
-) {
-    let control = node.control.clone();
-    let to = engine.address;
-    tokio::spawn(async move {
-        if let Err(error) = control.call(to, request, RELEASE_ANSWER).await {
-            debug!("release at {to}: {error}");
-        }
-    });
+    pub sent: u32,
 }
 
 impl Run {
@@ -178,7 +111,7 @@
     }
 
     /// Tokens of KV cache that the request is expected to need.
-    fn tokens(&self) -> u32 {
+    pub fn tokens(&self) -> u32 {
         let ask = &self.call.ask;
         let usual = (f64::from(ask.most) * USUAL_SHARE) as u32;
         ask.prompt + ask.hint.unwrap_or(usual).min(ask.most)
@@ -235,7 +168,8 @@
         self.choose(Stage::Prefill, &[]).is_none_or(|(_, score)| score < FULL)
     }
 
-    fn choose(&self, stage: Stage, except: &[Key]) -> Option<(Key, f64)> {
+    /// The best engine of a stage, and its load.
+    pub fn choose(&self, stage: Stage, except: &[Key]) -> Option<(Key, f64)> {
         let capacity = match stage {
             Stage::Prefill => PREFILL_BACKLOG,
             Stage::Decode | Stage::Plain => self.engine.capacity,
@@ -265,7 +199,7 @@
             }
         };
         let id = id?;
-        Some(Hold { node: self.node.clone(), engine, key, id: Some(id), seat: Some(seat) })
+        Some(Hold::new(&self.node, engine, id, seat))
     }
 
     /// Has the prompt read. Nothing is returned if that failed and the decoding engine is to read
@@ -280,7 +214,7 @@
         let (_, body) = answer.read(PREFILL_BYTES, until).await.ok()?;
         let id = engine::handle(&body)?;
         Meter::time(&self.node.meter.prefill, began.elapsed());
-        Some(Handle { node: self.node.clone(), engine, id: Some(id) })
+        Some(Handle::new(&self.node, engine, id))
     }
 
     /// Sends the request to the engine that holds its memory.
@@ -293,7 +227,7 @@
         let Some(seat) = hold.seat.take() else {
             return Err(Failure::Unsent);
         };
-        let source = handle.as_deref().and_then(|it| Some((it.engine.address, it.id.as_deref()?)));
+        let source = handle.as_deref().and_then(Handle::source);
         let purpose = Purpose::Decode { hold: hold.id.as_deref(), source, last_event };
         let until = self.head_by();
         let answer = exchange::send(&self.call, seat, &purpose, until).await;
@@ -329,21 +263,23 @@
                 self.node.meter.retried(Retry::DeniedBudget);
                 break;
             }
-            self.node.meter.retried(retry(failure));
+            self.node.meter.retried(failure.into());
             match self.elsewhere(self.call.ask.last_event).await {
                 Ok(answer) => return Ok(answer),
                 Err(None) => break,
                 Err(Some(next)) if next.may_have_run() && !kind.idempotent() => {
                     return Err(given_up(next));
                 }
-                Err(Some(next)) => failure = next,
+                // A later refusal does not make the request one that has not run.
+                Err(Some(next)) if next.may_have_run() || !failure.may_have_run() => failure = next,
+                Err(Some(_)) => {}
             }
         }
         Err(given_up(failure))
     }
 
     /// Runs the request at an engine that reads the prompt itself, after an event.
-    async fn elsewhere(&mut self, last_event: Option<u64>) -> Result<Answer, Option<Failure>> {
+    pub async fn elsewhere(&mut self, last_event: Option<u64>) -> Result<Answer, Option<Failure>> {
         let patience = Duration::from_millis(self.route.target);
         let until = self.call.deadline.min(Instant::now() + patience);
         let mut hold = self.reserve(until).await.map_err(|_| None)?;
@@ -353,221 +289,20 @@
     fn relay(self, answer: Answer) -> Response<Reply> {
         let status = answer.parts.status;
         let headers = answer::headers(&answer.parts.headers);
-        let relay = Relay {
-            run: self,
-            answer: Some(answer),
-            events: Events::default(),
-            move_at: None,
-            moves: MOVES,
-            broken: None,
-        };
-        let frames = futures::stream::unfold(relay, Relay::next);
-        let mut response = Response::new(BoxBody::new(StreamBody::new(frames)));
+        let mut response = Response::new(Relay::new(self, answer).body());
         *response.status_mut() = status;
         *response.headers_mut() = headers;
         response
     }
 }
 
-/// Passes events on.
-struct Relay {
-    run: Run,
-    answer: Option<Answer>,
-    events: Events,
-    /// When the run is to be moved away from an engine that leaves.
-    move_at: Option<Instant>,
-    /// Moves that may still be tried.
-    moves: u32,
-    /// Why the stream is to be cut.
-    broken: Option<&'static str>,
-}
-
-/// What came of a stream.
-enum Piece {
-    Data(Bytes),
-    End,
-    Broken(&'static str),
-}
-
-type Item = (Result<Frame<Bytes>, BodyError>, Relay);
-
-impl Relay {
-    async fn next(mut self) -> Option<Item> {
-        loop {
-            if let Some(why) = self.broken.take() {
-                return Some((Err(why.into()), self));
-            }
-            // Only after the error that cut it is a stream without an answer.
-            self.answer.as_ref()?;
-            if self.must_move() {
-                match self.hand_over().await {
-                    Some(whole) => return Some((Ok(Frame::data(whole)), self)),
-                    None => continue,
-                }
-            }
-            match self.piece().await {
-                Piece::Data(bytes) => {
-                    if let Some(whole) = self.events.push(&bytes) {
-                        return Some((Ok(Frame::data(whole)), self));
-                    }
-                }
-                Piece::End => {
-                    self.note(Outcome::Good);
-                    return None;
-                }
-                Piece::Broken(why) => {
-                    self.note(Outcome::Failed);
-                    self.answer = None;
-                    if !self.resume(why).await {
-                        return Some((Err(why.into()), self));
-                    }
-                }
-            }
-        }
-    }
-
-    fn note(&self, outcome: Outcome) {
-        if let Some(answer) = &self.answer {
-            answer.note(outcome);
-        }
-    }
-
-    async fn piece(&mut self) -> Piece {
-        let Some(answer) = &mut self.answer else {
-            return Piece::Broken("no engine");
-        };
-        let began = Instant::now();
-        let stall = Duration::from_millis(self.run.route.gap * STALL);
-        let until = self.run.call.deadline.min(began + stall);
-        let frame = timeout_at(until, answer.body.frame()).await;
-        Meter::time(&self.run.node.meter.gap, began.elapsed());
-        match frame {
-            Ok(Some(Ok(frame))) => Piece::Data(frame.into_data().unwrap_or_default()),
-            Ok(Some(Err(_))) => Piece::Broken("engine broke off"),
-            Ok(None) if self.events.partial() => Piece::Broken("engine ended within an event"),
-            Ok(None) => Piece::End,
-            Err(_) if self.run.call.left().is_zero() => Piece::Broken("time ran out"),
-            Err(_) => Piece::Broken("engine stalled"),
-        }
-    }
-
-    /// Whether the engine has been leaving for so long that the run is to go on elsewhere.
-    fn must_move(&mut self) -> bool {
-        let Some(key) = self.answer.as_ref().map(Answer::key) else {
-            return false;
-        };
-        if self.moves == 0 || self.run.node.pool().usable(key) {
-            return false;
-        }
-        let now = Instant::now();
-        now >= *self.move_at.get_or_insert(now + MOVE_AFTER)
-    }
-
-    /// Moves the run with its memory to another engine. Returns events that came meanwhile.
-    async fn hand_over(&mut self) -> Option<Bytes> {
-        self.moves -= 1;
-        self.move_at = Some(Instant::now() + MOVE_PAUSE);
-        let (source, key) = self.answer.as_ref().map(|it| (it.endpoint.clone(), it.key()))?;
-        let place = self.run.choose(Stage::Decode, &[key]).filter(|it| it.1 < FULL)?;
-        let target = self.run.node.pool().get(place.0).cloned()?;
-        if !self.run.node.take_repeat(&self.run.service) {
-            return None;
-        }
-        let request = engine::move_run(&source, &self.run.call.ask.id, target.address);
-        let control = self.run.node.control.clone();
-        let answer = control.call(source.address, request, MOVE_ANSWER).await;
-        let outcome = match &answer {
-            Ok(answer) => engine::moved(answer.status, &answer.body),
-            Err(_) => Move::Refused,
-        };
-        self.told_move(&source, &target, &outcome);
-        let (handle, place) = match outcome {
-            Move::Copied { handle } => (handle, place),
-            Move::Stopped { handle } => (handle, (key, 0.0)),
-            Move::Ended | Move::Refused => return None,
-        };
-        self.move_at = None;
-        let rest = self.drain().await;
-        self.go_on(&source, &handle, place).await;
-        rest
-    }
-
-    fn told_move(&self, from: &Endpoint, to: &Endpoint, outcome: &Move) {
-        let (request, from, to) = (self.run.call.ask.id.as_str(), from.id.as_str(), to.id.as_str());
-        info!(request, from, to, outcome:? = outcome; "{}", event::MOVE);
-    }
-
-    /// Reads what a stopped run had still sent.
-    async fn drain(&mut self) -> Option<Bytes> {
-        let answer = self.answer.as_mut()?;
-        let until = Instant::now() + MOVE_ANSWER;
-        let mut rest = BytesMut::new();
-        while let Ok(Some(Ok(frame))) = timeout_at(until, answer.body.frame()).await {
-            let bytes = frame.into_data().unwrap_or_default();
-            rest.extend(self.events.push(&bytes).into_iter().flatten());
-        }
-        self.events.discard();
-        (!rest.is_empty()).then(|| rest.freeze())
-    }
-
-    /// Lets a stopped run go on from its memory.
-    async fn go_on(&mut self, source: &Endpoint, handle: &str, place: (Key, f64)) {
-        let last_event = self.last_event();
-        let source = Some((source.address, handle));
-        let purpose = Purpose::Decode { hold: None, source, last_event };
-        let seat = Seat::take(&self.run.node, place, self.run.tokens());
-        let until = self.run.call.deadline;
-        // Without an answer the stream is continued or cut as one that broke off.
-        self.answer = exchange::send(&self.run.call, seat, &purpose, until).await.ok();
-        if self.answer.is_none() && !self.resume("move failed").await {
-            self.broken = Some("move failed");
-        }
-    }
-
-    /// The last event passed on, here or before the caller took the stream up again.
-    fn last_event(&self) -> Option<u64> {
-        self.events.last_id().or(self.run.call.ask.last_event)
-    }
-
-    /// Continues the stream at another engine; false if that may not or could not be done.
-    async fn resume(&mut self, why: &str) -> bool {
-        let last = self.last_event();
-        let resumable = self.run.route.kind == Kind::Stream { resumable: true };
-        let request = self.run.call.ask.id.clone();
-        let left = self.run.call.left();
-        let allowed = resumable && !left.is_zero() && self.run.sent < self.run.route.attempts;
-        if !allowed || !self.run.node.take_repeat(&self.run.service) {
-            info!(request, why, outcome = "cut", after = last.unwrap_or_default(); "{}", event::ATTEMPT);
-            return false;
-        }
-        self.events.discard();
-        let resumed = self.run.elsewhere(last).await;
-        let outcome = if resumed.is_ok() { "resumed" } else { "not resumed" };
-        info!(request, why, outcome, after = last.unwrap_or_default(); "{}", event::ATTEMPT);
-        self.run.node.meter.retried(Retry::Resumed);
-        self.answer = resumed.ok().filter(|it| it.parts.status.is_success());
-        self.answer.is_some()
-    }
-}
-
 fn come_back(reason: Reason) -> Refusal {
     let wait = rand::rng().random_range(COME_BACK_MILLIS);
     Refusal::later(reason, Duration::from_millis(wait))
 }
 
+/// Says when to come back if the request has not run.
 fn given_up(failure: Failure) -> Refusal {
-    match failure {
-        Failure::Broken => Reason::Broken.into(),
-        Failure::Timeout => Reason::Timeout.into(),
-        Failure::Unsent => come_back(Reason::NoEndpoint),
-        Failure::Refused => come_back(Reason::Refused),
-    }
-}
-
-fn retry(failure: Failure) -> Retry {
-    match failure {
-        Failure::Unsent => Retry::Unreachable,
-        Failure::Refused => Retry::Refused,
-        Failure::Broken | Failure::Timeout => Retry::Broken,
-    }
+    let reason = Reason::from(failure);
+    if failure.may_have_run() { reason.into() } else { come_back(reason) }
 }
