Keep what heartbeats say apart from how they are sent

members.rs holds who is live, who reads the store and who may give orders, with a table of tests; peers.rs sends and receives. Heartbeats have their usual name. No change of behaviour.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod follower;
 pub mod front;
 pub mod hold;
+pub mod members;
 pub mod meter;
 pub mod mirror;
 pub mod node;
--- /dev/null
+++ b/crates/gateway/src/members.rs
@@ -0,0 +1,144 @@
+//! Other nodes as their heartbeats show them, and what follows for this one.
+//!
+//! Which nodes read the store, and which gives orders, follows from the heartbeats without agreement:
+//! the first by name, passing over those whose reads fail. Two that differ for a moment both read;
+//! for orders the store's lease decides.
+
+use crosslane_coordination::pool::Usage;
+use crosslane_platform::settings::Settings;
+use crosslane_state::endpoint::Tag;
+use crosslane_state::time::Millis;
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+use std::net::IpAddr;
+use std::time::Duration;
+
+/// Shortest time between heartbeats. What others have at engines is this old at most; drafts last
+/// some 3 s.
+const HEARTBEAT: Duration = Duration::from_millis(250);
+
+/// Time between heartbeats for each other node: a node sends and takes some 130 heartbeats a second
+/// at most.
+const HEARTBEAT_EACH: Duration = Duration::from_micros(7_500);
+
+/// Time without a heartbeat after which a node counts as silent, in heartbeats.
+const SILENT_HEARTBEATS: u32 = 6;
+
+/// Nodes of a failure domain that read the store: with one, its silence would be noticed only
+/// after seconds.
+const READERS: usize = 2;
+
+/// Time that a silent node still counts towards the retry budget, in milliseconds: the window in
+/// which what it spent still counts.
+const REMEMBERED: u64 = 10_000;
+
+/// What a node tells the others.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// VM of the sender.
+    pub vm: String,
+    /// Failure domain of the sender.
+    pub domain: String,
+    /// Whether the sender goes on: it is not stopping.
+    pub steady: bool,
+    /// Whether the store answers the sender's reads.
+    pub fed: bool,
+    /// How far it has read the operators' and the endpoints' topic.
+    pub ends: (u64, u64),
+    /// What it has at endpoints.
+    pub usage: Vec<(Tag, Usage)>,
+}
+
+/// What is known of another node.
+#[derive(Clone, Debug, Default)]
+struct Member {
+    vm: String,
+    domain: String,
+    steady: bool,
+    fed: bool,
+    heard: Option<Millis>,
+}
+
+/// Other nodes by address.
+#[derive(Debug)]
+pub struct Members {
+    me: IpAddr,
+    vm: String,
+    domain: String,
+    members: HashMap<IpAddr, Member>,
+}
+
+impl Members {
+    /// The nodes named in the settings, not heard yet.
+    pub fn new(settings: &Settings) -> Self {
+        let mut members = Self {
+            me: settings.ip,
+            vm: settings.vm.clone(),
+            domain: settings.domain.clone(),
+            members: HashMap::new(),
+        };
+        settings.seeds.iter().for_each(|ip| members.add(*ip));
+        members
+    }
+
+    /// Adds a node that was not heard yet.
+    pub fn add(&mut self, ip: IpAddr) {
+        if ip != self.me {
+            self.members.entry(ip).or_default();
+        }
+    }
+
+    /// Takes a heartbeat.
+    pub fn hear(&mut self, ip: IpAddr, heartbeat: &Heartbeat, now: Millis) {
+        if ip == self.me {
+            return;
+        }
+        let member = Member {
+            vm: heartbeat.vm.clone(),
+            domain: heartbeat.domain.clone(),
+            steady: heartbeat.steady,
+            fed: heartbeat.fed,
+            heard: Some(now),
+        };
+        self.members.insert(ip, member);
+    }
+
+    /// Time between heartbeats, which grows with the number of nodes.
+    pub fn interval(&self) -> Duration {
+        HEARTBEAT.max(HEARTBEAT_EACH * self.members.len() as u32)
+    }
+
+    fn live(&self, now: Millis) -> impl Iterator<Item = (&IpAddr, &Member)> {
+        let silent = (self.interval() * SILENT_HEARTBEATS).as_millis() as u64;
+        let heard = move |it: &Member| it.heard.is_some_and(|at| now.since(at) < silent);
+        self.members.iter().filter(move |(_, it)| heard(it))
+    }
+
+    /// Addresses of live nodes, or of all.
+    pub fn addresses(&self, all: bool, now: Millis) -> Vec<IpAddr> {
+        if all {
+            return self.members.keys().copied().collect();
+        }
+        self.live(now).map(|(ip, _)| *ip).collect()
+    }
+
+    /// Nodes heard within the retry budget's window, this one among them.
+    pub fn count(&self, now: Millis) -> usize {
+        let recent = |it: &&Member| it.heard.is_some_and(|at| now.since(at) < REMEMBERED);
+        1 + self.members.values().filter(recent).count()
+    }
+
+    /// Whether this node comes first among those that may give orders.
+    pub fn first(&self, now: Millis) -> bool {
+        let mut others = self.live(now).filter(|(_, it)| it.steady && it.fed);
+        others.all(|(_, it)| self.vm < it.vm)
+    }
+
+    /// Whether this node is one of its failure domain's readers of the store.
+    pub fn reads(&self, now: Millis) -> bool {
+        let before = self
+            .live(now)
+            .filter(|(_, it)| it.domain == self.domain && it.steady && it.fed && it.vm < self.vm);
+        before.count() < READERS
+    }
+}
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -2,9 +2,9 @@
 
 use crate::control::Control;
 use crate::event;
+use crate::members::Members;
 use crate::meter::Meter;
 use crate::mirror::{Change, Mirror};
-use crate::peers::Members;
 use crosslane_coordination::allowance::{Allowance, Budget};
 use crosslane_coordination::pool::Pool;
 use crosslane_platform::settings::Settings;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,25 +1,20 @@
-//! What nodes tell each other: beats by UDP, and the mirror by tarpc when one is behind.
+//! What nodes tell each other: heartbeats by UDP, and the mirror by tarpc when one is behind.
 //!
-//! A beat says how far its sender has read the store and what it has at endpoints. A node that
+//! A heartbeat says how far its sender has read the store and what it has at endpoints. A node that
 //! learns of something newer, and does not read it from the store itself at once, pulls it from
 //! the sender. So few nodes need to read, and those that the store turns away follow the others.
 //!
-//! Which nodes read follows from the beats, without agreement: the first few of a failure domain
+//! Which nodes read follows from the heartbeats, without agreement: the first few of a failure domain
 //! by name, passing over those whose reads fail. Two that differ for a moment read both.
 
 use crate::event;
+use crate::members::Heartbeat;
 use crate::mirror::Delta;
 use crate::node::{Node, lock};
-use crosslane_coordination::pool::Usage;
-use crosslane_platform::settings::Settings;
 use crosslane_platform::store::{Client, Record};
-use crosslane_state::endpoint::Tag;
 use crosslane_state::hash;
-use crosslane_state::time::Millis;
 use futures::StreamExt;
 use log::{debug, info, warn};
-use serde::{Deserialize, Serialize};
-use std::collections::HashMap;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
@@ -33,143 +28,23 @@
 /// Topic in which nodes leave their addresses.
 const NODES: &str = "keyed.nodes";
 
-/// Shortest time between beats. What others have at engines is this old at most; drafts last
-/// some 3 s.
-const BEAT: Duration = Duration::from_millis(250);
-
-/// Time between beats for each other node: a node sends and takes some 130 beats a second at most.
-const BEAT_EACH: Duration = Duration::from_micros(7_500);
-
-/// Time without a beat after which a node counts as silent, in beats.
-const SILENT_BEATS: u32 = 6;
-
-/// Nodes of a failure domain that read the store: with one, its silence would be noticed only
-/// after seconds.
-const READERS: usize = 2;
-
-/// Time that a silent node still counts towards the retry budget, in milliseconds: the window in
-/// which what it spent still counts.
-const REMEMBERED: u64 = 10_000;
-
-/// Beats between those to silent nodes.
+/// Heartbeats between those to silent nodes.
 const SILENT_EVERY: u64 = 8;
 
-/// Time given to the store to bring what a beat told of, before it is pulled from its sender.
+/// Time given to the store to bring what a heartbeat told of, before it is pulled from its sender.
 const OWN_READ: Duration = Duration::from_millis(120);
 
 /// Time for a pull.
 const PULL: Duration = Duration::from_millis(1_000);
 
-/// Largest datagram.
-const DATAGRAM: usize = 60_000;
-
-/// What a node tells the others.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct Beat {
-    /// VM of the sender.
-    pub vm: String,
-    /// Failure domain of the sender.
-    pub domain: String,
-    /// Whether the sender goes on: it is not stopping.
-    pub steady: bool,
-    /// Whether the store answers the sender's reads.
-    pub fed: bool,
-    /// How far it has read the operators' and the endpoints' topic.
-    pub ends: (u64, u64),
-    /// What it has at endpoints.
-    pub usage: Vec<(Tag, Usage)>,
-}
-
-/// What is known of another node.
-#[derive(Clone, Debug, Default)]
-struct Member {
-    vm: String,
-    domain: String,
-    steady: bool,
-    fed: bool,
-    heard: Option<Millis>,
-}
-
-/// Other nodes by address.
-#[derive(Debug)]
-pub struct Members {
-    me: IpAddr,
-    vm: String,
-    domain: String,
-    members: HashMap<IpAddr, Member>,
-}
-
-impl Members {
-    /// The nodes named in the settings, not heard yet.
-    pub fn new(settings: &Settings) -> Self {
-        let mut members = Self {
-            me: settings.ip,
-            vm: settings.vm.clone(),
-            domain: settings.domain.clone(),
-            members: HashMap::new(),
-        };
-        settings.seeds.iter().for_each(|ip| members.add(*ip));
-        members
-    }
-
-    fn add(&mut self, ip: IpAddr) {
-        if ip != self.me {
-            self.members.entry(ip).or_default();
-        }
-    }
-
-    fn hear(&mut self, ip: IpAddr, beat: &Beat, now: Millis) {
-        if ip == self.me {
-            return;
-        }
-        let member = Member {
-            vm: beat.vm.clone(),
-            domain: beat.domain.clone(),
-            steady: beat.steady,
-            fed: beat.fed,
-            heard: Some(now),
-        };
-        self.members.insert(ip, member);
-    }
-
-    /// Time between beats, which grows with the number of nodes.
-    fn interval(&self) -> Duration {
-        BEAT.max(BEAT_EACH * self.members.len() as u32)
-    }
+/// Pause before the store is asked again for the nodes' addresses: refused calls are priced.
+const ENLIST_PAUSE: Duration = Duration::from_millis(700);
 
-    fn live(&self, now: Millis) -> impl Iterator<Item = (&IpAddr, &Member)> {
-        let silent = (self.interval() * SILENT_BEATS).as_millis() as u64;
-        let heard = move |it: &Member| it.heard.is_some_and(|at| now.since(at) < silent);
-        self.members.iter().filter(move |(_, it)| heard(it))
-    }
+/// Pause after a failed receive, which would else be tried without end.
+const RECEIVE_PAUSE: Duration = Duration::from_millis(20);
 
-    fn addresses(&self, all: bool, now: Millis) -> Vec<IpAddr> {
-        if all {
-            return self.members.keys().copied().collect();
-        }
-        self.live(now).map(|(ip, _)| *ip).collect()
-    }
-
-    /// Nodes heard within the retry budget's window, this one among them.
-    pub fn count(&self, now: Millis) -> usize {
-        let recent = |it: &&Member| it.heard.is_some_and(|at| now.since(at) < REMEMBERED);
-        1 + self.members.values().filter(recent).count()
-    }
-
-    /// Whether this node comes first among those that may give orders.
-    pub fn first(&self, now: Millis) -> bool {
-        let mut others = self.live(now).filter(|(_, it)| it.steady && it.fed);
-        others.all(|(_, it)| self.vm < it.vm)
-    }
-
-    /// Whether this node is one of its failure domain's readers of the store.
-    pub fn reads(&self, now: Millis) -> bool {
-        let before = self
-            .live(now)
-            .filter(|(_, it)| it.domain == self.domain && it.steady && it.fed && it.vm < self.vm);
-        before.count() < READERS
-    }
-}
+/// Largest datagram.
+const DATAGRAM: usize = 60_000;
 
 /// What nodes ask each other by tarpc.
 #[tarpc::service]
@@ -193,7 +68,7 @@
     let socket = Arc::new(UdpSocket::bind(address).await?);
     tokio::spawn(serve(node.clone(), address));
     tokio::spawn(enlist(node.clone()));
-    tokio::spawn(beat(node.clone(), socket.clone()));
+    tokio::spawn(tell(node.clone(), socket.clone()));
     listen(node, socket).await
 }
 
@@ -243,17 +118,17 @@
             }
             Err(error) => {
                 debug!("addresses of nodes: {error}");
-                sleep(Duration::from_millis(700)).await;
+                sleep(ENLIST_PAUSE).await;
             }
         }
     }
 }
 
-async fn beat(node: Arc<Node>, socket: Arc<UdpSocket>) {
+async fn tell(node: Arc<Node>, socket: Arc<UdpSocket>) {
     let mut round = 0_u64;
     loop {
         let now = node.now();
-        let beat = Beat {
+        let heartbeat = Heartbeat {
             vm: node.settings.vm.clone(),
             domain: node.settings.domain.clone(),
             steady: node.stopping.borrow().is_none(),
@@ -263,7 +138,7 @@
         };
         let addresses = lock(&node.members).addresses(round.is_multiple_of(SILENT_EVERY), now);
         node.meter.peers.set(addresses.len() as i64);
-        match bincode::serialize(&beat) {
+        match bincode::serialize(&heartbeat) {
             Ok(bytes) => send(&socket, &bytes, &addresses, node.settings.peer_port).await,
             Err(error) => warn!(why:% = error; "{}", event::SKIPPED),
         }
@@ -276,9 +151,9 @@
 
 async fn send(socket: &UdpSocket, bytes: &[u8], addresses: &[IpAddr], port: u16) {
     for ip in addresses {
-        // A lost beat is made good by the next one; a node cut off gives an error each time.
+        // A lost heartbeat is made good by the next one; a node cut off gives an error each time.
         if let Err(error) = socket.send_to(bytes, (*ip, port)).await {
-            debug!("beat to {ip}: {error}");
+            debug!("heartbeat to {ip}: {error}");
         }
     }
 }
@@ -290,26 +165,26 @@
         let (length, from) = match socket.recv_from(&mut buffer).await {
             Ok(received) => received,
             Err(error) => {
-                debug!("beats: {error}");
-                sleep(Duration::from_millis(20)).await;
+                debug!("heartbeats: {error}");
+                sleep(RECEIVE_PAUSE).await;
                 continue;
             }
         };
-        let beat: Beat = match bincode::deserialize(&buffer[..length]) {
-            Ok(beat) => beat,
+        let heartbeat: Heartbeat = match bincode::deserialize(&buffer[..length]) {
+            Ok(heartbeat) => heartbeat,
             Err(error) => {
                 warn!(from:% = from, why:% = error; "{}", event::SKIPPED);
                 continue;
             }
         };
         let now = node.now();
-        lock(&node.members).hear(from.ip(), &beat, now);
-        let ahead = ahead(&node, beat.ends);
-        node.pool().hear(hash::of(beat.vm.as_bytes()), beat.usage, now);
+        lock(&node.members).hear(from.ip(), &heartbeat, now);
+        let ahead = ahead(&node, heartbeat.ends);
+        node.pool().hear(hash::of(heartbeat.vm.as_bytes()), heartbeat.usage, now);
         if ahead && let Ok(permit) = pulling.clone().try_acquire_owned() {
             let node = node.clone();
             tokio::spawn(async move {
-                pull(&node, from.ip(), beat.ends).await;
+                pull(&node, from.ip(), heartbeat.ends).await;
                 drop(permit);
             });
         }
--- /dev/null
+++ b/crates/gateway/tests/members.rs
@@ -0,0 +1,103 @@
+//! Members: which nodes read the store and which gives orders, as heartbeats tell.
+
+use crosslane_gateway::members::{Heartbeat, Members};
+use crosslane_platform::settings::Settings;
+use crosslane_state::time::Millis;
+use rstest::rstest;
+use std::net::IpAddr;
+
+const DOMAIN: &str = "aarau";
+
+fn settings() -> Settings {
+    let address = "127.0.0.1:1".parse().unwrap();
+    Settings {
+        vm: "n3".into(),
+        ip: "127.0.0.1".parse().unwrap(),
+        domain: DOMAIN.into(),
+        callers: address,
+        ready: address,
+        peer_port: 1,
+        seeds: Vec::new(),
+        store: address,
+        grace: 8_000,
+        lease: 3_000,
+        retry_ratio: 0.2,
+        retry_slack: 50.0,
+        retry_window: 10_000,
+    }
+}
+
+struct Other {
+    vm: &'static str,
+    domain: &'static str,
+    steady: bool,
+    fed: bool,
+    heard: u64,
+}
+
+const OTHER: Other = Other { vm: "n1", domain: DOMAIN, steady: true, fed: true, heard: 10_000 };
+
+struct Case {
+    name: &'static str,
+    others: &'static [Other],
+    reads: bool,
+    first: bool,
+}
+
+#[rstest]
+#[case(Case { name: "alone", others: &[], reads: true, first: true })]
+#[case(Case { name: "second", others: &[OTHER], reads: true, first: false })]
+#[case(Case {
+    name: "third",
+    others: &[OTHER, Other { vm: "n2", ..OTHER }],
+    reads: false,
+    first: false,
+})]
+#[case(Case {
+    name: "one before it is turned away by the store",
+    others: &[OTHER, Other { vm: "n2", fed: false, ..OTHER }],
+    reads: true,
+    first: false,
+})]
+#[case(Case {
+    name: "both before it are silent",
+    others: &[Other { heard: 1_000, ..OTHER }, Other { vm: "n2", heard: 1_000, ..OTHER }],
+    reads: true,
+    first: true,
+})]
+#[case(Case {
+    name: "one before it is stopping",
+    others: &[OTHER, Other { vm: "n2", steady: false, ..OTHER }],
+    reads: true,
+    first: false,
+})]
+#[case(Case {
+    name: "those before it are in another failure domain",
+    others: &[Other { domain: "olten", ..OTHER }, Other { vm: "n2", domain: "olten", ..OTHER }],
+    reads: true,
+    first: false,
+})]
+#[case(Case {
+    name: "those after it do not matter",
+    others: &[Other { vm: "n4", ..OTHER }, Other { vm: "n5", ..OTHER }],
+    reads: true,
+    first: true,
+})]
+fn roles(#[case] case: Case) {
+    let mut members = Members::new(&settings());
+    for (place, other) in case.others.iter().enumerate() {
+        let heartbeat = Heartbeat {
+            vm: other.vm.into(),
+            domain: other.domain.into(),
+            steady: other.steady,
+            fed: other.fed,
+            ends: (0, 0),
+            usage: Vec::new(),
+        };
+        let ip = IpAddr::from([127, 0, 0, place as u8 + 2]);
+        members.hear(ip, &heartbeat, Millis(other.heard));
+    }
+    let now = Millis(10_100);
+    assert_eq!(members.reads(now), case.reads, "{}", case.name);
+    assert_eq!(members.first(now), case.first, "{}", case.name);
+}
