Free what dead nodes left at engines whose owner is dead too

Cause: a node looked only at the lists of engines that it owns, and a dead node stays owner until its departure is in the log. A frozen node's attempt, in its prefill at an engine that it owns, was freed by nobody. Shown by paused_in_prefill.rhai: 8 engines stalled, 12 prompts of a frozen node; memory still held after 15 s (failed before the change, passes after). Ruled out: the cancels of live nodes failing (they made none), and load (the scenario ran alone).

--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -263,6 +263,32 @@
             .filter(move |it| it.role != Role::Service && self.owner(it.id) == Some(me))
     }
 
+    /// Engines whose owner is dead, and which this node is to look after until the log has the
+    /// departure: it is the first in their ranking that is believed alive.
+    pub fn wards(&self, now: Millis) -> Vec<Runner> {
+        let alive = |it| self.belief(it, now) == Belief::Alive;
+        let all_alive = self.state.roster.iter().all(|it| alive(it.incarnation));
+        if all_alive {
+            return Vec::new();
+        }
+        let roster = &self.state.roster;
+        let eligible = |it: Incarnation| alive(it) && !self.member_leaving(it);
+        let mine = |it: &&Runner| {
+            let owner = self.owner(it.id);
+            it.role != Role::Service
+                && owner.is_some_and(|owner| self.belief(owner, now) == Belief::Dead)
+                && roster.owner(it.id.0, eligible) == Some(self.options.me)
+        };
+        self.options.table.iter().filter(mine).cloned().collect()
+    }
+
+    /// What to cancel at an engine whose owner is dead: just what dead nodes left there. Slots are
+    /// granted again only by an owner.
+    pub fn orphans(&self, held: &[attempt::Id], now: Millis) -> Vec<attempt::Id> {
+        let held: Vec<_> = held.iter().map(|it| (*it, false)).collect();
+        reconcile::plan(&held, |origin| self.belief(origin, now)).cancel
+    }
+
     /// Chooses a runner of a pool.
     pub fn place(&mut self, wanted: Wanted<'_>, now: Millis) -> Option<Id> {
         let Wanted { role, serves, domains, avoid, work } = wanted;
--- a/crates/transport/src/sweep.rs
+++ b/crates/transport/src/sweep.rs
@@ -8,6 +8,7 @@
 use crosslane_state::attempt;
 use crosslane_state::incarnation::Incarnation;
 use crosslane_state::runner::{Id, Runner};
+use futures::future::join_all;
 use log::info;
 use std::sync::Arc;
 use std::time::Duration;
@@ -73,25 +74,54 @@
     }
 }
 
-/// Reconciles owned engines until the process ends.
+/// Reconciles owned engines, and those whose owner is dead, until the process ends.
 pub async fn run(shared: Arc<Shared>) {
     let period = Duration::from_millis(shared.settings.timing.reconcile_millis);
     loop {
         tokio::time::sleep(period).await;
-        let owned = shared.keeper.visit(|node, _| node.owned().cloned().collect::<Vec<_>>()).await;
-        let looks = owned.into_iter().map(|runner| reconcile(shared.clone(), runner));
-        futures::future::join_all(looks).await;
+        let look = |node: &mut Node, now| (node.owned().cloned().collect(), node.wards(now));
+        let (owned, wards): (Vec<Runner>, Vec<Runner>) = shared.keeper.visit(look).await;
+        let owned = owned.into_iter().map(|runner| reconcile(shared.clone(), runner));
+        let wards = wards.into_iter().map(|runner| clear(shared.clone(), runner));
+        tokio::join!(join_all(owned), join_all(wards));
     }
 }
 
-async fn reconcile(shared: Arc<Shared>, runner: Runner) {
+/// Attempts that an engine holds, by its own list.
+async fn held(shared: &Shared, runner: &Runner) -> Option<Vec<attempt::Id>> {
     let engine = Engine::new(shared.client.clone(), runner.address);
+    let list = engine.held().await.ok()?;
+    Some(list.held.iter().filter_map(|it| attempt::Id::parse(&it.attempt)).collect())
+}
+
+/// Frees what dead nodes left at an engine whose owner is dead too.
+async fn clear(shared: Arc<Shared>, runner: Runner) {
+    let Some(held) = held(&shared, &runner).await else {
+        return;
+    };
+    let orphans = shared.keeper.visit(move |node, now| node.orphans(&held, now)).await;
+    orphans.into_iter().for_each(|it| reclaim(&shared, &runner, it, None));
+}
+
+/// Frees an attempt that nobody wants.
+fn reclaim(
+    shared: &Arc<Shared>,
+    runner: &Runner,
+    attempt: attempt::Id,
+    owner: Option<Incarnation>,
+) {
+    shared.metrics.count(Counter::Reconciled);
+    info!(event = "reconciled", attempt:% = attempt, runner = runner.name.as_str(); "");
+    let hold = Hold { runner: runner.clone(), owner, touched: true };
+    tokio::spawn(free(shared.clone(), attempt, hold));
+}
+
+async fn reconcile(shared: Arc<Shared>, runner: Runner) {
     let id = runner.id;
-    let Ok(list) = engine.held().await else {
+    let Some(held) = held(&shared, &runner).await else {
         shared.keeper.visit(move |node, _| node.silent(id)).await;
         return;
     };
-    let held: Vec<_> = list.held.iter().filter_map(|it| attempt::Id::parse(&it.attempt)).collect();
     let plan = move |node: &mut Node, now| node.reconcile(id, &held, now);
     let Some(plan) = shared.keeper.visit(plan).await else {
         return;
@@ -100,12 +130,7 @@
     for (origin, attempts) in plan.ask {
         unwanted.extend(disowned(&shared, origin, attempts).await);
     }
-    for attempt in unwanted {
-        shared.metrics.count(Counter::Reconciled);
-        info!(event = "reconciled", attempt:% = attempt, runner = runner.name.as_str(); "");
-        let hold = Hold { runner: runner.clone(), owner: Some(shared.me), touched: true };
-        tokio::spawn(free(shared.clone(), attempt, hold));
-    }
+    unwanted.into_iter().for_each(|it| reclaim(&shared, &runner, it, Some(shared.me)));
 }
 
 /// Attempts that their maker says it does not want.
