Tell near nodes at once what comes to engines and leaves them

Ruled out: too few prefill engines (32, half busy), slow engines (late ones spread over all). Change: what a node has at an engine is told when it changes, by one datagram for 3 ms, to all of up to 32 other nodes or to those of its failure domain; among more than 24 engines those of the own domain are looked at, and three drawn elsewhere with a penalty of one prompt.

--- a/crates/coordination/src/pool.rs
+++ b/crates/coordination/src/pool.rs
@@ -19,11 +19,11 @@
 /// Failures, faded, that weigh as much as a full endpoint.
 const FAILURE_FULL: f64 = 1.0;
 
-/// Endpoints up to which all are looked at. Among more, many nodes choose within the age of what
-/// they know of each other, and would all choose the same one.
+/// Engines up to which all are looked at. Among more, only those of the own failure domain: what
+/// nodes of other domains have is known late, and all would choose the same one.
 const ALL_LOOKED_AT: usize = 24;
 
-/// Engines drawn among more.
+/// Engines drawn among those of other domains, for when the own domain's are full or gone.
 const DRAWN: usize = 3;
 
 /// Plain endpoints drawn: their requests are over before other nodes hear of them.
@@ -40,6 +40,10 @@
 /// between domains is priced, but less than a late answer.
 const DOMAIN_PENALTY: f64 = 0.04;
 
+/// The same among more engines than are all looked at: about one draft or prompt, which usually came
+/// since the other domain was last heard.
+const FAR_PENALTY: f64 = 0.15;
+
 /// Width of the random part of a score, which keeps nodes from choosing alike.
 const JITTER: f64 = 0.06;
 
@@ -114,6 +118,12 @@
 }
 
 impl Entry {
+    /// What this node has there, as it is told to others.
+    fn row(&self, now: Millis) -> (Tag, Usage) {
+        let failures = self.failures(now) as f32;
+        (Tag::of(&self.endpoint.id), Usage { failures, ..self.here })
+    }
+
     fn failures(&self, now: Millis) -> f64 {
         let age = now.since(self.failed_at) as f64;
         f64::from(self.here.failures) * 0.5_f64.powf(age / FAILURE_HALF_LIFE)
@@ -146,7 +156,9 @@
     domain: String,
     entries: SlotMap<Key, Entry>,
     tags: HashMap<Tag, Key>,
-    told: HashMap<u64, Told>,
+    told: HashMap<Tag, Told>,
+    /// Engines whose usage changed since it was last told.
+    shifted: HashSet<Key>,
     random: SmallRng,
 }
 
@@ -158,6 +170,7 @@
             entries: SlotMap::with_key(),
             tags: HashMap::new(),
             told: HashMap::new(),
+            shifted: HashSet::new(),
             random,
         }
     }
@@ -264,21 +277,25 @@
                 && !query.except.contains(key)
         });
         let mut entries: Vec<(Key, &Entry)> = entries.collect();
-        let drawn = match query.stage {
-            Stage::Plain => DRAWN_PLAIN,
-            Stage::Prefill | Stage::Decode if entries.len() > ALL_LOOKED_AT => DRAWN,
-            Stage::Prefill | Stage::Decode => entries.len(),
-        };
-        if entries.len() > drawn {
-            entries.partial_shuffle(random, drawn);
-            entries = entries.split_off(entries.len() - drawn);
+        let many = entries.len() > ALL_LOOKED_AT;
+        match query.stage {
+            Stage::Plain => draw(&mut entries, DRAWN_PLAIN, random),
+            Stage::Prefill | Stage::Decode if many => {
+                let near = |it: &(Key, &Entry)| it.1.endpoint.domain == self.domain;
+                let (near, mut far): (Vec<_>, Vec<_>) = entries.into_iter().partition(near);
+                draw(&mut far, DRAWN, random);
+                entries = near;
+                entries.extend(far);
+            }
+            Stage::Prefill | Stage::Decode => {}
         }
+        let penalty = if many { FAR_PENALTY } else { DOMAIN_PENALTY };
         let scored = entries.into_iter().map(|(key, entry)| {
             let fullness = fullness(entry, query.capacity, now);
             let failures = entry.failures(now) + f64::from(entry.elsewhere.failures);
             let mut score = fullness + failures.min(FAILURE_MOST) / FAILURE_FULL;
             if entry.endpoint.domain != self.domain {
-                score += DOMAIN_PENALTY;
+                score += penalty;
             }
             if entry.lapsed.is_some() {
                 score += 0.5;
@@ -307,6 +324,7 @@
         if let Some(entry) = self.entries.get_mut(key) {
             entry.here.requests += 1;
             entry.here.tokens += tokens;
+            self.note_shift(key);
         }
     }
 
@@ -315,6 +333,14 @@
         if let Some(entry) = self.entries.get_mut(key) {
             entry.here.requests = entry.here.requests.saturating_sub(1);
             entry.here.tokens = entry.here.tokens.saturating_sub(tokens);
+            self.note_shift(key);
+        }
+    }
+
+    fn note_shift(&mut self, key: Key) {
+        let engine = self.entries.get(key).is_some_and(|it| it.endpoint.stage != Stage::Plain);
+        if engine {
+            self.shifted.insert(key);
         }
     }
 
@@ -336,18 +362,40 @@
 
     /// What this node has at endpoints, to be told to others.
     pub fn usage(&self, now: Millis) -> Vec<(Tag, Usage)> {
-        let rows = self.entries.values().map(|it| {
-            let failures = it.failures(now) as f32;
-            (Tag::of(&it.endpoint.id), Usage { failures, ..it.here })
-        });
+        let rows = self.entries.values().map(|it| it.row(now));
         let worth_telling = |it: &Usage| it.requests > 0 || it.tokens > 0 || it.failures > 0.1;
         rows.filter(|(_, usage)| worth_telling(usage)).collect()
     }
 
+    /// What this node has at engines where that changed since it was last asked for.
+    pub fn shifts(&mut self, now: Millis) -> Vec<(Tag, Usage)> {
+        let shifted = std::mem::take(&mut self.shifted);
+        shifted.into_iter().filter_map(|key| Some(self.entries.get(key)?.row(now))).collect()
+    }
+
+    /// Takes what another node now has at some engines. One that was not heard yet is heard first.
+    pub fn shift(&mut self, peer: Tag, usage: &[(Tag, Usage)]) {
+        let Some(told) = self.told.get_mut(&peer) else {
+            return;
+        };
+        for (tag, has) in usage {
+            told.usage.retain(|it| it.0 != *tag);
+            told.usage.push((*tag, *has));
+        }
+        usage.iter().for_each(|(tag, _)| self.resum(*tag));
+    }
+
+    fn resum(&mut self, tag: Tag) {
+        let sum = self.sum(tag);
+        if let Some(entry) = self.tags.get(&tag).and_then(|key| self.entries.get_mut(*key)) {
+            entry.elsewhere = sum;
+        }
+    }
+
     /// Takes what another node has at endpoints.
-    pub fn hear(&mut self, peer: u64, usage: Vec<(Tag, Usage)>, now: Millis) {
+    pub fn hear(&mut self, peer: Tag, usage: Vec<(Tag, Usage)>, now: Millis) {
         let before = self.told.insert(peer, Told { at: now, usage });
-        let silent: Vec<u64> = self
+        let silent: Vec<Tag> = self
             .told
             .iter()
             .filter(|(_, it)| now.since(it.at) > PEER_LIFE)
@@ -358,12 +406,15 @@
             changed.extend(self.told.remove(&peer).iter().flat_map(tags));
         }
         changed.extend(self.told.get(&peer).iter().flat_map(|it| tags(it)));
-        for tag in changed {
-            let sum = self.sum(tag);
-            if let Some(entry) = self.tags.get(&tag).and_then(|key| self.entries.get_mut(*key)) {
-                entry.elsewhere = sum;
-            }
-        }
+        changed.into_iter().for_each(|tag| self.resum(tag));
+    }
+}
+
+/// Leaves so many, drawn at random.
+fn draw(entries: &mut Vec<(Key, &Entry)>, count: usize, random: &mut SmallRng) {
+    if entries.len() > count {
+        entries.partial_shuffle(random, count);
+        entries.drain(..entries.len() - count);
     }
 }
 
--- a/crates/coordination/tests/pool.rs
+++ b/crates/coordination/tests/pool.rs
@@ -73,9 +73,9 @@
 fn what_others_have_at_an_endpoint_counts_until_they_are_silent() {
     let mut pool = pool(&["a", "b"]);
     let usage = Usage { requests: 5, tokens: 40_000, failures: 0.0 };
-    pool.hear(7, vec![(Tag::of("a"), usage)], Millis(100));
+    pool.hear(Tag(7), vec![(Tag::of("a"), usage)], Millis(100));
     assert_eq!(chosen(&mut pool, 100).as_deref(), Some("b"));
-    pool.hear(8, vec![(Tag::of("b"), Usage { tokens: 20_000, ..usage })], Millis(3_000));
+    pool.hear(Tag(8), vec![(Tag::of("b"), Usage { tokens: 20_000, ..usage })], Millis(3_000));
     assert_eq!(chosen(&mut pool, 3_000).as_deref(), Some("a"));
 }
 
@@ -112,7 +112,70 @@
     let (key, _) = pool.choose(query, Millis(0)).unwrap();
     pool.note(key, Outcome::Failed, Millis(0));
     let told = vec![(Tag::of("a"), Usage { failures: 3.0, ..Usage::default() })];
-    (0..8).for_each(|peer| pool.hear(peer, told.clone(), Millis(0)));
+    (0..8).for_each(|peer| pool.hear(Tag(peer), told.clone(), Millis(0)));
     let (_, load) = pool.choose(query, Millis(0)).unwrap();
     assert!(load < 0.1, "an idle engine that failed is believed to be {load} full");
 }
+
+#[rstest]
+fn a_shift_counts_at_once_and_until_the_next_heartbeat() {
+    let mut pool = pool(&["a", "b"]);
+    let usage = Usage { requests: 1, tokens: 40_000, failures: 0.0 };
+    pool.shift(Tag(7), &[(Tag::of("a"), usage)]);
+    assert!((0..50).any(|_| chosen(&mut pool, 100).unwrap() == "a"), "not heard yet");
+    pool.hear(Tag(7), Vec::new(), Millis(100));
+    pool.shift(Tag(7), &[(Tag::of("a"), usage)]);
+    pool.shift(Tag(7), &[(Tag::of("a"), usage)]);
+    assert!((0..50).all(|_| chosen(&mut pool, 100).unwrap() == "b"), "told");
+    pool.shift(Tag(7), &[(Tag::of("a"), Usage::default())]);
+    pool.shift(Tag(7), &[(Tag::of("b"), usage)]);
+    assert!((0..50).all(|_| chosen(&mut pool, 100).unwrap() == "a"), "left again");
+    pool.hear(Tag(7), Vec::new(), Millis(200));
+    assert!((0..50).any(|_| chosen(&mut pool, 200).unwrap() == "b"), "a heartbeat goes before");
+}
+
+#[rstest]
+fn what_changed_is_told_once() {
+    let mut pool = pool(&["a", "b"]);
+    let query = Query { service: SERVICE, stage: Stage::Decode, capacity: CAPACITY, except: &[] };
+    let (key, _) = pool.choose(query, Millis(0)).unwrap();
+    pool.enter(key, 5_000);
+    let shifts = pool.shifts(Millis(0));
+    assert_eq!(shifts, [(Tag::of(&pool.get(key).unwrap().id), usage(1, 5_000))]);
+    assert!(pool.shifts(Millis(0)).is_empty());
+    pool.leave(key, 5_000);
+    assert_eq!(pool.shifts(Millis(0))[0].1, usage(0, 0));
+}
+
+fn usage(requests: u32, tokens: u32) -> Usage {
+    Usage { requests, tokens, failures: 0.0 }
+}
+
+struct Spread {
+    name: &'static str,
+    /// Tokens at each engine of the own failure domain.
+    near: u32,
+    domain: &'static str,
+}
+
+/// Among many engines those of the own failure domain come first, while they have room.
+#[rstest]
+#[case(Spread { name: "idle", near: 0, domain: "aarau" })]
+#[case(Spread { name: "one draft each", near: 5_000, domain: "aarau" })]
+#[case(Spread { name: "three drafts each", near: 15_000, domain: "olten" })]
+fn the_own_failure_domain_first_among_many(#[case] case: Spread) {
+    let mut pool = Pool::new("aarau".into(), SmallRng::seed_from_u64(1));
+    let domain = |place: usize| if place < 20 { "aarau" } else { "olten" };
+    let engines = (0..40).map(|place| Endpoint {
+        domain: domain(place).into(),
+        ..endpoint(&format!("e{place}"), false)
+    });
+    pool.replace(engines.collect(), false, Millis(0));
+    let told = (0..20).map(|place| (Tag::of(&format!("e{place}")), usage(1, case.near)));
+    pool.hear(Tag(7), told.collect(), Millis(0));
+    for _ in 0..50 {
+        let id = chosen(&mut pool, 100).unwrap();
+        let place: usize = id[1..].parse().unwrap();
+        assert_eq!(domain(place), case.domain, "{}", case.name);
+    }
+}
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -197,6 +197,12 @@
     arrived: Instant,
     status: StatusCode,
     ending: &'static str,
+    /// When the last piece of the answer was passed on.
+    piece: Option<Instant>,
+    /// Time from the request's arrival to the first piece.
+    first: Duration,
+    /// Longest time between two pieces.
+    gap: Duration,
 }
 
 impl Story {
@@ -204,7 +210,17 @@
         let route = String::new();
         // Unless it gets to an answer or a refusal, the caller left before.
         let (status, ending) = (StatusCode::OK, CALLER_LEFT);
-        Self { node, id, route, version: 0, arrived, status, ending }
+        let (piece, first, gap) = (None, Duration::ZERO, Duration::ZERO);
+        Self { node, id, route, version: 0, arrived, status, ending, piece, first, gap }
+    }
+
+    /// Notes that a piece of the answer was passed on.
+    fn passed(&mut self) {
+        let now = Instant::now();
+        match self.piece.replace(now) {
+            None => self.first = now - self.arrived,
+            Some(before) => self.gap = self.gap.max(now - before),
+        }
     }
 }
 
@@ -214,8 +230,10 @@
         let request = self.id.as_deref().unwrap_or_default();
         let status = self.status.as_u16();
         let took_ms = self.arrived.elapsed().as_millis() as u64;
+        let first_ms = self.first.as_millis() as u64;
+        let gap_ms = self.gap.as_millis() as u64;
         let (route, ending, version) = (self.route.as_str(), self.ending, self.version);
-        info!(request, route, version, status, ending, took_ms; "{}", event::REQUEST);
+        info!(request, route, version, status, ending, took_ms, first_ms, gap_ms; "{}", event::REQUEST);
     }
 }
 
@@ -235,6 +253,9 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
         let frame = ready!(Pin::new(&mut self.body).poll_frame(context));
         let ended = frame.is_none() || self.body.is_end_stream();
+        if matches!(frame, Some(Ok(_))) {
+            self.story.passed();
+        }
         if self.story.ending == CALLER_LEFT {
             match &frame {
                 Some(Err(_)) => self.story.ending = CUT,
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -24,6 +24,10 @@
 /// Time without a heartbeat after which a node counts as silent, in heartbeats.
 const SILENT_HEARTBEATS: u32 = 6;
 
+/// Other nodes up to which all are told of requests at engines at once. Some 8 messages a second
+/// and node are sent at the grown sites' traffic, so this many cost twice what heartbeats do.
+const NEAR: usize = 32;
+
 /// Nodes of a failure domain that read the store: with one, its silence would be noticed only
 /// after seconds.
 const READERS: usize = 2;
@@ -49,6 +53,20 @@
     pub usage: Vec<(Tag, Usage)>,
 }
 
+/// What nodes send each other by UDP.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Message {
+    /// Everything, at intervals.
+    Heartbeat(Heartbeat),
+    /// What changed at engines, to near nodes at once.
+    Shift {
+        /// Tag of the sender's VM.
+        vm: Tag,
+        /// What the sender now has at these engines.
+        usage: Vec<(Tag, Usage)>,
+    },
+}
+
 /// What is known of another node.
 #[derive(Clone, Debug, Default)]
 struct Member {
@@ -122,6 +140,14 @@
         self.live(now).map(|(ip, _)| *ip).collect()
     }
 
+    /// Addresses of live nodes that are told at once what this one has at engines: all, or among
+    /// many those of its failure domain.
+    pub fn near(&self, now: Millis) -> Vec<IpAddr> {
+        let few = self.members.len() <= NEAR;
+        let near = self.live(now).filter(|(_, it)| few || it.domain == self.domain);
+        near.map(|(ip, _)| *ip).collect()
+    }
+
     /// Nodes heard within the retry budget's window, this one among them.
     pub fn count(&self, now: Millis) -> usize {
         let recent = |it: &&Member| it.heard.is_some_and(|at| now.since(at) < REMEMBERED);
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -9,7 +9,7 @@
 use crosslane_coordination::pool::Pool;
 use crosslane_platform::settings::Settings;
 use crosslane_platform::{configuration, discovery};
-use crosslane_state::endpoint::Stage;
+use crosslane_state::endpoint::{Stage, Tag};
 use crosslane_state::route::Table;
 use crosslane_state::time::Millis;
 use crosslane_transport::clock::Clock;
@@ -51,6 +51,8 @@
     pub members: Mutex<Members>,
     /// Wakes what tells others of a change.
     pub changed: Notify,
+    /// Wakes what tells near nodes of requests at engines.
+    pub shifted: Notify,
     /// When the stop was announced.
     pub stopping: watch::Sender<Option<Millis>>,
     mirror: Mutex<Mirror>,
@@ -75,6 +77,7 @@
             control: Control::default(),
             members: Mutex::new(Members::new(&settings)),
             changed: Notify::new(),
+            shifted: Notify::new(),
             stopping: watch::Sender::new(None),
             mirror: Mutex::default(),
             table: Mutex::default(),
@@ -86,6 +89,11 @@
         })
     }
 
+    /// This node's name between nodes.
+    pub fn tag(&self) -> Tag {
+        Tag::of(&self.settings.vm)
+    }
+
     /// Time since the start.
     pub fn now(&self) -> Millis {
         self.clock.now()
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -4,15 +4,18 @@
 //! learns of something newer, and does not read it from the store itself at once, pulls it from
 //! the sender. So few nodes need to read, and those that the store turns away follow the others.
 //!
+//! Between heartbeats a node tells its near ones at once which requests came to an engine and left
+//! it, since a prefill is over before the next heartbeat.
+//!
 //! Which nodes read follows from the heartbeats, without agreement: the first few of a failure domain
 //! by name, passing over those whose reads fail. Two that differ for a moment read both.
 
 use crate::event;
-use crate::members::Heartbeat;
+use crate::members::{Heartbeat, Message};
 use crate::mirror::Delta;
 use crate::node::{Node, lock};
 use crosslane_platform::store::{Client, Record};
-use crosslane_state::hash;
+use crosslane_state::endpoint::Tag;
 use futures::StreamExt;
 use log::{debug, info, warn};
 use std::io;
@@ -43,6 +46,9 @@
 /// Pause after a failed receive, which would else be tried without end.
 const RECEIVE_PAUSE: Duration = Duration::from_millis(20);
 
+/// Time in which shifts are gathered into one message: small against a prefill of 100 ms.
+const SHIFT_BATCH: Duration = Duration::from_millis(3);
+
 /// Largest datagram.
 const DATAGRAM: usize = 60_000;
 
@@ -69,6 +75,7 @@
     tokio::spawn(serve(node.clone(), address));
     tokio::spawn(enlist(node.clone()));
     tokio::spawn(tell(node.clone(), socket.clone()));
+    tokio::spawn(tell_shifts(node.clone(), socket.clone()));
     listen(node, socket).await
 }
 
@@ -138,10 +145,7 @@
         };
         let addresses = lock(&node.members).addresses(round.is_multiple_of(SILENT_EVERY), now);
         node.meter.peers.set(addresses.len() as i64);
-        match bincode::serialize(&heartbeat) {
-            Ok(bytes) => send(&socket, &bytes, &addresses, node.settings.peer_port).await,
-            Err(error) => warn!(why:% = error; "{}", event::SKIPPED),
-        }
+        send(&node, &socket, &Message::Heartbeat(heartbeat), &addresses).await;
         round += 1;
         let interval = lock(&node.members).interval();
         // A change is told at once.
@@ -149,11 +153,31 @@
     }
 }
 
-async fn send(socket: &UdpSocket, bytes: &[u8], addresses: &[IpAddr], port: u16) {
+/// Tells near nodes of requests that came to engines and left them.
+async fn tell_shifts(node: Arc<Node>, socket: Arc<UdpSocket>) {
+    loop {
+        node.shifted.notified().await;
+        sleep(SHIFT_BATCH).await;
+        let addresses = lock(&node.members).near(node.now());
+        let usage = node.pool().shifts(node.now());
+        if !usage.is_empty() {
+            send(&node, &socket, &Message::Shift { vm: node.tag(), usage }, &addresses).await;
+        }
+    }
+}
+
+async fn send(node: &Node, socket: &UdpSocket, message: &Message, addresses: &[IpAddr]) {
+    let bytes = match bincode::serialize(message) {
+        Ok(bytes) => bytes,
+        Err(error) => {
+            warn!(why:% = error; "{}", event::SKIPPED);
+            return;
+        }
+    };
     for ip in addresses {
-        // A lost heartbeat is made good by the next one; a node cut off gives an error each time.
-        if let Err(error) = socket.send_to(bytes, (*ip, port)).await {
-            debug!("heartbeat to {ip}: {error}");
+        // A lost message is made good by the next heartbeat; a node cut off gives an error each time.
+        if let Err(error) = socket.send_to(&bytes, (*ip, node.settings.peer_port)).await {
+            debug!("message to {ip}: {error}");
         }
     }
 }
@@ -170,17 +194,21 @@
                 continue;
             }
         };
-        let heartbeat: Heartbeat = match bincode::deserialize(&buffer[..length]) {
-            Ok(heartbeat) => heartbeat,
+        let now = node.now();
+        let heartbeat = match bincode::deserialize(&buffer[..length]) {
+            Ok(Message::Heartbeat(heartbeat)) => heartbeat,
+            Ok(Message::Shift { vm, usage }) => {
+                node.pool().shift(vm, &usage);
+                continue;
+            }
             Err(error) => {
                 warn!(from:% = from, why:% = error; "{}", event::SKIPPED);
                 continue;
             }
         };
-        let now = node.now();
         lock(&node.members).hear(from.ip(), &heartbeat, now);
         let ahead = ahead(&node, heartbeat.ends);
-        node.pool().hear(hash::of(heartbeat.vm.as_bytes()), heartbeat.usage, now);
+        node.pool().hear(Tag::of(&heartbeat.vm), heartbeat.usage, now);
         if ahead && let Ok(permit) = pulling.clone().try_acquire_owned() {
             let node = node.clone();
             tokio::spawn(async move {
--- a/crates/gateway/tests/members.rs
+++ b/crates/gateway/tests/members.rs
@@ -27,6 +27,7 @@
     }
 }
 
+#[derive(Clone, Copy)]
 struct Other {
     vm: &'static str,
     domain: &'static str,
@@ -85,7 +86,14 @@
 })]
 fn roles(#[case] case: Case) {
     let mut members = Members::new(&settings());
-    for (place, other) in case.others.iter().enumerate() {
+    hear(&mut members, case.others);
+    let now = Millis(10_100);
+    assert_eq!(members.reads(now), case.reads, "{}", case.name);
+    assert_eq!(members.first(now), case.first, "{}", case.name);
+}
+
+fn hear(members: &mut Members, others: &[Other]) {
+    for (place, other) in others.iter().enumerate() {
         let heartbeat = Heartbeat {
             vm: other.vm.into(),
             domain: other.domain.into(),
@@ -97,7 +105,28 @@
         let ip = IpAddr::from([127, 0, 0, place as u8 + 2]);
         members.hear(ip, &heartbeat, Millis(other.heard));
     }
-    let now = Millis(10_100);
-    assert_eq!(members.reads(now), case.reads, "{}", case.name);
-    assert_eq!(members.first(now), case.first, "{}", case.name);
+}
+
+struct Near {
+    name: &'static str,
+    here: usize,
+    elsewhere: usize,
+    silent: usize,
+    near: usize,
+}
+
+#[rstest]
+#[case(Near { name: "alone", here: 0, elsewhere: 0, silent: 0, near: 0 })]
+#[case(Near { name: "few are all near", here: 3, elsewhere: 4, silent: 0, near: 7 })]
+#[case(Near { name: "silent ones are not told", here: 3, elsewhere: 0, silent: 4, near: 3 })]
+#[case(Near { name: "of many the own domain's", here: 20, elsewhere: 40, silent: 5, near: 20 })]
+fn who_is_told_at_once(#[case] case: Near) {
+    let mut members = Members::new(&settings());
+    let there = Other { domain: "olten", ..OTHER };
+    let silent = Other { heard: 0, ..OTHER };
+    let others = [(case.here, OTHER), (case.elsewhere, there), (case.silent, silent)];
+    let others: Vec<Other> =
+        others.into_iter().flat_map(|(count, other)| vec![other; count]).collect();
+    hear(&mut members, &others);
+    assert_eq!(members.near(Millis(10_100)).len(), case.near, "{}", case.name);
 }
