Weigh an endpoint's failures against its successes

Cause: failures told by all nodes were added up, so engines that failed few of many requests counted as bad as dead ones. Ruled out: cold newcomers (the site has none), too few prefill engines. Change: outcomes are kept as failures and successes, both faded (new module health); badness is the share that failed, by a node's own view or by all nodes', whichever is worse; a node tells its successes only where others doubt; an engine that takes no connection is avoided at once whatever went before.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod claims;
 pub mod detector;
 pub mod fold;
+pub mod health;
 pub mod keyed;
 pub mod lease;
 pub mod ledger;
--- a/crates/coordination/src/pool.rs
+++ b/crates/coordination/src/pool.rs
@@ -3,6 +3,7 @@
 //! Load is what this node has at an endpoint plus what other nodes last told they have there.
 //! Health is judged by the outcomes of real requests, here and at other nodes, and fades back.
 
+use crate::health::{Health, Outcome, Record};
 use crosslane_state::endpoint::{Endpoint, Key, Stage, Tag};
 use crosslane_state::time::Millis;
 use rand::Rng;
@@ -12,13 +13,6 @@
 use slotmap::SlotMap;
 use std::collections::{HashMap, HashSet};
 
-/// Half-life of an endpoint's failures, in milliseconds: long enough to be remembered over the
-/// 5 s that a fault usually lasts, short enough to come back soon after.
-const FAILURE_HALF_LIFE: f64 = 2_500.0;
-
-/// Failures, faded, that weigh as much as a full endpoint.
-const FAILURE_FULL: f64 = 1.0;
-
 /// Engines up to which all are looked at. Among more, only those of the own failure domain: what
 /// nodes of other domains have is known late, and all would choose the same one.
 const ALL_LOOKED_AT: usize = 24;
@@ -29,9 +23,8 @@
 /// Plain endpoints drawn: their requests are over before other nodes hear of them.
 const DRAWN_PLAIN: usize = 2;
 
-/// Most failures that count, here and elsewhere together: beyond, an endpoint is the last choice
-/// whatever the number of nodes that saw it fail.
-const FAILURE_MOST: f64 = 3.0;
+/// Failures that others have seen from which on this node tells them of its successes there.
+const DOUBTED: f32 = 0.1;
 
 /// Time that a load report is used, in milliseconds; plain calls last some 60 ms.
 const LOAD_LIFE: u64 = 400;
@@ -62,36 +55,8 @@
     pub requests: u32,
     /// Tokens of KV cache taken or being computed.
     pub tokens: u32,
-    /// Failures, faded.
-    pub failures: f32,
-}
-
-/// How a request at an endpoint ended, as far as the endpoint is to blame.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Outcome {
-    /// Answered.
-    Good,
-    /// Refused for lack of room.
-    Refused,
-    /// Answered with an error of its own, as some requests always are.
-    Error,
-    /// Broke off, answered nonsense or was silent.
-    Failed,
-    /// Took no connection. It looks empty, but must not be asked before those that are nearly full.
-    Down,
-}
-
-impl Outcome {
-    /// Weight as a failure.
-    fn weight(self) -> f64 {
-        match self {
-            Self::Good => -0.5,
-            Self::Refused => 0.15,
-            Self::Error => 0.35,
-            Self::Failed => 0.6,
-            Self::Down => 1.5,
-        }
-    }
+    /// Outcomes of requests.
+    pub outcomes: Record,
 }
 
 /// A load report that came with an answer.
@@ -111,7 +76,7 @@
     endpoint: Endpoint,
     here: Usage,
     elsewhere: Usage,
-    failed_at: Millis,
+    health: Health,
     load: Option<(Load, Millis)>,
     /// When its record went, if it may come back.
     lapsed: Option<Millis>,
@@ -120,13 +85,22 @@
 impl Entry {
     /// What this node has there, as it is told to others.
     fn row(&self, now: Millis) -> (Tag, Usage) {
-        let failures = self.failures(now) as f32;
-        (Tag::of(&self.endpoint.id), Usage { failures, ..self.here })
+        let outcomes = self.health.record(now);
+        (Tag::of(&self.endpoint.id), Usage { outcomes, ..self.here })
+    }
+
+    /// How much it is to be avoided: what this node saw itself, or all nodes together.
+    fn badness(&self, now: Millis) -> f64 {
+        let here = self.health.record(now);
+        here.badness().max(here.plus(self.elsewhere.outcomes).badness())
     }
 
-    fn failures(&self, now: Millis) -> f64 {
-        let age = now.since(self.failed_at) as f64;
-        f64::from(self.here.failures) * 0.5_f64.powf(age / FAILURE_HALF_LIFE)
+    /// Whether other nodes need to know what this one has there.
+    fn worth_telling(&self, now: Millis) -> bool {
+        let Usage { requests, tokens, .. } = self.here;
+        let outcomes = self.health.record(now);
+        let doubted = self.elsewhere.outcomes.failures > DOUBTED && outcomes.successes > DOUBTED;
+        requests > 0 || tokens > 0 || outcomes.failures > DOUBTED || doubted
     }
 }
 
@@ -221,7 +195,7 @@
             endpoint,
             here: Usage::default(),
             elsewhere,
-            failed_at: Millis::default(),
+            health: Health::default(),
             load: None,
             lapsed: None,
         });
@@ -292,8 +266,7 @@
         let penalty = if many { FAR_PENALTY } else { DOMAIN_PENALTY };
         let scored = entries.into_iter().map(|(key, entry)| {
             let fullness = fullness(entry, query.capacity, now);
-            let failures = entry.failures(now) + f64::from(entry.elsewhere.failures);
-            let mut score = fullness + failures.min(FAILURE_MOST) / FAILURE_FULL;
+            let mut score = fullness + entry.badness(now);
             if entry.endpoint.domain != self.domain {
                 score += penalty;
             }
@@ -347,9 +320,7 @@
     /// Notes how a request ended.
     pub fn note(&mut self, key: Key, outcome: Outcome, now: Millis) {
         if let Some(entry) = self.entries.get_mut(key) {
-            let failures = (entry.failures(now) + outcome.weight()).clamp(0.0, 4.0);
-            entry.here.failures = failures as f32;
-            entry.failed_at = now;
+            entry.health.note(outcome, now);
         }
     }
 
@@ -362,9 +333,8 @@
 
     /// What this node has at endpoints, to be told to others.
     pub fn usage(&self, now: Millis) -> Vec<(Tag, Usage)> {
-        let rows = self.entries.values().map(|it| it.row(now));
-        let worth_telling = |it: &Usage| it.requests > 0 || it.tokens > 0 || it.failures > 0.1;
-        rows.filter(|(_, usage)| worth_telling(usage)).collect()
+        let told = self.entries.values().filter(|it| it.worth_telling(now));
+        told.map(|it| it.row(now)).collect()
     }
 
     /// What this node has at engines where that changed since it was last asked for.
@@ -426,7 +396,7 @@
     Usage {
         requests: one.requests + other.requests,
         tokens: one.tokens + other.tokens,
-        failures: one.failures + other.failures,
+        outcomes: one.outcomes.plus(other.outcomes),
     }
 }
 
--- a/crates/coordination/tests/pool.rs
+++ b/crates/coordination/tests/pool.rs
@@ -1,6 +1,7 @@
 //! Pool: which endpoints may be used, and which is chosen.
 
-use crosslane_coordination::pool::{Outcome, Pool, Query, Usage};
+use crosslane_coordination::health::{Outcome, Record};
+use crosslane_coordination::pool::{Pool, Query, Usage};
 use crosslane_state::endpoint::{Endpoint, Stage, Tag};
 use crosslane_state::time::Millis;
 use rand::SeedableRng;
@@ -72,7 +73,7 @@
 #[rstest]
 fn what_others_have_at_an_endpoint_counts_until_they_are_silent() {
     let mut pool = pool(&["a", "b"]);
-    let usage = Usage { requests: 5, tokens: 40_000, failures: 0.0 };
+    let usage = Usage { requests: 5, tokens: 40_000, outcomes: Record::default() };
     pool.hear(Tag(7), vec![(Tag::of("a"), usage)], Millis(100));
     assert_eq!(chosen(&mut pool, 100).as_deref(), Some("b"));
     pool.hear(Tag(8), vec![(Tag::of("b"), Usage { tokens: 20_000, ..usage })], Millis(3_000));
@@ -111,7 +112,10 @@
     let query = Query { service: SERVICE, stage: Stage::Decode, capacity: CAPACITY, except: &[] };
     let (key, _) = pool.choose(query, Millis(0)).unwrap();
     pool.note(key, Outcome::Failed, Millis(0));
-    let told = vec![(Tag::of("a"), Usage { failures: 3.0, ..Usage::default() })];
+    let told = vec![(
+        Tag::of("a"),
+        Usage { outcomes: Record { failures: 3.0, successes: 0.0 }, ..Usage::default() },
+    )];
     (0..8).for_each(|peer| pool.hear(Tag(peer), told.clone(), Millis(0)));
     let (_, load) = pool.choose(query, Millis(0)).unwrap();
     assert!(load < 0.1, "an idle engine that failed is believed to be {load} full");
@@ -120,7 +124,7 @@
 #[rstest]
 fn a_shift_counts_at_once_and_until_the_next_heartbeat() {
     let mut pool = pool(&["a", "b"]);
-    let usage = Usage { requests: 1, tokens: 40_000, failures: 0.0 };
+    let usage = Usage { requests: 1, tokens: 40_000, outcomes: Record::default() };
     pool.shift(Tag(7), &[(Tag::of("a"), usage)]);
     assert!((0..50).any(|_| chosen(&mut pool, 100).unwrap() == "a"), "not heard yet");
     pool.hear(Tag(7), Vec::new(), Millis(100));
@@ -148,7 +152,7 @@
 }
 
 fn usage(requests: u32, tokens: u32) -> Usage {
-    Usage { requests, tokens, failures: 0.0 }
+    Usage { requests, tokens, outcomes: Record::default() }
 }
 
 struct Spread {
@@ -179,3 +183,52 @@
         assert_eq!(domain(place), case.domain, "{}", case.name);
     }
 }
+
+struct Doubt {
+    name: &'static str,
+    /// Failures and successes that each of eight other nodes tells of the one engine.
+    told: (f32, f32),
+    /// Tokens that the other engine has.
+    other: u32,
+    avoided: bool,
+}
+
+/// A few failures among many successes must not drive all work to the other engines.
+#[rstest]
+#[case(Doubt { name: "some fail", told: (0.6, 8.0), other: 15_000, avoided: false })]
+#[case(Doubt { name: "many fail", told: (3.0, 3.0), other: 15_000, avoided: true })]
+#[case(Doubt { name: "all fail", told: (0.6, 0.0), other: 49_000, avoided: true })]
+fn failures_weigh_against_successes(#[case] case: Doubt) {
+    let mut pool = pool(&["a", "b"]);
+    let (failures, successes) = case.told;
+    let told = Usage { outcomes: Record { failures, successes }, ..Usage::default() };
+    (0..8).for_each(|peer| pool.hear(Tag(peer), vec![(Tag::of("a"), told)], Millis(0)));
+    pool.hear(Tag(9), vec![(Tag::of("b"), usage(1, case.other))], Millis(0));
+    let avoided = (0..50).all(|_| chosen(&mut pool, 100).unwrap() == "b");
+    assert_eq!(avoided, case.avoided, "{}", case.name);
+}
+
+#[rstest]
+fn successes_are_told_where_others_doubt() {
+    let mut pool = pool(&["a"]);
+    let query = Query { service: SERVICE, stage: Stage::Decode, capacity: CAPACITY, except: &[] };
+    let (key, _) = pool.choose(query, Millis(0)).unwrap();
+    pool.note(key, Outcome::Good, Millis(0));
+    assert!(pool.usage(Millis(0)).is_empty());
+    let doubt = Usage { outcomes: Record { failures: 0.6, successes: 0.0 }, ..Usage::default() };
+    pool.hear(Tag(7), vec![(Tag::of("a"), doubt)], Millis(0));
+    assert_eq!(pool.usage(Millis(0))[0].1.outcomes, Record { failures: 0.0, successes: 1.0 });
+}
+
+#[rstest]
+fn an_engine_that_is_gone_is_avoided_at_once_whatever_went_before() {
+    let mut pool = pool(&["a", "b"]);
+    let query = Query { service: SERVICE, stage: Stage::Decode, capacity: CAPACITY, except: &[] };
+    let (key, _) = pool.choose(query, Millis(0)).unwrap();
+    let gone = pool.get(key).unwrap().id.clone();
+    (0..30).for_each(|_| pool.note(key, Outcome::Good, Millis(0)));
+    pool.note(key, Outcome::Down, Millis(0));
+    let other = if gone == "a" { "b" } else { "a" };
+    pool.hear(Tag(9), vec![(Tag::of(other), usage(9, 49_000))], Millis(0));
+    assert!((0..50).all(|_| chosen(&mut pool, 100).unwrap() == other));
+}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -9,7 +9,7 @@
 use crate::node::Node;
 use crate::refusal::Reason;
 use bytes::Bytes;
-use crosslane_coordination::pool::Outcome;
+use crosslane_coordination::health::Outcome;
 use crosslane_platform::answer::Head;
 use crosslane_platform::ask::{Ask, Purpose};
 use crosslane_state::endpoint::{Endpoint, Key};
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -11,7 +11,7 @@
 use crate::node::Reply;
 use crate::stream::{FULL, Run};
 use bytes::{Bytes, BytesMut};
-use crosslane_coordination::pool::Outcome;
+use crosslane_coordination::health::Outcome;
 use crosslane_platform::ask::Purpose;
 use crosslane_platform::engine::{self, Move};
 use crosslane_state::endpoint::{Endpoint, Key, Stage};
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -11,7 +11,8 @@
 use crate::node::{Node, Reply};
 use crate::refusal::{Reason, Refusal};
 use crate::relay::Relay;
-use crosslane_coordination::pool::{Outcome, Query};
+use crosslane_coordination::health::Outcome;
+use crosslane_coordination::pool::Query;
 use crosslane_platform::ask::Purpose;
 use crosslane_platform::{answer, engine};
 use crosslane_state::endpoint::{Key, Stage};
@@ -211,6 +212,7 @@
         let until = self.call.deadline.min(began + PREFILL_LIMIT);
         let answer = exchange::send(&self.call, seat, &Purpose::Prefill, until).await.ok()?;
         let engine = answer.endpoint.clone();
+        answer.note(Outcome::Good);
         let (_, body) = answer.read(PREFILL_BYTES, until).await.ok()?;
         let id = engine::handle(&body)?;
         Meter::time(&self.node.meter.prefill, began.elapsed());
