Pass an engine's error in place of a stream on, and soak real nodes under random faults

Ruled out: faults of the stand-in (it had sent its whole answer, nothing was disturbed). Change: an error is passed on as it is; for a stream that may run again another engine's answer is tried first.

The soak: crates/soak starts crosslaned processes on loopback addresses of their own, before stand-ins of the store and of endpoints (platform/standins) behind a proxy; fifteen kinds of fault in series and overlapping; checks from what callers and endpoints see.

--- /dev/null
+++ b/crates/crosslane/examples/soak.rs
@@ -0,0 +1,94 @@
+//! The soak by hand: many seeds, a site at a time.
+//!
+//! `cargo build --release --bins && cargo run --release --example soak -- --seeds 50`
+//!
+//! A seed that breaks a promise keeps its logs, and tells the story of each request concerned.
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use crosslane::explain::Story;
+use crosslane_harness::site::Binaries;
+use crosslane_soak::run::{self, Report};
+use crosslane_soak::site::Plan;
+use std::fs::File;
+use std::io::{self, BufReader, Read};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::Duration;
+
+/// Numbers that may be set, with what they are and the usual value.
+const NUMBERS: [(&str, &str, &str); 7] = [
+    ("seed", "First seed", "1"),
+    ("seeds", "How many seeds, one after the other", "1"),
+    ("seconds", "Time in which faults begin", "15"),
+    ("nodes", "Nodes", "5"),
+    ("engines", "Engines", "7"),
+    ("pages", "Plain endpoints", "3"),
+    ("callers", "Callers", "24"),
+];
+
+fn main() -> io::Result<ExitCode> {
+    let number = |(name, help, usual): (&'static str, &'static str, &'static str)| {
+        let arg = Arg::new(name).long(name).help(help).value_name("NUMBER");
+        arg.default_value(usual).value_parser(value_parser!(u64))
+    };
+    let folder = Arg::new("logs").long("logs").value_name("FOLDER").default_value("target/soak");
+    let command = Command::new("soak").about("Random faults on a site of real nodes");
+    let matches = command.args(NUMBERS.map(number)).arg(folder).get_matches();
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    let first = get(&matches, "seed");
+    let mut broken = Vec::new();
+    for seed in first..first + get(&matches, "seeds") {
+        let folder = PathBuf::from(matches.get_one::<String>("logs").map_or("", String::as_str))
+            .join(format!("seed-{seed}"));
+        std::fs::create_dir_all(&folder)?;
+        let report = runtime.block_on(run::run(&plan(&matches, seed)?, &folder))?;
+        println!("{report}");
+        if report.violations.is_empty() {
+            std::fs::remove_dir_all(&folder)?;
+            continue;
+        }
+        explain(&report, &folder)?;
+        broken.push(seed);
+    }
+    if broken.is_empty() {
+        return Ok(ExitCode::SUCCESS);
+    }
+    println!("seeds that broke a promise: {broken:?}; again: the same command with --seed N");
+    Ok(ExitCode::FAILURE)
+}
+
+fn get(matches: &ArgMatches, name: &str) -> u64 {
+    matches.get_one(name).copied().unwrap_or_default()
+}
+
+fn plan(matches: &ArgMatches, seed: u64) -> io::Result<Plan> {
+    Ok(Plan {
+        seed,
+        nodes: get(matches, "nodes") as usize,
+        engines: get(matches, "engines") as usize,
+        pages: get(matches, "pages") as usize,
+        callers: get(matches, "callers") as usize,
+        time: Duration::from_secs(get(matches, "seconds")),
+        program: Binaries::beside(&std::env::current_exe()?).node,
+    })
+}
+
+/// Tells the story of each request that a broken promise names.
+fn explain(report: &Report, folder: &Path) -> io::Result<()> {
+    println!("logs: {}", folder.display());
+    let named = report.violations.iter().filter(|it| !it.request.is_empty());
+    for violation in named {
+        let mut logs: Box<dyn Read> = Box::new(io::empty());
+        for entry in std::fs::read_dir(folder)? {
+            let path = entry?.path();
+            if path.extension().is_some_and(|it| it == "log") {
+                logs = Box::new(logs.chain(File::open(path)?));
+            }
+        }
+        match Story::read(&violation.request, BufReader::new(logs)) {
+            Ok(story) => println!("{story}"),
+            Err(error) => println!("no story: {error}"),
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/crosslane/tests/soak.rs
@@ -0,0 +1,43 @@
+//! A short soak of real nodes, and every seed that ever broke a promise.
+
+use crosslane_soak::run;
+use crosslane_soak::site::Plan;
+use rstest::rstest;
+use std::path::PathBuf;
+
+use std::time::Duration;
+
+struct Case {
+    seed: u64,
+    seconds: u64,
+    /// What the seed once showed, or why it is run.
+    cause: &'static str,
+}
+
+const CASES: [Case; 3] = [
+    Case { seed: 1, seconds: 8, cause: "a short run for CI" },
+    Case { seed: 15, seconds: 15, cause: "an engine's error in place of a stream was cut off" },
+    Case { seed: 45, seconds: 15, cause: "an engine's error in place of a stream was cut off" },
+];
+
+#[rstest]
+fn promises_hold_under_faults() {
+    for Case { seed, seconds, cause } in CASES {
+        let plan = Plan {
+            seed,
+            nodes: 4,
+            engines: 7,
+            pages: 3,
+            callers: 12,
+            time: Duration::from_secs(seconds),
+            program: PathBuf::from(env!("CARGO_BIN_EXE_crosslaned")),
+        };
+        let folder = tempfile::tempdir().unwrap();
+        let runtime = tokio::runtime::Runtime::new().unwrap();
+        let report = runtime.block_on(run::run(&plan, folder.path())).unwrap();
+        assert!(report.requests() > 0, "nothing was asked");
+        let kept = folder.keep();
+        assert!(report.violations.is_empty(), "{cause}; logs in {}\n{report}", kept.display());
+        std::fs::remove_dir_all(kept).unwrap();
+    }
+}
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -132,7 +132,7 @@
 }
 
 /// Passes an answer on as it comes; it is broken off if the time runs out.
-fn relay(answer: Answer, call: &Call) -> Response<Reply> {
+pub fn relay(answer: Answer, call: &Call) -> Response<Reply> {
     let deadline = call.deadline;
     let ask = call.ask.clone();
     let status = answer.parts.status;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -9,6 +9,7 @@
 use crate::hold::{Handle, Hold};
 use crate::meter::{Meter, Retry};
 use crate::node::{Node, Reply};
+use crate::plain;
 use crate::refusal::{Reason, Refusal};
 use crate::relay::Relay;
 use crosslane_coordination::health::Outcome;
@@ -107,8 +108,28 @@
             Ok(answer) => answer,
             Err(failure) => self.again(failure).await?,
         };
+        let stream = self.without_error(answer).await;
         Meter::time(&self.node.meter.first, self.call.arrived.elapsed());
-        Ok(self.relay(answer))
+        Ok(match stream {
+            Ok(answer) => self.relay(answer),
+            Err(error) => plain::relay(error, &self.call),
+        })
+    }
+
+    /// An engine's answer that is an error is no stream: another one's in its place if the request
+    /// may run again, or else the error.
+    async fn without_error(&mut self, answer: Answer) -> Result<Answer, Answer> {
+        if answer.parts.status.is_success() {
+            return Ok(answer);
+        }
+        answer.note(Outcome::Error);
+        if !self.route.kind.idempotent() {
+            return Err(answer);
+        }
+        match self.again(Failure::Broken).await {
+            Ok(other) if other.parts.status.is_success() => Ok(other),
+            Ok(_) | Err(_) => Err(answer),
+        }
     }
 
     /// Tokens of KV cache that the request is expected to need.
--- /dev/null
+++ b/crates/soak/src/fault.rs
@@ -0,0 +1,272 @@
+//! Faults: what begins, and what ends it.
+
+use crate::proxy::{DISTURBING, Mode};
+use crate::site::{GRACE_S, Site};
+use crosslane_platform_standins::endpoint::FAULTS;
+use crosslane_platform_standins::store::Trouble;
+use nix::sys::signal::Signal;
+use rand::Rng;
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{sleep, timeout};
+
+/// Kinds of fault.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, derive_more::Display)]
+pub enum Fault {
+    /// A node is killed and started again.
+    #[display("node killed")]
+    Kill,
+    /// A node stands still for a while.
+    #[display("node frozen")]
+    Freeze,
+    /// A node is stopped as planned and started again.
+    #[display("node stopped")]
+    Stop,
+    /// All nodes are stopped as planned, in turn.
+    #[display("nodes stopped in turn")]
+    Rolling,
+    /// A node's settings file is written anew.
+    #[display("settings written")]
+    Reload,
+    /// A configuration is published.
+    #[display("configuration")]
+    Configure,
+    /// Several configurations in quick succession.
+    #[display("configurations in a row")]
+    Storm,
+    /// An endpoint ends without notice, and another one comes.
+    #[display("endpoint crashed")]
+    Crash,
+    /// An endpoint announces that it leaves, and ends; another one comes first.
+    #[display("endpoint released")]
+    Release,
+    /// Some requests at an endpoint meet a fault.
+    #[display("endpoint grey")]
+    Grey,
+    /// The way to an endpoint is disturbed.
+    #[display("way to endpoint")]
+    EndpointWay,
+    /// The way from a node to the store is disturbed.
+    #[display("way to store")]
+    StoreWay,
+    /// The store misbehaves.
+    #[display("store")]
+    Store,
+    /// The store is away for so long that endpoints' records lapse.
+    #[display("store lapsed")]
+    Lapse,
+    /// The store drops its history.
+    #[display("store compacted")]
+    Compact,
+}
+
+/// Every kind; those twice are drawn twice as often.
+pub const DRAWN: [Fault; 19] = [
+    Fault::Kill,
+    Fault::Kill,
+    Fault::Freeze,
+    Fault::Stop,
+    Fault::Stop,
+    Fault::Rolling,
+    Fault::Reload,
+    Fault::Configure,
+    Fault::Configure,
+    Fault::Storm,
+    Fault::Crash,
+    Fault::Release,
+    Fault::Release,
+    Fault::Grey,
+    Fault::EndpointWay,
+    Fault::StoreWay,
+    Fault::Store,
+    Fault::Lapse,
+    Fault::Compact,
+];
+
+/// Ways in which the store misbehaves.
+const TROUBLES: [Trouble; 5] =
+    [Trouble::Busy, Trouble::Silent, Trouble::Slow, Trouble::LosesAnswers, Trouble::Late];
+
+/// Time for which a fault lasts, in milliseconds.
+const LASTS: std::ops::Range<u64> = 200..4_000;
+
+/// Time after which a process that ended is started again, in milliseconds.
+const RESTARTS: std::ops::Range<u64> = 50..1_500;
+
+/// Time after its end in which an endpoint's record goes: some heartbeats.
+const RECORD_GOES: Duration = Duration::from_millis(1_200);
+
+/// Time for which a leaving endpoint still takes requests: long enough to see new work that comes
+/// too late.
+const LEAVES: Duration = Duration::from_millis(8_500);
+
+/// Time for a process to end once it was killed.
+const DIES: Duration = Duration::from_secs(20);
+
+/// Brings a fault about, and ends it.
+pub async fn play(site: Arc<Site>, fault: Fault, mut random: SmallRng) -> std::io::Result<()> {
+    let lasts = Duration::from_millis(random.random_range(LASTS));
+    let node = random.random_range(0..site.nodes.len());
+    match fault {
+        Fault::Kill => kill(&site, node, &mut random).await?,
+        Fault::Freeze => freeze(&site, node, lasts).await,
+        Fault::Stop => stop(&site, node, &mut random).await?,
+        Fault::Rolling => {
+            for node in 0..site.nodes.len() {
+                stop(&site, node, &mut random).await?;
+            }
+        }
+        Fault::Reload => {
+            site.nodes[node].write_settings()?;
+            site.nodes[node].signal(Signal::SIGHUP);
+        }
+        Fault::Configure => site.configure(),
+        Fault::Storm => {
+            for _ in 0..5 {
+                site.configure();
+                sleep(lasts / 20).await;
+            }
+        }
+        Fault::Crash => crash(&site, &mut random).await?,
+        Fault::Release => release(&site, &mut random).await?,
+        Fault::Grey => grey(&site, lasts, &mut random).await,
+        Fault::EndpointWay => endpoint_way(&site, lasts, &mut random).await,
+        Fault::StoreWay => {
+            let mode = choose(&DISTURBING, &mut random);
+            site.disturb();
+            site.ways[node].set(mode);
+            sleep(lasts).await;
+            site.ways[node].set(Mode::Pass);
+            site.disturb();
+        }
+        Fault::Store => store(&site, choose(&TROUBLES, &mut random), lasts).await,
+        Fault::Lapse => lapse(&site, lasts).await,
+        Fault::Compact => {
+            site.disturb();
+            site.store.forget();
+        }
+    }
+    Ok(())
+}
+
+fn choose<T: Copy>(all: &[T], random: &mut SmallRng) -> T {
+    all[random.random_range(0..all.len())]
+}
+
+async fn kill(site: &Site, node: usize, random: &mut SmallRng) -> std::io::Result<()> {
+    site.disturb();
+    site.nodes[node].signal(Signal::SIGKILL);
+    site.nodes[node].ended().await;
+    sleep(Duration::from_millis(random.random_range(RESTARTS))).await;
+    site.nodes[node].start().await?;
+    site.disturb();
+    Ok(())
+}
+
+async fn freeze(site: &Site, node: usize, lasts: Duration) {
+    site.disturb();
+    site.nodes[node].signal(Signal::SIGSTOP);
+    sleep(lasts).await;
+    site.nodes[node].signal(Signal::SIGCONT);
+    site.disturb();
+}
+
+/// Stops a node as planned: told first, killed when its grace is over.
+async fn stop(site: &Site, node: usize, random: &mut SmallRng) -> std::io::Result<()> {
+    let it = &site.nodes[node];
+    site.disturb();
+    it.signal(Signal::SIGTERM);
+    if timeout(Duration::from_secs(GRACE_S), it.ended()).await.is_err() {
+        it.signal(Signal::SIGCONT);
+        it.signal(Signal::SIGKILL);
+        let _ = timeout(DIES, it.ended()).await;
+    }
+    sleep(Duration::from_millis(random.random_range(RESTARTS))).await;
+    it.start().await?;
+    site.disturb();
+    Ok(())
+}
+
+fn endpoint(site: &Site, random: &mut SmallRng) -> Option<String> {
+    site.steady().choose(random).cloned()
+}
+
+async fn crash(site: &Site, random: &mut SmallRng) -> std::io::Result<()> {
+    let Some(id) = endpoint(site, random) else {
+        return Ok(());
+    };
+    let place = site.with(&id, |it| it.place);
+    let gone = site.remove(&id);
+    sleep(RECORD_GOES).await;
+    site.forget(&id);
+    sleep(Duration::from_millis(random.random_range(RESTARTS))).await;
+    match (place, gone) {
+        (Some(place), Some(gone)) => site.add(place, gone.stage()).await,
+        _ => Ok(()),
+    }
+}
+
+async fn release(site: &Site, random: &mut SmallRng) -> std::io::Result<()> {
+    let Some(id) = endpoint(site, random) else {
+        return Ok(());
+    };
+    let Some((place, stage)) = site.with(&id, |it| (it.place, it.endpoint.stage())) else {
+        return Ok(());
+    };
+    site.add(place, stage).await?;
+    site.leave(&id);
+    sleep(LEAVES).await;
+    site.remove(&id);
+    site.forget(&id);
+    Ok(())
+}
+
+async fn grey(site: &Site, lasts: Duration, random: &mut SmallRng) {
+    let fault = choose(&FAULTS, random);
+    let one_in = random.random_range(2..8);
+    let Some(id) = endpoint(site, random) else {
+        return;
+    };
+    site.with(&id, |it| it.endpoint.fault(Some((fault, one_in))));
+    sleep(lasts).await;
+    site.with(&id, |it| it.endpoint.fault(None));
+}
+
+async fn endpoint_way(site: &Site, lasts: Duration, random: &mut SmallRng) {
+    let mode = choose(&DISTURBING, random);
+    let Some(id) = endpoint(site, random) else {
+        return;
+    };
+    site.with(&id, |it| {
+        it.endpoint.disturb(true);
+        it.proxy.set(mode);
+    });
+    sleep(lasts).await;
+    site.with(&id, |it| {
+        it.proxy.set(Mode::Pass);
+        // What was held back may still break off what began meanwhile.
+        it.endpoint.disturb(false);
+    });
+}
+
+async fn store(site: &Site, trouble: Trouble, lasts: Duration) {
+    site.disturb();
+    site.store.trouble(trouble);
+    sleep(lasts).await;
+    site.store.trouble(Trouble::None);
+    site.disturb();
+}
+
+/// The store is away, endpoints' records lapse meanwhile, and are back soon after its return.
+async fn lapse(site: &Site, lasts: Duration) {
+    site.disturb();
+    site.store.trouble(Trouble::Busy);
+    sleep(lasts).await;
+    site.lapse();
+    site.store.trouble(Trouble::None);
+    sleep(Duration::from_millis(700)).await;
+    site.announce_all();
+    site.disturb();
+}
--- /dev/null
+++ b/crates/soak/src/lib.rs
@@ -0,0 +1,13 @@
+//! A soak of real node processes: random faults from outside, and checks of the promises from what
+//! callers and endpoints see.
+//!
+//! Nodes are processes on loopback addresses of their own. The store and the endpoints are
+//! stand-ins in this process, behind proxies that delay, silence or reset. Nodes read no time of
+//! day for their decisions and have no storage, so neither is disturbed.
+
+pub mod fault;
+pub mod node;
+pub mod proxy;
+pub mod run;
+pub mod site;
+pub mod traffic;
--- /dev/null
+++ b/crates/soak/src/node.rs
@@ -0,0 +1,136 @@
+//! One node: its place, and the lives of its process.
+
+use crosslane_platform_standins::texts::{self, FILE_VARIABLE, Place};
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use std::fs::File;
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Instant;
+use tokio::process::{Child, Command};
+
+/// Bytes of a kilobyte.
+const KILOBYTE: u64 = 1_024;
+
+/// One life of a node's process.
+#[derive(Debug)]
+pub struct Life {
+    /// When it began.
+    pub began: Instant,
+    /// Whether it was killed or stood still, so that it may break anything off.
+    broken: AtomicBool,
+    /// Newest configuration that it showed.
+    pub version: AtomicU64,
+}
+
+impl Life {
+    fn new() -> Arc<Self> {
+        let (broken, version) = (AtomicBool::new(false), AtomicU64::new(0));
+        Arc::new(Self { began: Instant::now(), broken, version })
+    }
+
+    /// Whether it was neither killed nor stood still.
+    pub fn sound(&self) -> bool {
+        !self.broken.load(Ordering::Relaxed)
+    }
+}
+
+/// A node.
+#[derive(Debug)]
+pub struct Node {
+    place: Place,
+    program: PathBuf,
+    settings: PathBuf,
+    log: PathBuf,
+    child: tokio::sync::Mutex<Option<Child>>,
+    /// Its process id while it runs; signals are sent while others wait for its end.
+    id: AtomicU32,
+    life: Mutex<Arc<Life>>,
+}
+
+impl Node {
+    /// A node whose process is not running yet.
+    pub fn new(place: Place, program: &Path, folder: &Path) -> Self {
+        let settings = folder.join(format!("{}.toml", place.vm));
+        let log = folder.join(format!("{}.log", place.vm));
+        let (program, life) = (program.to_owned(), Mutex::new(Life::new()));
+        let (child, id) = (tokio::sync::Mutex::default(), AtomicU32::new(0));
+        Self { place, program, settings, log, child, id, life }
+    }
+
+    /// Address for callers.
+    pub fn callers(&self) -> SocketAddr {
+        SocketAddr::new(self.place.ip, self.place.callers)
+    }
+
+    /// Address at which readiness is asked.
+    pub fn ready(&self) -> SocketAddr {
+        SocketAddr::new(self.place.ip, self.place.ready)
+    }
+
+    /// The life of its process now, or the last one.
+    pub fn life(&self) -> Arc<Life> {
+        self.life.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Writes the settings file anew.
+    pub fn write_settings(&self) -> io::Result<()> {
+        std::fs::write(&self.settings, texts::settings(&self.place))
+    }
+
+    /// Starts the process unless it runs.
+    pub async fn start(&self) -> io::Result<()> {
+        let mut child = self.child.lock().await;
+        if child.is_some() {
+            return Ok(());
+        }
+        self.write_settings()?;
+        let log = File::options().create(true).append(true).open(&self.log)?;
+        *self.life.lock().unwrap_or_else(PoisonError::into_inner) = Life::new();
+        let process = Command::new(&self.program)
+            .arg("site")
+            .env(FILE_VARIABLE, &self.settings)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .kill_on_drop(true)
+            .spawn()?;
+        self.id.store(process.id().unwrap_or(0), Ordering::Relaxed);
+        *child = Some(process);
+        Ok(())
+    }
+
+    /// Sends a signal. A process that is killed or stands still no longer counts as sound.
+    pub fn signal(&self, signal: Signal) {
+        if matches!(signal, Signal::SIGKILL | Signal::SIGSTOP) {
+            self.life().broken.store(true, Ordering::Relaxed);
+        }
+        let id = self.id.load(Ordering::Relaxed);
+        if id > 0 {
+            // One that ended meanwhile is found by whoever waits for it.
+            let _ = kill(Pid::from_raw(id.cast_signed()), signal);
+        }
+    }
+
+    /// Waits until the process has ended, and returns its exit code if it ended by itself.
+    pub async fn ended(&self) -> Option<i32> {
+        let mut child = self.child.lock().await;
+        let status = child.as_mut()?.wait().await.ok()?;
+        self.id.store(0, Ordering::Relaxed);
+        *child = None;
+        status.code()
+    }
+
+    /// Resident memory at its peak, in megabytes; zero if it does not run.
+    pub fn peak_megabytes(&self) -> u64 {
+        let id = self.id.load(Ordering::Relaxed);
+        let text = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+        let line = text.lines().find_map(|it| it.strip_prefix("VmHWM:"));
+        let kilobytes = line.and_then(|it| it.trim().trim_end_matches(" kB").parse::<u64>().ok());
+        kilobytes.unwrap_or(0) / KILOBYTE
+    }
+}
--- /dev/null
+++ b/crates/soak/src/proxy.rs
@@ -0,0 +1,136 @@
+//! A loopback proxy whose connections are delayed, silenced, cut one way or reset.
+
+use socket2::SockRef;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::{JoinHandle, JoinSet};
+use tokio::time::sleep;
+
+/// Bytes passed on at once.
+const CHUNK: usize = 16_384;
+
+/// Delay of each chunk while connections are delayed.
+const DELAY: Duration = Duration::from_millis(60);
+
+/// What it does to connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    /// Passes everything on.
+    Pass,
+    /// Passes it on late.
+    Delay,
+    /// Passes nothing on, and takes new connections.
+    Silent,
+    /// Passes on what goes to the server, and nothing back.
+    OneWay,
+    /// Resets all connections, and new ones.
+    Reset,
+}
+
+/// Modes that disturb.
+pub const DISTURBING: [Mode; 4] = [Mode::Delay, Mode::Silent, Mode::OneWay, Mode::Reset];
+
+/// A proxy before one server; gone when dropped.
+#[derive(Debug)]
+pub struct Proxy {
+    /// Where it listens.
+    pub address: SocketAddr,
+    mode: watch::Sender<Mode>,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Proxy {
+    /// Listens on a port that the system chooses.
+    pub async fn start(server: SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let mode = watch::Sender::new(Mode::Pass);
+        let task = tokio::spawn(accept(listener, server, mode.subscribe()));
+        Ok(Self { address, mode, task })
+    }
+
+    /// Changes what it does.
+    pub fn set(&self, mode: Mode) {
+        self.mode.send_replace(mode);
+    }
+}
+
+async fn accept(listener: TcpListener, server: SocketAddr, mode: watch::Receiver<Mode>) {
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                let Ok((near, _)) = accepted else { return };
+                connections.spawn(carry(near, server, mode.clone()));
+            }
+            Some(_) = connections.join_next() => {}
+        }
+    }
+}
+
+async fn carry(near: TcpStream, server: SocketAddr, mut mode: watch::Receiver<Mode>) {
+    if *mode.borrow_and_update() == Mode::Reset {
+        return reset(&near);
+    }
+    let Ok(far) = TcpStream::connect(server).await else {
+        return reset(&near);
+    };
+    let (mut near_read, mut near_write) = near.into_split();
+    let (mut far_read, mut far_write) = far.into_split();
+    let modes = mode.clone();
+    let is_reset = tokio::select! {
+        _ = pass(&mut near_read, &mut far_write, modes.clone(), Way::There) => false,
+        _ = pass(&mut far_read, &mut near_write, modes, Way::Back) => false,
+        _ = mode.wait_for(|it| *it == Mode::Reset) => true,
+    };
+    if is_reset {
+        reset(near_write.as_ref());
+        reset(far_write.as_ref());
+    }
+}
+
+/// Closes a connection by a reset once it is dropped.
+fn reset(stream: &TcpStream) {
+    // A connection that is gone already needs none.
+    let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Way {
+    There,
+    Back,
+}
+
+/// Passes bytes on until either side ends; a side that ends, ends both.
+async fn pass(
+    from: &mut OwnedReadHalf,
+    to: &mut OwnedWriteHalf,
+    mut mode: watch::Receiver<Mode>,
+    way: Way,
+) -> io::Result<()> {
+    let mut buffer = vec![0; CHUNK];
+    loop {
+        let length = from.read(&mut buffer).await?;
+        let held = |it: &Mode| *it == Mode::Silent || (*it == Mode::OneWay && way == Way::Back);
+        // A sender that is gone leaves the last mode.
+        let now = mode.wait_for(|it| !held(it)).await.map_or(Mode::Pass, |it| *it);
+        if length == 0 {
+            return Ok(());
+        }
+        if now == Mode::Delay {
+            sleep(DELAY).await;
+        }
+        to.write_all(&buffer[..length]).await?;
+    }
+}
--- /dev/null
+++ b/crates/soak/src/run.rs
@@ -0,0 +1,157 @@
+//! One run of the soak, and its report.
+
+use crate::fault::{self, DRAWN, Fault};
+use crate::site::{Plan, Site};
+use crate::traffic::{self, Endings};
+use crosslane_platform_standins::caller;
+use crosslane_platform_standins::ledger::Violation;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::collections::BTreeMap;
+use std::fmt::{Display, Formatter, Result as Written};
+use std::io;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep};
+
+/// Pause between the beginnings of two faults, in milliseconds.
+const PAUSE: std::ops::Range<u64> = 50..900;
+
+/// Pause between two looks at a condition.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// Time for a condition to come about; far beyond what a busy machine needs.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Period in which endpoints renew their records.
+const HEARTBEAT: Duration = Duration::from_millis(1_200);
+
+/// What came of a run.
+#[derive(Debug, Default)]
+pub struct Report {
+    /// Seed.
+    pub seed: u64,
+    /// Faults by kind.
+    pub faults: BTreeMap<Fault, u64>,
+    /// Requests by kind and ending.
+    pub endings: Endings,
+    /// Most memory of a node that ran at the end, in megabytes.
+    pub megabytes: u64,
+    /// Broken promises.
+    pub violations: Vec<Violation>,
+}
+
+impl Report {
+    /// Requests that were asked.
+    pub fn requests(&self) -> u64 {
+        self.endings.values().sum()
+    }
+}
+
+impl Display for Report {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> Written {
+        let requests = self.requests();
+        let faults: u64 = self.faults.values().sum();
+        let broken = self.violations.len();
+        writeln!(
+            formatter,
+            "seed {}: {requests} requests, {faults} faults, {} MB, {broken} promises broken",
+            self.seed, self.megabytes
+        )?;
+        for ((kind, ending), count) in &self.endings {
+            writeln!(formatter, "  {kind:?} {ending:?}: {count}")?;
+        }
+        for (fault, count) in &self.faults {
+            writeln!(formatter, "  {fault}: {count}")?;
+        }
+        for Violation { promise, request, seen } in &self.violations {
+            writeln!(formatter, "  BROKEN {promise}: {request} {seen}")?;
+        }
+        Ok(())
+    }
+}
+
+/// Runs a site under faults; nodes' logs lie in the folder.
+pub async fn run(plan: &Plan, folder: &Path) -> io::Result<Report> {
+    let site = Site::start(plan, folder).await?;
+    until_ready(&site).await?;
+    let over = Arc::new(AtomicBool::new(false));
+    let mut callers = JoinSet::new();
+    for name in 0..plan.callers {
+        callers.spawn(traffic::call(site.clone(), name, plan.seed, over.clone()));
+    }
+    let probe = tokio::spawn(traffic::probe(site.clone(), plan.seed, over.clone()));
+    let beats = tokio::spawn(beat(site.clone()));
+    let faults = disturb(&site, plan).await?;
+    beats.abort();
+    site.mend().await?;
+    until_ready(&site).await?;
+    over.store(true, Ordering::Relaxed);
+    probe.await?;
+    let mut endings = Endings::new();
+    while let Some(some) = callers.join_next().await {
+        some?.into_iter().for_each(|(ending, count)| *endings.entry(ending).or_default() += count);
+    }
+    until_idle(&site).await;
+    let mut megabytes = 0;
+    for node in &site.nodes {
+        megabytes = megabytes.max(node.peak_megabytes());
+    }
+    let violations = site.ledger.violations();
+    Ok(Report { seed: plan.seed, faults, endings, megabytes, violations })
+}
+
+/// Begins faults, one after the other, and waits until all have ended.
+async fn disturb(site: &Arc<Site>, plan: &Plan) -> io::Result<BTreeMap<Fault, u64>> {
+    let mut random = SmallRng::seed_from_u64(plan.seed);
+    let mut counts = BTreeMap::new();
+    let mut running = JoinSet::new();
+    let end = Instant::now() + plan.time;
+    while Instant::now() < end {
+        let fault = DRAWN[random.random_range(0..DRAWN.len())];
+        *counts.entry(fault).or_default() += 1;
+        let own = SmallRng::seed_from_u64(random.random());
+        running.spawn(fault::play(site.clone(), fault, own));
+        sleep(Duration::from_millis(random.random_range(PAUSE))).await;
+    }
+    while let Some(played) = running.join_next().await {
+        played??;
+    }
+    Ok(counts)
+}
+
+/// Renews endpoints' records while they live.
+async fn beat(site: Arc<Site>) {
+    loop {
+        sleep(HEARTBEAT).await;
+        site.announce_all();
+    }
+}
+
+async fn until_ready(site: &Site) -> io::Result<()> {
+    let end = Instant::now() + PATIENCE;
+    for node in &site.nodes {
+        while !caller::ready(node.ready()).await {
+            if Instant::now() > end {
+                return Err(io::Error::other("a node is never ready"));
+            }
+            sleep(LOOK).await;
+        }
+    }
+    Ok(())
+}
+
+/// Waits until no run goes on: nobody waits for one any more.
+async fn until_idle(site: &Site) {
+    let end = Instant::now() + PATIENCE;
+    while !site.ledger.running().is_empty() && Instant::now() < end {
+        sleep(LOOK).await;
+    }
+    for (request, endpoint) in site.ledger.running() {
+        let seen = format!("still runs at {endpoint}");
+        site.ledger.broken("no memory held for callers who left", &request, seen);
+    }
+}
--- /dev/null
+++ b/crates/soak/src/site.rs
@@ -0,0 +1,269 @@
+//! The site under soak: store, endpoints and nodes, and what is disturbed.
+
+use crate::node::Node;
+use crate::proxy::{Mode, Proxy};
+use crosslane_platform_standins::endpoint::{Endpoint, Engines, Stage};
+use crosslane_platform_standins::ledger::Ledger;
+use crosslane_platform_standins::serve::Server;
+use crosslane_platform_standins::store::{CONFIGURATION, ENDPOINTS, OPERATORS, Store};
+use crosslane_platform_standins::texts::{self, Place};
+use std::io;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
+
+/// Time after a disturbance by which everything that was missed must have been caught up with:
+/// three times what a node takes, since the machine may be busy.
+pub const SETTLED: Duration = Duration::from_secs(6);
+
+/// Failure domains.
+const DOMAINS: [&str; 3] = ["aarau", "olten", "solothurn"];
+
+/// Time from a stop's announcement to the kill, in seconds.
+pub const GRACE_S: u64 = 8;
+
+/// How many of each there are, and how long the soak lasts.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Seed of all choices.
+    pub seed: u64,
+    /// Nodes.
+    pub nodes: usize,
+    /// Engines, both stages together.
+    pub engines: usize,
+    /// Plain endpoints.
+    pub pages: usize,
+    /// Callers.
+    pub callers: usize,
+    /// Time in which faults begin.
+    pub time: Duration,
+    /// `crosslaned`.
+    pub program: PathBuf,
+}
+
+/// An endpoint that takes requests.
+#[derive(Debug)]
+pub struct Served {
+    /// The endpoint.
+    pub endpoint: Endpoint,
+    /// Its place, which a successor keeps.
+    pub place: usize,
+    /// The way to it.
+    pub proxy: Proxy,
+    _server: Server,
+    leaving: bool,
+}
+
+/// Everything.
+#[derive(Debug)]
+pub struct Site {
+    /// What is seen.
+    pub ledger: Ledger,
+    /// Store.
+    pub store: Store,
+    /// Ways from each node to the store.
+    pub ways: Vec<Proxy>,
+    /// Nodes.
+    pub nodes: Vec<Node>,
+    served: Mutex<Vec<Served>>,
+    engines: Engines,
+    version: AtomicU64,
+    /// When the newest configuration was accepted.
+    accepted: Mutex<Instant>,
+    disturbed: Mutex<Instant>,
+    started: AtomicU64,
+    _store_server: Server,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Site {
+    /// Starts everything; nodes become ready in their own time.
+    pub async fn start(plan: &Plan, folder: &Path) -> io::Result<Arc<Self>> {
+        let store = Store::default();
+        let store_server = store.serve().await?;
+        let mut ways = Vec::new();
+        for _ in 0..plan.nodes {
+            ways.push(Proxy::start(store_server.address).await?);
+        }
+        let nodes = nodes(plan, &ways, folder).await?;
+        let site = Self {
+            ledger: Ledger::default(),
+            store,
+            ways,
+            nodes,
+            served: Mutex::default(),
+            engines: Engines::default(),
+            version: AtomicU64::new(0),
+            accepted: Mutex::new(Instant::now()),
+            disturbed: Mutex::new(Instant::now()),
+            started: AtomicU64::new(0),
+            _store_server: store_server,
+        };
+        site.configure();
+        for place in 0..plan.engines + plan.pages {
+            // Too many prefill at first, so that orders are due.
+            let stage = match place {
+                place if place >= plan.engines => Stage::Plain,
+                place if place * 2 < plan.engines => Stage::Prefill,
+                _ => Stage::Decode,
+            };
+            site.add(place, stage).await?;
+        }
+        for node in &site.nodes {
+            node.start().await?;
+        }
+        Ok(Arc::new(site))
+    }
+
+    /// Publishes the next configuration.
+    pub fn configure(&self) {
+        let version = self.version.fetch_add(1, Ordering::Relaxed) + 1;
+        self.store.put(OPERATORS, CONFIGURATION, Some(texts::configuration(version)));
+        *lock(&self.accepted) = Instant::now();
+    }
+
+    /// The newest configuration, and since when it is accepted.
+    pub fn configuration(&self) -> (u64, Instant) {
+        (self.version.load(Ordering::Relaxed), *lock(&self.accepted))
+    }
+
+    /// Adds an endpoint in a place.
+    pub async fn add(&self, place: usize, stage: Stage) -> io::Result<()> {
+        let number = self.started.fetch_add(1, Ordering::Relaxed);
+        let id = format!("e{place}-{number}");
+        let endpoint = Endpoint::new(id, stage, self.ledger.clone(), self.engines.clone());
+        let server = endpoint.serve().await?;
+        let proxy = Proxy::start(server.address).await?;
+        self.engines.add(proxy.address.to_string(), endpoint.clone());
+        let served = Served { endpoint, place, proxy, _server: server, leaving: false };
+        self.announce(&served);
+        lock(&self.served).push(served);
+        Ok(())
+    }
+
+    fn announce(&self, served: &Served) {
+        let domain = DOMAINS[served.place % DOMAINS.len()];
+        let stage = served.endpoint.stage();
+        let record = texts::record(served.proxy.address, stage, domain, served.leaving);
+        self.store.put(ENDPOINTS, &served.endpoint.id, Some(record));
+    }
+
+    /// Renews the records of endpoints whose stage may have changed, or that the store lost.
+    pub fn announce_all(&self) {
+        lock(&self.served).iter().for_each(|it| self.announce(it));
+    }
+
+    /// Drops the records of all endpoints, as a store does that was away for long.
+    pub fn lapse(&self) {
+        lock(&self.served).iter().for_each(|it| self.store.put(ENDPOINTS, &it.endpoint.id, None));
+    }
+
+    /// Endpoints that are not leaving, by id.
+    pub fn steady(&self) -> Vec<String> {
+        let served = lock(&self.served);
+        served.iter().filter(|it| !it.leaving).map(|it| it.endpoint.id.clone()).collect()
+    }
+
+    /// Looks at an endpoint, if it still takes requests.
+    pub fn with<T>(&self, id: &str, look: impl FnOnce(&Served) -> T) -> Option<T> {
+        let served = lock(&self.served);
+        served.iter().find(|it| it.endpoint.id == id).map(look)
+    }
+
+    /// Announces an endpoint as leaving; it takes requests until it is removed.
+    pub fn leave(&self, id: &str) {
+        let mut served = lock(&self.served);
+        if let Some(served) = served.iter_mut().find(|it| it.endpoint.id == id) {
+            served.leaving = true;
+            served.endpoint.closed_from(Some(Instant::now() + SETTLED));
+            self.announce(served);
+        }
+    }
+
+    /// Ends an endpoint with all its connections; its record goes later.
+    pub fn remove(&self, id: &str) -> Option<Endpoint> {
+        self.ledger.disturb(id);
+        let mut served = lock(&self.served);
+        let place = served.iter().position(|it| it.endpoint.id == id)?;
+        let removed = served.remove(place);
+        Some(removed.endpoint)
+    }
+
+    /// Drops the record of an endpoint that ended.
+    pub fn forget(&self, id: &str) {
+        self.store.put(ENDPOINTS, id, None);
+    }
+
+    /// Notes that nodes or the store are disturbed now, or no longer.
+    pub fn disturb(&self) {
+        let now = Instant::now();
+        *lock(&self.disturbed) = now;
+        let served = lock(&self.served);
+        let leaving = served.iter().filter(|it| it.leaving);
+        leaving.for_each(|it| it.endpoint.closed_from(Some(now + SETTLED)));
+    }
+
+    /// Whether nodes and the store have been left alone for so long that nothing is missed.
+    pub fn calm(&self) -> bool {
+        lock(&self.disturbed).elapsed() > SETTLED
+    }
+
+    /// Ends every fault: ways pass, the store works, processes run.
+    pub async fn mend(&self) -> io::Result<()> {
+        self.store.trouble(Default::default());
+        self.ways.iter().for_each(|it| it.set(Mode::Pass));
+        for served in lock(&self.served).iter() {
+            served.proxy.set(Mode::Pass);
+            served.endpoint.fault(None);
+        }
+        for node in &self.nodes {
+            node.signal(nix::sys::signal::Signal::SIGCONT);
+            node.start().await?;
+        }
+        self.announce_all();
+        Ok(())
+    }
+}
+
+/// Nodes on loopback addresses that no other soak uses at the same time.
+async fn nodes(plan: &Plan, ways: &[Proxy], folder: &Path) -> io::Result<Vec<Node>> {
+    let process = std::process::id();
+    let (high, low) = ((process / 250 % 250 + 1) as u8, (process % 250 + 1) as u8);
+    let ip = |place: usize| IpAddr::V4(Ipv4Addr::new(127, high, low, place as u8 + 1));
+    let [callers, ready, peers] = ports(ip(0)).await?;
+    let seeds: Vec<IpAddr> = (0..plan.nodes.min(3)).map(ip).collect();
+    let node = |(place, way): (usize, &Proxy)| {
+        let place = Place {
+            vm: format!("entry-{place}"),
+            ip: ip(place),
+            domain: DOMAINS[place % DOMAINS.len()].into(),
+            callers,
+            ready,
+            peers,
+            seeds: seeds.clone(),
+            store: way.address,
+            grace_s: GRACE_S,
+        };
+        Node::new(place, &plan.program, folder)
+    };
+    Ok(ways.iter().enumerate().map(node).collect())
+}
+
+/// Ports that the system finds free; all nodes use the same on their addresses.
+async fn ports(ip: IpAddr) -> io::Result<[u16; 3]> {
+    let mut kept = Vec::new();
+    for _ in 0..3 {
+        kept.push(TcpListener::bind(SocketAddr::new(ip, 0)).await?);
+    }
+    let mut ports = [0; 3];
+    for (port, listener) in ports.iter_mut().zip(&kept) {
+        *port = listener.local_addr()?.port();
+    }
+    Ok(ports)
+}
--- /dev/null
+++ b/crates/soak/src/traffic.rs
@@ -0,0 +1,143 @@
+//! Callers, and what their answers say of the promises.
+
+use crate::node::Life;
+use crate::site::{SETTLED, Site};
+use crosslane_platform_standins::caller::{Caller, Ending};
+use crosslane_platform_standins::ledger::{Ended, Kind, Run};
+use crosslane_platform_standins::texts;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+use tokio::time::sleep;
+
+/// Time within which a node must have let a request end; close to it, its timeout may be the cause.
+const TIMEOUT: Duration = Duration::from_millis(8_000);
+
+/// Pause between two requests of a caller, in milliseconds.
+const PAUSE: std::ops::Range<u64> = 10..200;
+
+/// Time after which a caller leaves, in milliseconds.
+const LEAVES: std::ops::Range<u64> = 20..3_000;
+
+/// Share of the requests whose caller leaves.
+const LEAVING: f64 = 0.15;
+
+/// Share of the requests after which a caller goes to another node although its connection is open.
+const WANDERING: f64 = 0.1;
+
+/// Kinds of request, as often as they are drawn.
+const KINDS: [Kind; 10] = [
+    Kind::Page,
+    Kind::Page,
+    Kind::Page,
+    Kind::Confirm,
+    Kind::Confirm,
+    Kind::Draft,
+    Kind::Draft,
+    Kind::Read,
+    Kind::Read,
+    Kind::Endless,
+];
+
+/// Endings by kind of request.
+pub type Endings = BTreeMap<(Kind, Ending), u64>;
+
+/// Asks until told to end.
+pub async fn call(site: Arc<Site>, name: usize, seed: u64, over: Arc<AtomicBool>) -> Endings {
+    let mut random = SmallRng::seed_from_u64(seed ^ (name as u64) << 32);
+    let mut endings = Endings::new();
+    let mut node = name % site.nodes.len();
+    let mut caller = Caller::new(site.nodes[node].callers(), site.ledger.clone());
+    for number in 0.. {
+        if over.load(Ordering::Relaxed) {
+            break;
+        }
+        // An open connection is used until it is closed.
+        if !caller.connected() || random.random_bool(WANDERING) {
+            node = random.random_range(0..site.nodes.len());
+            caller = Caller::new(site.nodes[node].callers(), site.ledger.clone());
+        }
+        let id = format!("s{seed}-c{name}-{number}");
+        let kind = KINDS[random.random_range(0..KINDS.len())];
+        let leaves = kind == Kind::Endless || random.random_bool(LEAVING);
+        let leave = leaves.then(|| Duration::from_millis(random.random_range(LEAVES)));
+        let life = site.nodes[node].life();
+        let began = Instant::now();
+        let ending = caller.ask(&id, kind, leave).await;
+        let asked = Asked { id: &id, kind, ending, life: &life, took: began.elapsed() };
+        asked.check(&site);
+        *endings.entry((kind, ending)).or_default() += 1;
+        sleep(Duration::from_millis(random.random_range(PAUSE))).await;
+    }
+    endings
+}
+
+/// A request that ended.
+struct Asked<'a> {
+    id: &'a str,
+    kind: Kind,
+    ending: Ending,
+    life: &'a Life,
+    took: Duration,
+}
+
+impl Asked<'_> {
+    /// A node that was neither killed nor frozen delivers what a sound endpoint makes.
+    fn check(&self, site: &Site) {
+        if !self.life.sound() || self.took > TIMEOUT {
+            return;
+        }
+        let runs = site.ledger.runs(self.id);
+        let sound = |it: &&Run| !it.disturbed && it.ended.is_some_and(|it| it != Ended::Faulty);
+        let Some(run) = runs.iter().find(sound) else {
+            return;
+        };
+        let seen = format!("{:?} after {:?}, {:?}: {run:?}", self.ending, self.took, self.kind);
+        match self.ending {
+            Ending::Cut | Ending::Closed => {
+                site.ledger.broken("a sound node cuts nothing off", self.id, seen);
+            }
+            Ending::Status(502 | 504) if run.ended == Some(Ended::Whole) => {
+                site.ledger.broken("ready answers are delivered", self.id, seen);
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Asks nodes for the configuration in force until told to end.
+pub async fn probe(site: Arc<Site>, seed: u64, over: Arc<AtomicBool>) {
+    let mut random = SmallRng::seed_from_u64(!seed);
+    for number in 0_u64.. {
+        if over.load(Ordering::Relaxed) {
+            return;
+        }
+        let node = &site.nodes[random.random_range(0..site.nodes.len())];
+        let life = node.life();
+        let (newest, accepted) = site.configuration();
+        let settled = site.calm() && accepted.elapsed() > SETTLED && life.began.elapsed() > SETTLED;
+        let version = random.random_range(newest.saturating_sub(2).max(1)..=newest);
+        let id = format!("s{seed}-p{number}");
+        let path = format!("{}{id}", texts::added_path(version));
+        let mut caller = Caller::new(node.callers(), site.ledger.clone());
+        let shown = life.version.load(Ordering::Relaxed);
+        match caller.ask_at(&id, Kind::Page, &path).await {
+            Ending::Answered => {
+                life.version.fetch_max(version, Ordering::Relaxed);
+            }
+            Ending::Status(404) if version <= shown => {
+                let seen = format!("{version} not in force after {shown} was");
+                site.ledger.broken("a configuration never reverts", &id, seen);
+            }
+            Ending::Status(404) if settled && site.calm() => {
+                let seen = format!("{version} not in force, accepted {:?} ago", accepted.elapsed());
+                site.ledger.broken("a configuration is in force in seconds", &id, seen);
+            }
+            _ => {}
+        }
+        sleep(Duration::from_millis(random.random_range(PAUSE))).await;
+    }
+}
