Keep prefilling engines even over failure domains

Cause: nodes now prefer the prefilling engines of their own domain, and orders took engines as they came, whatever their domain. Change: orders to decode go where most prefill, orders to prefill where fewest do.

--- a/crates/coordination/src/stages.rs
+++ b/crates/coordination/src/stages.rs
@@ -1,10 +1,11 @@
 //! How many engines of a service prefill and how many decode.
 //!
-//! Decode memory runs out long before prefill power does, so a quarter of the engines prefill and
+//! Decode memory runs out long before prefill power does, so some quarter of the engines prefill and
 //! the rest decode. The way back is taken only when the prefill side is nearly gone.
 
 use crosslane_state::endpoint::{Endpoint, Key, Stage};
 use crosslane_state::time::Millis;
+use std::cmp::Reverse;
 use std::collections::{HashMap, VecDeque};
 
 /// Engines per prefilling engine that the mean of the sites' traffic keeps busy.
@@ -73,10 +74,18 @@
         } else {
             return Vec::new();
         };
-        let free = engines.iter().filter(|(key, it)| {
-            it.stage == from && !it.draining && !self.ordered.contains_key(key)
+        let mut free: Vec<(Key, &Endpoint)> = engines
+            .iter()
+            .filter(|(key, it)| it.stage == from && !it.draining && !self.ordered.contains_key(key))
+            .copied()
+            .collect();
+        let prefilling = engines.iter().filter(|(key, it)| stage(key, it) == Stage::Prefill);
+        let mut domains = Domains::of(prefilling.map(|(_, it)| it.domain.as_str()));
+        let changes = (0..count).map_while(|_| {
+            let place = domains.next(&free, to)?;
+            Some(Change { key: free.remove(place).0, stage: to })
         });
-        free.take(count).map(|(key, _)| Change { key: *key, stage: to }).collect()
+        changes.collect()
     }
 
     /// Most engines seen lately: those that crashed are usually back before a change is done.
@@ -107,6 +116,33 @@
     }
 }
 
+/// Prefilling engines by failure domain. They are kept even, since nodes prefer their own domain's.
+#[derive(Debug)]
+struct Domains<'a>(HashMap<&'a str, usize>);
+
+impl<'a> Domains<'a> {
+    fn of(prefilling: impl Iterator<Item = &'a str>) -> Self {
+        let mut counts = HashMap::new();
+        prefilling.for_each(|it| *counts.entry(it).or_default() += 1);
+        Self(counts)
+    }
+
+    /// Place of the engine to change next: where most prefill, or where fewest do.
+    fn next(&mut self, free: &[(Key, &'a Endpoint)], to: Stage) -> Option<usize> {
+        let count = |domain: &str| self.0.get(domain).copied().unwrap_or(0);
+        let counted = free.iter().map(|(_, it)| count(&it.domain)).enumerate();
+        let chosen = if to == Stage::Prefill {
+            counted.min_by_key(|(place, count)| (*count, *place))
+        } else {
+            counted.max_by_key(|(place, count)| (*count, Reverse(*place)))
+        };
+        let (place, _) = chosen?;
+        let prefilling = self.0.entry(&free[place].1.domain).or_default();
+        *prefilling = if to == Stage::Prefill { *prefilling + 1 } else { *prefilling - 1 };
+        Some(place)
+    }
+}
+
 /// Prefilling engines wanted among some engines.
 fn wanted(engines: usize) -> usize {
     let engines = engines as f64;
--- a/crates/coordination/tests/stages.rs
+++ b/crates/coordination/tests/stages.rs
@@ -82,3 +82,43 @@
     assert!(plan.changes(engines, Millis(15_000)).is_empty());
     assert_eq!(plan.changes(engines, Millis(22_000)).len(), 1);
 }
+
+struct Uneven {
+    name: &'static str,
+    /// Engines that prefill and that decode, by failure domain.
+    before: [(usize, usize); 3],
+    prefill: [usize; 3],
+}
+
+#[rstest]
+#[case(Uneven { name: "even", before: [(6, 8), (6, 8), (6, 8)], prefill: [4, 4, 3] })]
+#[case(Uneven { name: "uneven", before: [(9, 5), (6, 8), (3, 11)], prefill: [4, 4, 3] })]
+#[case(Uneven { name: "too few", before: [(3, 11), (1, 13), (0, 14)], prefill: [3, 2, 2] })]
+fn prefilling_engines_are_kept_even_over_failure_domains(#[case] case: Uneven) {
+    let domain = |place: usize| format!("domain-{place}");
+    let mut engines = Vec::new();
+    for (place, (prefill, decode)) in case.before.into_iter().enumerate() {
+        for number in 0..prefill + decode {
+            let stage = if number < prefill { Stage::Prefill } else { Stage::Decode };
+            let name = place * 100 + number;
+            engines.push(Endpoint { domain: domain(place), ..engine(name, stage) });
+        }
+    }
+    let mut pool = Pool::new(domain(0), SmallRng::seed_from_u64(1));
+    pool.replace(engines, false, Millis(0));
+    let engines = &pool.engines()[SERVICE];
+    let mut plan = Plan::default();
+    plan.changes(engines, Millis(0));
+    let changes = plan.changes(engines, Millis(1_000));
+    let after = |place: usize| {
+        let prefills = |key, stage| {
+            let change = changes.iter().find(|it| it.key == key);
+            change.map_or(stage, |it| it.stage) == Stage::Prefill
+        };
+        let there = engines.iter().filter(|(_, it)| it.domain == domain(place));
+        there.filter(|(key, it)| prefills(*key, it.stage)).count()
+    };
+    let mut counts = [after(0), after(1), after(2)];
+    counts.sort_by(|one, other| other.cmp(one));
+    assert_eq!(counts, case.prefill, "{}", case.name);
+}
