--- a/crates/crosslane/src/logs.rs
+++ b/crates/crosslane/src/logs.rs
@@ -6,6 +6,7 @@
 
 use crate::error::Error;
 use crosslane_gateway::event;
+use crosslane_gateway::meter::LINES_DROPPED;
 use log::kv::{self, Key, Value, VisitSource};
 use log::{LevelFilter, Record};
 use log4rs::append::Append;
@@ -119,6 +120,7 @@
         if self.lines.try_send(line).is_err() {
             WAITING.fetch_sub(1, Ordering::Relaxed);
             self.dropped.fetch_add(dropped + 1, Ordering::Relaxed);
+            LINES_DROPPED.fetch_add(1, Ordering::Relaxed);
         }
         Ok(())
     }
--- a/crates/gateway/src/meter.rs
+++ b/crates/gateway/src/meter.rs
@@ -3,11 +3,15 @@
 use crate::refusal::{REASONS, Reason};
 use prometheus::{Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry};
 use prometheus::{Result, TextEncoder};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 /// Upper bounds of the histograms' buckets, in seconds: around the sites' targets of 0.3 and 0.9 s.
 const BUCKETS: [f64; 11] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.6, 0.9, 2.0, 5.0];
 
+/// Log lines that this process dropped since nobody read them; its appender counts them.
+pub static LINES_DROPPED: AtomicU64 = AtomicU64::new(0);
+
 /// Why a request was sent again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Retry {
@@ -57,6 +61,7 @@
     pub endpoints: IntGauge,
     /// Other nodes heard.
     pub peers: IntGauge,
+    lines_dropped: IntGauge,
 }
 
 impl Meter {
@@ -91,6 +96,7 @@
             version: gauge("crosslane_config_version", "Version of the configuration in force")?,
             endpoints: gauge("crosslane_endpoints", "Endpoints known")?,
             peers: gauge("crosslane_peers", "Other nodes heard")?,
+            lines_dropped: gauge("crosslane_log_lines_dropped", "Log lines dropped")?,
             registry,
         })
     }
@@ -122,6 +128,8 @@
 
     /// All metrics as text.
     pub fn text(&self) -> Result<Vec<u8>> {
+        let dropped = LINES_DROPPED.load(Ordering::Relaxed);
+        self.lines_dropped.set(dropped.cast_signed());
         let mut text = Vec::new();
         TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
         Ok(text)
