Take plain calls on a stopping node as long as they surely end before the kill

Change: what is taken late is decided in a module of its own, by a table: streams for 2.8 s as before, plain calls as long as their time ends 0.7 s before the kill. tests/stopping.rs, 7 cases.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -4,6 +4,7 @@
 use crate::exchange::Call;
 use crate::node::{Node, Reply};
 use crate::refusal::{Reason, Refusal};
+use crate::stopping::Late;
 use crate::{plain, stream};
 use bytes::Bytes;
 use crosslane_platform::answer;
@@ -43,10 +44,6 @@
 /// Smallest buffer that hyper takes, in bytes.
 const LEAST_BUFFER: usize = 8_192;
 
-/// Time after a stop's announcement in which new requests are still taken: the balancer needs two
-/// questions a second apart to see it, and a stream begun later may not end within the grace.
-pub const TAKE_WHILE_STOPPING: u64 = 2_800;
-
 /// When a caller refused here should come back: a restart takes about as long.
 const COME_BACK: Duration = Duration::from_millis(300);
 
@@ -146,8 +143,7 @@
     let held = Duration::from_millis(route.timeout);
     let deadline = arrived + ask.patience.map_or(held, |it| it.min(held));
     let body = read(body, table.limits, deadline).await?;
-    let since = *node.stopping.borrow();
-    if since.is_some_and(|at| node.now().since(at) > TAKE_WHILE_STOPPING) {
+    if !takes(node, route, deadline) {
         return Err(Refusal::later(Reason::Stopping, COME_BACK));
     }
     let service = share(route, &ask.id);
@@ -167,6 +163,20 @@
     }
 }
 
+/// Whether a request is taken although a stop may be announced.
+fn takes(node: &Node, route: &Route, deadline: Instant) -> bool {
+    let announced = *node.stopping.borrow();
+    announced.is_none_or(|at| {
+        let late = Late {
+            since: Duration::from_millis(node.now().since(at)),
+            grace: Duration::from_millis(node.settings.grace),
+            left: deadline.saturating_duration_since(Instant::now()),
+            streams: matches!(route.kind, Kind::Stream { .. }),
+        };
+        late.taken()
+    })
+}
+
 async fn read(body: Incoming, limits: Limits, deadline: Instant) -> Result<Bytes, Refusal> {
     let left = deadline.saturating_duration_since(Instant::now());
     http::read(body, limits.body_bytes, left).await.map_err(|error| match error {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,4 +21,5 @@
 pub mod refusal;
 pub mod relay;
 pub mod site;
+pub mod stopping;
 pub mod stream;
--- a/crates/gateway/src/site.rs
+++ b/crates/gateway/src/site.rs
@@ -1,6 +1,7 @@
 //! A node's life: start, signals and stop.
 
 use crate::node::Node;
+use crate::stopping::TAKES_ALL;
 use crate::{duty, event, follower, front, peers};
 use crosslane_platform::settings::Settings;
 use crosslane_platform::store;
@@ -107,7 +108,7 @@
     node.stopping.send_replace(Some(node.now()));
     node.changed.notify_one();
     info!(open = connections.len(), phase = "begin"; "{}", event::STOP);
-    sleep(Duration::from_millis(front::TAKE_WHILE_STOPPING)).await;
+    sleep(TAKES_ALL).await;
     connections.close();
     connections.wait().await;
     let took_ms = began.elapsed().as_millis() as u64;
--- /dev/null
+++ b/crates/gateway/tests/stopping.rs
@@ -0,0 +1,31 @@
+//! Requests that come after a stop was announced.
+
+use crosslane_gateway::stopping::Late;
+use rstest::rstest;
+use std::time::Duration;
+
+struct Case {
+    name: &'static str,
+    since: u64,
+    left: u64,
+    streams: bool,
+    taken: bool,
+}
+
+#[rstest]
+#[case(Case { name: "a stream, before the balancer knows", since: 2_000, left: 14_000, streams: true, taken: true })]
+#[case(Case { name: "a stream, later", since: 3_000, left: 14_000, streams: true, taken: false })]
+#[case(Case { name: "a short stream, later", since: 3_000, left: 1_000, streams: true, taken: false })]
+#[case(Case { name: "a call that ends in time", since: 5_000, left: 1_500, streams: false, taken: true })]
+#[case(Case { name: "a call that may not end in time", since: 6_000, left: 1_500, streams: false, taken: false })]
+#[case(Case { name: "a call that may take long", since: 3_000, left: 9_000, streams: false, taken: false })]
+#[case(Case { name: "a long call, before the balancer knows", since: 2_800, left: 9_000, streams: false, taken: true })]
+fn taken_while_stopping(#[case] case: Case) {
+    let late = Late {
+        since: Duration::from_millis(case.since),
+        grace: Duration::from_secs(8),
+        left: Duration::from_millis(case.left),
+        streams: case.streams,
+    };
+    assert_eq!(late.taken(), case.taken, "{}", case.name);
+}
