--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -32,6 +32,21 @@
 /// Pause after the first failure, which is often a single dead connection.
 const FIRST_PAUSE: Duration = Duration::from_millis(40);
 
+/// Pause after further failures while a topic was never read: without it nothing can be served.
+const START_PAUSE: Duration = Duration::from_millis(80);
+
+/// Failures up to which that pause is kept: a store that is out for long is not to be pressed.
+const START_TRIES: u32 = 6;
+
+/// Pause after a failed call that was preceded by so many.
+pub fn pause(failures: u32, never_read: bool) -> Duration {
+    match failures {
+        0 => FIRST_PAUSE,
+        failures if never_read && failures < START_TRIES => START_PAUSE,
+        _ => PAUSE,
+    }
+}
+
 /// Follows one topic for good.
 pub async fn follow(node: Arc<Node>, topic: &'static str) {
     let mut client = Client::new(node.settings.store);
@@ -56,7 +71,8 @@
                 if failures == 0 {
                     warn!(topic, why:% = error; "{}", event::LOST);
                 }
-                sleep(if failures == 0 { FIRST_PAUSE } else { PAUSE }).await;
+                let never_read = node.mirror().end(topic) == 0;
+                sleep(pause(failures, never_read)).await;
                 failures += 1;
             }
         }
