--- a/crates/coordination/src/health.rs
+++ b/crates/coordination/src/health.rs
@@ -10,7 +10,7 @@
 /// usually lasts, short enough to come back soon after.
 const HALF_LIFE: f64 = 2_500.0;
 
-/// Badness of an endpoint at which everything fails, as load of full endpoints: it is the last choice.
+/// Penalty of an endpoint at which everything fails, as load of full endpoints: it is the last choice.
 const WORST: f64 = 3.0;
 
 /// Outcomes that are taken as good beforehand: a single failure then weighs 0.7 of a full endpoint.
@@ -58,7 +58,7 @@
 
 impl Record {
     /// How much the endpoint is to be avoided, as load of full endpoints.
-    pub fn badness(self) -> f64 {
+    pub fn penalty(self) -> f64 {
         let (failures, successes) = (f64::from(self.failures), f64::from(self.successes));
         WORST * failures / (failures + successes + PRIOR)
     }
--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -265,7 +265,7 @@
 
     /// Engines whose owner is dead, and which this node is to look after until the log has the
     /// departure: it is the first in their ranking that is believed alive.
-    pub fn wards(&self, now: Millis) -> Vec<Runner> {
+    pub fn taken_over(&self, now: Millis) -> Vec<Runner> {
         let alive = |it| self.belief(it, now) == Belief::Alive;
         let all_alive = self.state.roster.iter().all(|it| alive(it.incarnation));
         if all_alive {
--- a/crates/coordination/src/pool.rs
+++ b/crates/coordination/src/pool.rs
@@ -98,9 +98,9 @@
     }
 
     /// How much it is to be avoided: what this node saw itself, or all nodes together.
-    fn badness(&self, now: Millis) -> f64 {
+    fn penalty(&self, now: Millis) -> f64 {
         let here = self.health.record(now);
-        here.badness().max(here.plus(self.elsewhere.outcomes).badness())
+        here.penalty().max(here.plus(self.elsewhere.outcomes).penalty())
     }
 
     /// Whether other nodes need to know what this one has there.
@@ -140,7 +140,7 @@
     tags: HashMap<Tag, Key>,
     told: HashMap<Tag, Told>,
     /// Engines whose usage changed since it was last told.
-    shifted: HashSet<Key>,
+    updated: HashSet<Key>,
     /// Stages that engines were ordered to take, and until when that counts.
     changing: HashMap<Tag, (Stage, Millis)>,
     random: SmallRng,
@@ -154,7 +154,7 @@
             entries: SlotMap::with_key(),
             tags: HashMap::new(),
             told: HashMap::new(),
-            shifted: HashSet::new(),
+            updated: HashSet::new(),
             changing: HashMap::new(),
             random,
         }
@@ -280,12 +280,12 @@
             }
             Stage::Prefill | Stage::Decode => {}
         }
-        let penalty = if many { FAR_PENALTY } else { DOMAIN_PENALTY };
+        let away = if many { FAR_PENALTY } else { DOMAIN_PENALTY };
         let scored = entries.into_iter().map(|(key, entry)| {
             let fullness = fullness(entry, query.capacity, now);
-            let mut score = fullness + entry.badness(now);
+            let mut score = fullness + entry.penalty(now);
             if entry.endpoint.domain != self.domain {
-                score += penalty;
+                score += away;
             }
             if entry.lapsed.is_some() {
                 score += 0.5;
@@ -314,7 +314,7 @@
         if let Some(entry) = self.entries.get_mut(key) {
             entry.here.requests += 1;
             entry.here.tokens += tokens;
-            self.note_shift(key);
+            self.note_update(key);
         }
     }
 
@@ -323,14 +323,14 @@
         if let Some(entry) = self.entries.get_mut(key) {
             entry.here.requests = entry.here.requests.saturating_sub(1);
             entry.here.tokens = entry.here.tokens.saturating_sub(tokens);
-            self.note_shift(key);
+            self.note_update(key);
         }
     }
 
-    fn note_shift(&mut self, key: Key) {
+    fn note_update(&mut self, key: Key) {
         let engine = self.entries.get(key).is_some_and(|it| it.endpoint.stage != Stage::Plain);
         if engine {
-            self.shifted.insert(key);
+            self.updated.insert(key);
         }
     }
 
@@ -384,13 +384,13 @@
     }
 
     /// What this node has at engines where that changed since it was last asked for.
-    pub fn shifts(&mut self, now: Millis) -> Vec<(Tag, Usage)> {
-        let shifted = std::mem::take(&mut self.shifted);
-        shifted.into_iter().filter_map(|key| Some(self.entries.get(key)?.row(now))).collect()
+    pub fn updates(&mut self, now: Millis) -> Vec<(Tag, Usage)> {
+        let updated = std::mem::take(&mut self.updated);
+        updated.into_iter().filter_map(|key| Some(self.entries.get(key)?.row(now))).collect()
     }
 
     /// Takes what another node now has at some engines. One that was not heard yet is heard first.
-    pub fn shift(&mut self, peer: Tag, usage: &[(Tag, Usage)]) {
+    pub fn update(&mut self, peer: Tag, usage: &[(Tag, Usage)]) {
         let Some(told) = self.told.get_mut(&peer) else {
             return;
         };
--- a/crates/coordination/tests/pool.rs
+++ b/crates/coordination/tests/pool.rs
@@ -122,17 +122,17 @@
 }
 
 #[rstest]
-fn a_shift_counts_at_once_and_until_the_next_heartbeat() {
+fn an_update_counts_at_once_and_until_the_next_heartbeat() {
     let mut pool = pool(&["a", "b"]);
     let usage = Usage { requests: 1, tokens: 40_000, outcomes: Record::default() };
-    pool.shift(Tag(7), &[(Tag::of("a"), usage)]);
+    pool.update(Tag(7), &[(Tag::of("a"), usage)]);
     assert!((0..50).any(|_| chosen(&mut pool, 100).unwrap() == "a"), "not heard yet");
     pool.hear(Tag(7), Vec::new(), Millis(100));
-    pool.shift(Tag(7), &[(Tag::of("a"), usage)]);
-    pool.shift(Tag(7), &[(Tag::of("a"), usage)]);
+    pool.update(Tag(7), &[(Tag::of("a"), usage)]);
+    pool.update(Tag(7), &[(Tag::of("a"), usage)]);
     assert!((0..50).all(|_| chosen(&mut pool, 100).unwrap() == "b"), "told");
-    pool.shift(Tag(7), &[(Tag::of("a"), Usage::default())]);
-    pool.shift(Tag(7), &[(Tag::of("b"), usage)]);
+    pool.update(Tag(7), &[(Tag::of("a"), Usage::default())]);
+    pool.update(Tag(7), &[(Tag::of("b"), usage)]);
     assert!((0..50).all(|_| chosen(&mut pool, 100).unwrap() == "a"), "left again");
     pool.hear(Tag(7), Vec::new(), Millis(200));
     assert!((0..50).any(|_| chosen(&mut pool, 200).unwrap() == "b"), "a heartbeat goes before");
@@ -144,11 +144,11 @@
     let query = Query { service: SERVICE, stage: Stage::Decode, capacity: CAPACITY, except: &[] };
     let (key, _) = pool.choose(query, Millis(0)).unwrap();
     pool.enter(key, 5_000);
-    let shifts = pool.shifts(Millis(0));
-    assert_eq!(shifts, [(Tag::of(&pool.get(key).unwrap().id), usage(1, 5_000))]);
-    assert!(pool.shifts(Millis(0)).is_empty());
+    let updates = pool.updates(Millis(0));
+    assert_eq!(updates, [(Tag::of(&pool.get(key).unwrap().id), usage(1, 5_000))]);
+    assert!(pool.updates(Millis(0)).is_empty());
     pool.leave(key, 5_000);
-    assert_eq!(pool.shifts(Millis(0))[0].1, usage(0, 0));
+    assert_eq!(pool.updates(Millis(0))[0].1, usage(0, 0));
 }
 
 fn usage(requests: u32, tokens: u32) -> Usage {
--- a/crates/coordination/tests/wards.rs
+++ b/crates/coordination/tests/takeover.rs
@@ -93,7 +93,7 @@
             let heard = (0..NODES).filter(|it| !silent.contains(it));
             heard.for_each(|it| node.detector.heard(Incarnation(it), now));
             confirmed.iter().for_each(|it| node.detector.confirm(Incarnation(*it), now));
-            looked_after.extend(node.wards(now).into_iter().map(|it| it.id));
+            looked_after.extend(node.taken_over(now).into_iter().map(|it| it.id));
             let dead = |it: &Runner| {
                 confirmed.iter().any(|gone| node.owner(it.id) == Some(Incarnation(*gone)))
             };
--- a/crates/crosslane/tests/logs_unread.rs
+++ b/crates/crosslane/tests/logs_unread.rs
@@ -48,17 +48,7 @@
     let record = texts::record(servers[1].address, Stage::Plain, "z", false);
     store.put(ENDPOINTS, "p1", Some(record));
     let [callers, ready, peers, metrics] = [free().await, free().await, free().await, free().await];
-    let place = Place {
-        vm: "n1".into(),
-        ip: callers.ip(),
-        domain: "z".into(),
-        callers: callers.port(),
-        ready: ready.port(),
-        peers: peers.port(),
-        seeds: Vec::new(),
-        store: servers[0].address,
-        grace_s: 8,
-    };
+    let place = Place::alone([callers, ready, peers], servers[0].address);
     let file = tempfile::NamedTempFile::new().unwrap();
     std::fs::write(file.path(), texts::settings(&place)).unwrap();
     let node = Command::new(env!("CARGO_BIN_EXE_crosslaned"))
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -87,7 +87,7 @@
     /// Counts a request with its tokens of KV cache at an endpoint that was chosen for its load.
     pub fn take(node: &Arc<Node>, (key, load): (Key, f64), tokens: u32) -> Self {
         node.pool().enter(key, tokens);
-        node.shifted.notify_one();
+        node.updated.notify_one();
         Self { node: node.clone(), key, tokens, load }
     }
 
@@ -100,7 +100,7 @@
 impl Drop for Seat {
     fn drop(&mut self) {
         self.node.pool().leave(self.key, self.tokens);
-        self.node.shifted.notify_one();
+        self.node.updated.notify_one();
     }
 }
 
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -61,7 +61,7 @@
     /// Everything, at intervals.
     Heartbeat(Heartbeat),
     /// What changed at engines, to near nodes at once.
-    Shift {
+    Update {
         /// Tag of the sender's VM.
         vm: Tag,
         /// What the sender now has at these engines.
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -52,7 +52,7 @@
     /// Wakes what tells others of a change.
     pub changed: Notify,
     /// Wakes what tells near nodes of requests at engines.
-    pub shifted: Notify,
+    pub updated: Notify,
     /// When the stop was announced.
     pub stopping: watch::Sender<Option<Millis>>,
     mirror: Mutex<Mirror>,
@@ -77,7 +77,7 @@
             control: Control::default(),
             members: Mutex::new(Members::new(&settings)),
             changed: Notify::new(),
-            shifted: Notify::new(),
+            updated: Notify::new(),
             stopping: watch::Sender::new(None),
             mirror: Mutex::default(),
             table: Mutex::default(),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -46,8 +46,8 @@
 /// Pause after a failed receive, which would else be tried without end.
 const RECEIVE_PAUSE: Duration = Duration::from_millis(20);
 
-/// Time in which shifts are gathered into one message: small against a prefill of 100 ms.
-const SHIFT_BATCH: Duration = Duration::from_millis(3);
+/// Time in which updates are gathered into one message: small against a prefill of 100 ms.
+const UPDATE_BATCH: Duration = Duration::from_millis(3);
 
 /// Largest datagram.
 const DATAGRAM: usize = 60_000;
@@ -75,7 +75,7 @@
     tokio::spawn(serve(node.clone(), address));
     tokio::spawn(enlist(node.clone()));
     tokio::spawn(tell(node.clone(), socket.clone()));
-    tokio::spawn(tell_shifts(node.clone(), socket.clone()));
+    tokio::spawn(tell_updates(node.clone(), socket.clone()));
     listen(node, socket).await
 }
 
@@ -160,14 +160,14 @@
 }
 
 /// Tells near nodes of requests that came to engines and left them.
-async fn tell_shifts(node: Arc<Node>, socket: Arc<UdpSocket>) {
+async fn tell_updates(node: Arc<Node>, socket: Arc<UdpSocket>) {
     loop {
-        node.shifted.notified().await;
-        sleep(SHIFT_BATCH).await;
+        node.updated.notified().await;
+        sleep(UPDATE_BATCH).await;
         let addresses = lock(&node.members).near(node.now());
-        let usage = node.pool().shifts(node.now());
+        let usage = node.pool().updates(node.now());
         if !usage.is_empty() {
-            send(&node, &socket, &Message::Shift { vm: node.tag(), usage }, &addresses).await;
+            send(&node, &socket, &Message::Update { vm: node.tag(), usage }, &addresses).await;
         }
     }
 }
@@ -203,8 +203,8 @@
         let now = node.now();
         let heartbeat = match bincode::deserialize(&buffer[..length]) {
             Ok(Message::Heartbeat(heartbeat)) => heartbeat,
-            Ok(Message::Shift { vm, usage }) => {
-                node.pool().shift(vm, &usage);
+            Ok(Message::Update { vm, usage }) => {
+                node.pool().update(vm, &usage);
                 continue;
             }
             Err(error) => {
--- a/crates/transport/src/sweep.rs
+++ b/crates/transport/src/sweep.rs
@@ -79,11 +79,11 @@
     let period = Duration::from_millis(shared.settings.timing.reconcile_millis);
     loop {
         tokio::time::sleep(period).await;
-        let look = |node: &mut Node, now| (node.owned().cloned().collect(), node.wards(now));
-        let (owned, wards): (Vec<Runner>, Vec<Runner>) = shared.keeper.visit(look).await;
+        let look = |node: &mut Node, now| (node.owned().cloned().collect(), node.taken_over(now));
+        let (owned, taken_over): (Vec<Runner>, Vec<Runner>) = shared.keeper.visit(look).await;
         let owned = owned.into_iter().map(|runner| reconcile(shared.clone(), runner));
-        let wards = wards.into_iter().map(|runner| clear(shared.clone(), runner));
-        tokio::join!(join_all(owned), join_all(wards));
+        let taken_over = taken_over.into_iter().map(|runner| clear(shared.clone(), runner));
+        tokio::join!(join_all(owned), join_all(taken_over));
     }
 }
 
