Tell other failure domains of many nodes every third heartbeat

Change: with over 32 nodes, heartbeats go to other domains every third time, and at once when the store brought something.

--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -69,6 +69,18 @@
     },
 }
 
+/// Which nodes are told something.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    /// All that were ever heard of.
+    All,
+    /// Those that live.
+    Live,
+    /// Those that live and choose among the same engines: all, or among many those of this failure
+    /// domain.
+    Near,
+}
+
 /// What is known of another node.
 #[derive(Clone, Debug, Default)]
 struct Member {
@@ -134,20 +146,15 @@
         self.members.iter().filter(move |(_, it)| heard(it))
     }
 
-    /// Addresses of live nodes, or of all.
-    pub fn addresses(&self, all: bool, now: Millis) -> Vec<IpAddr> {
-        if all {
-            return self.members.keys().copied().collect();
-        }
-        self.live(now).map(|(ip, _)| *ip).collect()
-    }
-
-    /// Addresses of live nodes that are told at once what this one has at engines: all, or among
-    /// many those of its failure domain.
-    pub fn near(&self, now: Millis) -> Vec<IpAddr> {
+    /// Addresses of the nodes in a scope.
+    pub fn addresses(&self, scope: Scope, now: Millis) -> Vec<IpAddr> {
         let few = self.members.len() <= NEAR;
-        let near = self.live(now).filter(|(_, it)| few || it.domain == self.domain);
-        near.map(|(ip, _)| *ip).collect()
+        let domain = |it: &Member| few || it.domain == self.domain;
+        match scope {
+            Scope::All => self.members.keys().copied().collect(),
+            Scope::Live => self.live(now).map(|(ip, _)| *ip).collect(),
+            Scope::Near => self.live(now).filter(|(_, it)| domain(it)).map(|(ip, _)| *ip).collect(),
+        }
     }
 
     /// Nodes heard within the retry budget's window, this one among them.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -11,7 +11,7 @@
 //! by name, passing over those whose reads fail. Two that differ for a moment read both.
 
 use crate::event;
-use crate::members::{Heartbeat, Message};
+use crate::members::{Heartbeat, Message, Scope};
 use crate::mirror::Delta;
 use crate::node::{Node, lock};
 use crosslane_platform::store::{Client, Record};
@@ -34,6 +34,11 @@
 /// Heartbeats between those to silent nodes.
 const SILENT_EVERY: u64 = 8;
 
+/// Heartbeats between those to other failure domains, where nodes are many: they choose engines of
+/// their own domain first, and traffic between domains is dear. What changes in the store is told to
+/// all at once.
+const FAR_EVERY: u64 = 3;
+
 /// Time given to the store to bring what a heartbeat told of, before it is pulled from its sender.
 const OWN_READ: Duration = Duration::from_millis(120);
 
@@ -133,6 +138,7 @@
 
 async fn tell(node: Arc<Node>, socket: Arc<UdpSocket>) {
     let mut round = 0_u64;
+    let mut changed = true;
     loop {
         let now = node.now();
         let ends = node.mirror().ends();
@@ -149,13 +155,23 @@
             usage,
             changing,
         };
-        let addresses = lock(&node.members).addresses(round.is_multiple_of(SILENT_EVERY), now);
-        node.meter.peers.set(addresses.len() as i64);
+        let scope = scope(round, changed);
+        let addresses = lock(&node.members).addresses(scope, now);
+        node.meter.peers.set(lock(&node.members).addresses(Scope::Live, now).len() as i64);
         send(&node, &socket, &Message::Heartbeat(heartbeat), &addresses).await;
         round += 1;
         let interval = lock(&node.members).interval();
         // A change is told at once.
-        let _ = timeout(interval, node.changed.notified()).await;
+        changed = timeout(interval, node.changed.notified()).await.is_ok();
+    }
+}
+
+/// Who gets a heartbeat.
+fn scope(round: u64, changed: bool) -> Scope {
+    match round {
+        round if round.is_multiple_of(SILENT_EVERY) => Scope::All,
+        round if changed || round.is_multiple_of(FAR_EVERY) => Scope::Live,
+        _ => Scope::Near,
     }
 }
 
@@ -164,7 +180,7 @@
     loop {
         node.updated.notified().await;
         sleep(UPDATE_BATCH).await;
-        let addresses = lock(&node.members).near(node.now());
+        let addresses = lock(&node.members).addresses(Scope::Near, node.now());
         let usage = node.pool().updates(node.now());
         if !usage.is_empty() {
             send(&node, &socket, &Message::Update { vm: node.tag(), usage }, &addresses).await;
--- a/crates/gateway/tests/members.rs
+++ b/crates/gateway/tests/members.rs
@@ -1,6 +1,6 @@
 //! Members: which nodes read the store and which gives orders, as heartbeats tell.
 
-use crosslane_gateway::members::{Heartbeat, Members};
+use crosslane_gateway::members::{Heartbeat, Members, Scope};
 use crosslane_platform::settings::Settings;
 use crosslane_state::time::Millis;
 use rstest::rstest;
@@ -129,5 +129,5 @@
     let others: Vec<Other> =
         others.into_iter().flat_map(|(count, other)| vec![other; count]).collect();
     hear(&mut members, &others);
-    assert_eq!(members.near(Millis(10_100)).len(), case.near, "{}", case.name);
+    assert_eq!(members.addresses(Scope::Near, Millis(10_100)).len(), case.near, "{}", case.name);
 }
