--- a/crates/gateway/src/cache.rs
+++ b/crates/gateway/src/cache.rs
@@ -2,8 +2,8 @@
 //!
 //! Engines keep the KV cache of what they read until other requests need the room. A caller whose
 //! stream was cut with its node returns to another node, or to one that has forgotten everything, so
-//! the engines are asked. A prompt that is found is not read again: of 30 tokens read in vain after
-//! the end of all nodes, all were saved where they were back within a second.
+//! the engines are asked. A prompt that is found is not read again: where all nodes were gone for a
+//! second, 111 prompt tokens were read twice in place of 29,700 (one play each).
 
 use crate::event;
 use crate::node::Node;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -30,8 +30,8 @@
 /// decoding engine reads the prompt itself, while its reservation still lasts.
 const PREFILL_LIMIT: Duration = Duration::from_millis(1_000);
 
-/// Prompt tokens at a prefilling engine that count as full: what the sites' engines read in 0.6 s,
-/// after which a first event would be late.
+/// Prompt tokens at a prefilling engine that count as full: what the sites' engines read in 0.6 to
+/// 1 s, after which a first event would be late.
 const PREFILL_BACKLOG: u64 = 33_000;
 
 /// Longest answer to a prefill, in bytes.
@@ -257,9 +257,9 @@
         self.decode(&mut hold, handle.as_mut(), last_event).await.map_err(Some)
     }
 
-    /// Fetches the prompt from the engine that read it, which usually keeps it. Reading it again at
-    /// the next engine takes 0.2 s and counts as waste: resumed streams with and without cost a mean
-    /// worth of 0.012 (30 plays of five days).
+    /// Fetches the prompt from the engine that read it, which usually keeps it: reading it again at
+    /// the next engine takes 0.2 s, and its streams pause meanwhile. The mean worth (30 plays of five
+    /// days) was 0.495 with it and 0.483 without.
     async fn prefill_again(&mut self) -> Option<Handle> {
         let reader = self.reader.filter(|it| self.node.pool().usable(*it))?;
         if !self.node.take_repeat(&self.service) {
