Reader: where a prompt is kept is part of the pure decision

The gateway passed over the queue for prompts kept at a prefilling engine; that is now a case of reader::Reader, with a row in its test. Behaviour is the same.

--- a/crates/coordination/src/reader.rs
+++ b/crates/coordination/src/reader.rs
@@ -9,6 +9,17 @@
 /// mean worth rose by 0.016 (six plays) over waiting in the queue.
 const QUEUED: f64 = 0.5;
 
+/// Where a prompt is kept from an earlier try.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kept {
+    /// It has to be read.
+    Nowhere,
+    /// At the engine that will generate.
+    Decoding,
+    /// At an engine that prefills, which can hand it over.
+    Prefilling,
+}
+
 /// Engine that reads a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reader {
@@ -19,12 +30,14 @@
 }
 
 impl Reader {
-    /// Chooses by whether the decoding engine keeps the prompt, and by the queue of the least busy
-    /// prefilling engine, if there is one.
-    pub fn choose(kept: bool, queue: Option<f64>) -> Self {
-        match queue {
-            Some(queue) if !kept && queue < QUEUED => Self::Prefilling,
-            _ => Self::Decoding,
+    /// Chooses by where the prompt is kept, and by the queue of the least busy prefilling engine, if
+    /// there is one.
+    pub fn choose(kept: Kept, queue: Option<f64>) -> Self {
+        match (kept, queue) {
+            (Kept::Decoding, _) => Self::Decoding,
+            (Kept::Prefilling, _) => Self::Prefilling,
+            (Kept::Nowhere, Some(queue)) if queue < QUEUED => Self::Prefilling,
+            (Kept::Nowhere, _) => Self::Decoding,
         }
     }
 }
--- a/crates/coordination/tests/admission.rs
+++ b/crates/coordination/tests/admission.rs
@@ -1,7 +1,7 @@
 //! Admission: who counts as late, and how long and up to which load each waits.
 
 use crosslane_coordination::admission::{self, Caller, Patience, Standing};
-use crosslane_coordination::reader::Reader;
+use crosslane_coordination::reader::{Kept, Reader};
 use crosslane_state::time::Millis;
 use rstest::rstest;
 
@@ -88,16 +88,42 @@
 
 struct Read {
     name: &'static str,
-    kept: bool,
+    kept: Kept,
     queue: Option<f64>,
     reader: Reader,
 }
 
 #[rstest]
-#[case(Read { name: "usual", kept: false, queue: Some(0.2), reader: Reader::Prefilling })]
-#[case(Read { name: "kept where it runs", kept: true, queue: Some(0.0), reader: Reader::Decoding })]
-#[case(Read { name: "long queue", kept: false, queue: Some(0.6), reader: Reader::Decoding })]
-#[case(Read { name: "nobody prefills", kept: false, queue: None, reader: Reader::Decoding })]
+#[case(Read {
+    name: "usual",
+    kept: Kept::Nowhere,
+    queue: Some(0.2),
+    reader: Reader::Prefilling,
+})]
+#[case(Read {
+    name: "kept where it will run",
+    kept: Kept::Decoding,
+    queue: Some(0.0),
+    reader: Reader::Decoding,
+})]
+#[case(Read {
+    name: "kept where it was read, behind a queue",
+    kept: Kept::Prefilling,
+    queue: Some(0.9),
+    reader: Reader::Prefilling,
+})]
+#[case(Read {
+    name: "long queue",
+    kept: Kept::Nowhere,
+    queue: Some(0.6),
+    reader: Reader::Decoding,
+})]
+#[case(Read {
+    name: "nobody prefills",
+    kept: Kept::Nowhere,
+    queue: None,
+    reader: Reader::Decoding,
+})]
 fn reader(#[case] case: Read) {
     assert_eq!(Reader::choose(case.kept, case.queue), case.reader, "{}", case.name);
 }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -15,7 +15,7 @@
 use crosslane_coordination::admission::{self, Caller, Standing};
 use crosslane_coordination::health::Outcome;
 use crosslane_coordination::pool::Query;
-use crosslane_coordination::reader::Reader;
+use crosslane_coordination::reader::{Kept, Reader};
 use crosslane_platform::ask::Purpose;
 use crosslane_platform::{answer, engine};
 use crosslane_state::endpoint::{Key, Stage};
@@ -63,7 +63,7 @@
     /// Endpoints to which the request was sent.
     pub sent: u32,
     /// Prefilling engine that read the prompt, and may still keep it.
-    reader: Option<Key>,
+    read_at: Option<Key>,
 }
 
 impl Run {
@@ -76,7 +76,7 @@
             resumes: call.ask.last_event.is_some(),
         };
         let standing = Standing::from(&caller);
-        Self { node, call, route, service, engine, caller, standing, sent: 0, reader: None }
+        Self { node, call, route, service, engine, caller, standing, sent: 0, read_at: None }
     }
 
     /// Carries the request to engines and returns the stream.
@@ -84,17 +84,9 @@
         let patience = Duration::from_millis(self.standing.wait(&self.caller));
         let until = self.call.deadline.min(self.call.arrived + patience);
         let keepers = self.keepers().await;
-        let kept = match keepers.decoding {
-            Some(keeper) => self.reserve_at(keeper, until).await,
-            None => None,
-        };
-        let at_keeper = kept.is_some();
-        let mut hold = match kept {
-            Some(hold) => hold,
-            None => self.reserve(until).await?,
-        };
+        let (mut hold, kept) = self.reserve_best(&keepers, until).await?;
         Meter::time(&self.node.meter.wait, self.call.arrived.elapsed());
-        let mut handle = match self.reader(at_keeper, keepers.prefilling) {
+        let mut handle = match self.reader(kept) {
             Reader::Decoding => None,
             Reader::Prefilling => self.first_prefill(keepers.prefilling).await?,
         };
@@ -141,10 +133,25 @@
         }
     }
 
-    /// Which engine reads the prompt, if one that generates or one that prefills may keep it.
-    fn reader(&self, kept: bool, prefilling: Option<Key>) -> Reader {
+    /// Reserves memory where the prompt is kept, or else anywhere.
+    async fn reserve_best(
+        &self,
+        keepers: &Keepers,
+        until: Instant,
+    ) -> Result<(Hold, Kept), Refusal> {
+        if let Some(keeper) = keepers.decoding
+            && let Some(hold) = self.reserve_at(keeper, until).await
+        {
+            return Ok((hold, Kept::Decoding));
+        }
+        let hold = self.reserve(until).await?;
+        let kept = keepers.prefilling.map_or(Kept::Nowhere, |_| Kept::Prefilling);
+        Ok((hold, kept))
+    }
+
+    fn reader(&self, kept: Kept) -> Reader {
         let queue = self.choose(Stage::Prefill, &[]).map(|(_, load)| load);
-        if prefilling.is_some() && !kept { Reader::Prefilling } else { Reader::choose(kept, queue) }
+        Reader::choose(kept, queue)
     }
 
     /// The best engine of a stage, and its load.
@@ -174,7 +181,7 @@
             Some(key) => (key, 0.0),
             None => self.choose(Stage::Prefill, &[])?,
         };
-        self.reader = Some(place.0);
+        self.read_at = Some(place.0);
         let began = Instant::now();
         let seat = Seat::take(&self.node, place, self.call.ask.prompt);
         let until = self.call.deadline.min(began + PREFILL_LIMIT);
@@ -261,11 +268,11 @@
     /// the next engine takes 0.2 s, and its streams pause meanwhile. The mean worth (30 plays of five
     /// days) was 0.495 with it and 0.483 without.
     async fn prefill_again(&mut self) -> Option<Handle> {
-        let reader = self.reader.filter(|it| self.node.pool().usable(*it))?;
+        let keeper = self.read_at.filter(|it| self.node.pool().usable(*it))?;
         if !self.node.take_repeat(&self.service) {
             return None;
         }
-        self.prefill(Some(reader)).await
+        self.prefill(Some(keeper)).await
     }
 
     fn relay(self, answer: Answer) -> Response<Reply> {
