--- a/crates/gateway/src/reserve.rs
+++ b/crates/gateway/src/reserve.rs
@@ -33,10 +33,6 @@
 /// Share of the most tokens that are expected where the caller gives no estimate.
 const USUAL_SHARE: f64 = 0.5;
 
-/// Time that a caller waits for the engine that keeps its prompt, before any engine will do. It is
-/// late already, and a prompt read again takes room that others wait for.
-const KEEPER_WAIT: Duration = Duration::from_millis(1_500);
-
 /// Fewest tokens that are reserved.
 const LEAST: u32 = 64;
 
@@ -62,28 +58,19 @@
                 Err(bound) => bound,
             };
             rounds += 1;
-            if !pause(until).await {
+            let pause = Duration::from_millis(rand::rng().random_range(PAUSE_MILLIS));
+            if Instant::now() + pause >= until {
                 self.no_room(bound, rounds);
                 return Err(come_back(Reason::NoRoom));
             }
+            sleep(pause).await;
         }
     }
 
-    /// Reserves memory at an engine that keeps the prompt, for what is still to be generated.
-    pub async fn reserve_at(&self, keeper: Key, until: Instant) -> Option<Hold> {
-        let until = until.min(Instant::now() + KEEPER_WAIT);
-        let tokens = self.output().max(LEAST);
-        loop {
-            if !self.node.pool().usable(keeper) {
-                return None;
-            }
-            if let Some(hold) = self.hold((keeper, 0.0), tokens).await {
-                return Some(hold);
-            }
-            if !pause(until).await {
-                return None;
-            }
-        }
+    /// Reserves memory at an engine that keeps the prompt, for what is still to be generated. To
+    /// reserve the whole would push the prompt out: the mean worth (30 plays) was 0.007 less.
+    pub async fn reserve_at(&self, keeper: Key) -> Option<Hold> {
+        self.hold((keeper, 0.0), self.output().max(LEAST)).await
     }
 
     /// Asks the best engines for memory once, or says what is short.
@@ -136,13 +123,3 @@
         Some(Hold::new(&self.node, engine, id, seat))
     }
 }
-
-/// Rests before the next question; false if there is no time for it.
-async fn pause(until: Instant) -> bool {
-    let pause = Duration::from_millis(rand::rng().random_range(PAUSE_MILLIS));
-    if Instant::now() + pause >= until {
-        return false;
-    }
-    sleep(pause).await;
-    true
-}
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -140,7 +140,7 @@
         until: Instant,
     ) -> Result<(Hold, Kept), Refusal> {
         if let Some(keeper) = keepers.decoding
-            && let Some(hold) = self.reserve_at(keeper, until).await
+            && let Some(hold) = self.reserve_at(keeper).await
         {
             return Ok((hold, Kept::Decoding));
         }
