--- a/crates/coordination/src/admission.rs
+++ b/crates/coordination/src/admission.rs
@@ -17,7 +17,7 @@
 
 /// The same for a caller who was refused before. What is left above it is one or two streams an
 /// engine, enough for those on time who come next. The mean worth (30 plays of five days with
-/// bursts) was 0.480 with it, 0.474 at 0.9 and 0.447 at 1.0.
+/// bursts) was 0.480 with it and 0.474 at 0.9.
 const LATE_FULL: f64 = 0.8;
 
 /// The same for a caller whose stream was cut. The mean worth (30 plays of five days that end with a
