Pull the configuration in pieces of what changed, and endpoints' records apart from it

Cause: a transfer whose size grows with the site had a time limit for the whole of it, and began from nothing when it was late. Between nodes one answer carried each version passed since and the endpoints' records within 1 s; at the store client a whole answer had to come within 1.2 s. Both symptoms follow: late configurations, and endpoints' leaving that waited behind them.

Ruled out: the store (readers had each version 0.15 s after its writing began), processor time (0 to 1 % at the late nodes), lost connections (322 of 322 failed pulls are time-outs).

Change: module patch makes a version the zstd difference from the one before (crate zstd, with long distances); history keeps the last steps and one whole version that stays while newer ones come; pull takes pieces of 32 KB with a limit each, goes on elsewhere, and draws whom to ask; a node gives at most half its link to it (coordination::pace) and says when it is busy; nodes that got it tell eight near ones. Endpoints' records are pulled by themselves, in parts. What peers do not bring within 1 s is read from the store.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod lease;
 pub mod ledger;
 pub mod node;
+pub mod pace;
 pub mod placement;
 pub mod pool;
 pub mod program;
--- a/crates/gateway/src/duty.rs
+++ b/crates/gateway/src/duty.rs
@@ -5,7 +5,7 @@
 use crosslane_coordination::lease::{Lease, ORDER_WINDOW, Record as Held, Step};
 use crosslane_coordination::stages::{Change, Plan};
 use crosslane_platform::engine::{self, Order};
-use crosslane_platform::store::{Client, Error, Record};
+use crosslane_platform::store::{Client, Error};
 use crosslane_state::endpoint::{Stage, Tag};
 use log::{debug, info};
 use serde::{Deserialize, Serialize};
@@ -132,9 +132,8 @@
     let orders = orders(node, &changes);
     let turn = Turn { holder: node.settings.vm.clone(), orders };
     let value = bincode::serialize(&turn).unwrap_or_default();
-    let record = Record { key: KEY.into(), value: Some(value.into()) };
     // Tokens start from one, since zero may mean none.
-    let offset = client.append(TOPIC, &record, Some(end)).await?;
+    let offset = client.append(TOPIC, KEY, &value, Some(end)).await?;
     Ok(Some((offset + 1, changes)))
 }
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -195,7 +195,7 @@
         Purpose::Decode { source: Some(_), .. } => "decode",
         Purpose::Decode { source: None, .. } => "prefill and decode",
     };
-    let (load, offset) = (seat.load, node.mirror().ends().1);
+    let (load, offset) = (seat.load, node.mirror().ends().endpoints);
     let left_ms = call.left().as_millis() as u64;
     let prompt = call.ask.part.as_deref().unwrap_or_default();
     info!(request, prompt, to, purpose, load, offset, left_ms; "{}", event::PLACE);
--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -1,8 +1,10 @@
 //! Follows the store's topics by waiting reads.
 //!
-//! Each call is priced, so only some nodes of a failure domain read; the others are told by them.
+//! Each call is priced, so only some nodes of a failure domain read; the others are told by them, and
+//! read only what does not come that way.
 
 use crate::event;
+use crate::mirror::Topic;
 use crate::node::{Node, STORE, lock};
 use crosslane_platform::store::{Client, Error};
 use log::{info, warn};
@@ -17,6 +19,10 @@
 /// Time between looks at whether this node is to read.
 const IDLE: Duration = Duration::from_millis(100);
 
+/// Time in milliseconds after which what other nodes told of, and did not bring, is read from the store:
+/// seven times what it takes them at 61 nodes, a third of the time in which it must be known.
+const OVERDUE: u64 = 1_000;
+
 /// Time after the first read in which nodes hear of each other, so that only those go on that are
 /// to read. What changes meanwhile is told by others, or read after it.
 const SETTLE: Duration = Duration::from_millis(600);
@@ -48,12 +54,15 @@
 }
 
 /// Follows one topic for good.
-pub async fn follow(node: Arc<Node>, topic: &'static str) {
+pub async fn follow(node: Arc<Node>, topic: Topic) {
     let mut client = Client::new(node.settings.store);
     let mut whole = true;
     let mut failures = 0_u32;
+    let mut behind_since = None;
     loop {
-        if !lock(&node.members).reads(node.now()) && !whole {
+        behind_since = node.behind(topic).then(|| behind_since.unwrap_or(node.now()));
+        let overdue = behind_since.is_some_and(|it| node.now().since(it) >= OVERDUE);
+        if !lock(&node.members).reads(node.now()) && !whole && !overdue {
             sleep(IDLE).await;
             continue;
         }
@@ -61,7 +70,7 @@
             Ok(()) => {
                 node.store_answered(failures > 0);
                 if failures > 0 {
-                    info!(topic, failures; "{}", event::REGAINED);
+                    info!(topic = topic.name(), failures; "{}", event::REGAINED);
                 }
                 failures = 0;
             }
@@ -69,7 +78,7 @@
             Err(error) => {
                 node.store_failed(topic);
                 if failures == 0 {
-                    warn!(topic, why:% = error; "{}", event::LOST);
+                    warn!(topic = topic.name(), why:% = error; "{}", event::LOST);
                 }
                 let never_read = node.mirror().end(topic) == 0;
                 sleep(pause(failures, never_read)).await;
@@ -83,13 +92,13 @@
 async fn step(
     node: &Node,
     client: &mut Client,
-    topic: &'static str,
+    topic: Topic,
     whole: &mut bool,
 ) -> Result<(), Error> {
     let from = (!*whole).then(|| node.mirror().end(topic));
     let page = match from {
-        None => client.newest(topic).await?,
-        Some(from) => client.read(topic, from, WAIT).await?,
+        None => client.newest(topic.name()).await?,
+        Some(from) => client.read(topic.name(), from, WAIT).await?,
     };
     let empty = page.end == 0;
     let first = *whole && node.mirror().end(topic) == 0;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,8 +2,8 @@
 //!
 //! `front` takes callers' requests; `plain` and `stream` carry them to endpoints by `exchange`, with
 //! memory from `reserve` and what engines keep from `cache`.
-//! `follower` reads the store into the `mirror`, `peers` keep nodes at the same view, `duty` gives
-//! orders to engines. Decisions are made in the coordination layer.
+//! `follower` reads the store into the `mirror`, `peers` and `pull` keep nodes at the same view, `duty`
+//! gives orders to engines. Decisions are made in the coordination layer.
 
 pub mod cache;
 pub mod control;
@@ -13,13 +13,16 @@
 pub mod exchange;
 pub mod follower;
 pub mod front;
+pub mod history;
 pub mod hold;
 pub mod members;
 pub mod meter;
 pub mod mirror;
 pub mod node;
+pub mod patch;
 pub mod peers;
 pub mod plain;
+pub mod pull;
 pub mod refusal;
 pub mod relay;
 pub mod reserve;
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -4,6 +4,7 @@
 //! the first by name, passing over those whose reads fail. Two that differ for a moment both read;
 //! for orders the store's lease decides.
 
+use crate::mirror::Ends;
 use crosslane_coordination::pool::Usage;
 use crosslane_platform::settings::Settings;
 use crosslane_state::endpoint::{Stage, Tag};
@@ -47,8 +48,8 @@
     pub steady: bool,
     /// Whether the store answers the sender's reads.
     pub fed: bool,
-    /// How far it has read the operators' and the endpoints' topic.
-    pub ends: (u64, u64),
+    /// How far it knows the store.
+    pub ends: Ends,
     /// What it has at endpoints.
     pub usage: Vec<(Tag, Usage)>,
     /// Stages that it ordered engines to take, until they have.
@@ -67,6 +68,11 @@
         /// What the sender now has at these engines.
         usage: Vec<(Tag, Usage)>,
     },
+    /// How far the sender knows the store, to some near nodes once it got a configuration from another.
+    News {
+        /// How far.
+        ends: Ends,
+    },
 }
 
 /// Which nodes are told something.
@@ -88,6 +94,7 @@
     domain: String,
     steady: bool,
     fed: bool,
+    ends: Ends,
     heard: Option<Millis>,
 }
 
@@ -130,11 +137,30 @@
             domain: heartbeat.domain.clone(),
             steady: heartbeat.steady,
             fed: heartbeat.fed,
+            ends: heartbeat.ends,
             heard: Some(now),
         };
         self.members.insert(ip, member);
     }
 
+    /// Takes news of a node that is known.
+    pub fn hear_news(&mut self, ip: IpAddr, ends: Ends) {
+        if let Some(member) = self.members.get_mut(&ip) {
+            member.ends = ends;
+        }
+    }
+
+    /// Addresses of the nodes that know enough: those of this failure domain, or else all. Traffic
+    /// between domains is dear.
+    pub fn holders(&self, now: Millis, enough: impl Fn(&Ends) -> bool) -> Vec<IpAddr> {
+        let (own, other): (Vec<_>, Vec<_>) = self
+            .live(now)
+            .filter(|(_, it)| enough(&it.ends))
+            .partition(|(_, it)| it.domain == self.domain);
+        let holders = if own.is_empty() { other } else { own };
+        holders.into_iter().map(|(ip, _)| *ip).collect()
+    }
+
     /// Time between heartbeats, which grows with the number of nodes.
     pub fn interval(&self) -> Duration {
         HEARTBEAT.max(HEARTBEAT_EACH * self.members.len() as u32)
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -5,9 +5,10 @@
 use crate::event;
 use crate::members::Members;
 use crate::meter::Meter;
-use crate::mirror::{Change, Mirror};
+use crate::mirror::{Change, Ends, Mirror, Topic};
 use crosslane_coordination::admission::Patience;
 use crosslane_coordination::allowance::{Allowance, Budget};
+use crosslane_coordination::pace::Pace;
 use crosslane_coordination::pool::Pool;
 use crosslane_platform::settings::Settings;
 use crosslane_platform::{configuration, discovery};
@@ -37,6 +38,14 @@
 /// lost them rather than like endpoints that left.
 const MASS_LAPSE: usize = 3;
 
+/// Share of the link (one part in so many) that the configuration may take on its way to other nodes;
+/// callers have the rest.
+const LINK_SHARE: u64 = 2;
+
+/// Bytes of the configuration that may go at once: 0.1 s of a link of 10 Mbit/s, behind which an endpoint's
+/// leaving waits at most.
+const BURST: u32 = 128 * 1_024;
+
 /// Source of what was read from the store by this node.
 pub const STORE: &str = "store";
 
@@ -59,6 +68,12 @@
     pub changed: Notify,
     /// Wakes what tells near nodes of requests at engines.
     pub updated: Notify,
+    /// How far another node knows the store, at the most.
+    pub told: watch::Sender<Ends>,
+    /// Wakes what tells near nodes of a configuration that came from another one.
+    pub gained: Notify,
+    /// How fast the configuration is handed to other nodes.
+    pub pace: Mutex<Pace>,
     /// When the stop was announced.
     pub stopping: watch::Sender<Option<Millis>>,
     mirror: Mutex<Mirror>,
@@ -86,6 +101,9 @@
             members: Mutex::new(Members::new(&settings)),
             changed: Notify::new(),
             updated: Notify::new(),
+            told: watch::Sender::default(),
+            gained: Notify::new(),
+            pace: Mutex::new(Pace::new(settings.link / LINK_SHARE, BURST)),
             stopping: watch::Sender::new(None),
             mirror: Mutex::default(),
             table: Mutex::default(),
@@ -123,6 +141,22 @@
         lock(&self.mirror)
     }
 
+    /// Notes how far another node knows the store.
+    pub fn hear_of(&self, ends: Ends) {
+        self.told.send_if_modified(|told| {
+            let before = *told;
+            told.configuration = told.configuration.max(ends.configuration);
+            told.endpoints = told.endpoints.max(ends.endpoints);
+            *told != before
+        });
+    }
+
+    /// Whether another node knows more of a topic.
+    pub fn behind(&self, topic: Topic) -> bool {
+        let known = self.mirror().ends();
+        self.told.borrow().of(topic) > known.of(topic)
+    }
+
     /// Whether callers may be sent here.
     pub fn ready(&self) -> bool {
         self.stopping.borrow().is_none() && self.table().is_some() && !self.pool().is_empty()
@@ -156,9 +190,9 @@
     }
 
     /// Notes that the store failed.
-    pub fn store_failed(&self, topic: &str) {
+    pub fn store_failed(&self, topic: Topic) {
         *lock(&self.store_read) = None;
-        self.meter.store_failed(topic);
+        self.meter.store_failed(topic.name());
     }
 
     /// Whether this node reads the store, and the store answers.
@@ -208,7 +242,7 @@
                 Err(error) => warn!(why:% = error; "{}", event::SKIPPED),
             }
         }
-        let end = mirror.ends().1;
+        let end = mirror.ends().endpoints;
         drop(mirror);
         let now = self.now();
         let back = *lock(&self.store_back);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,4 +1,4 @@
-//! What nodes tell each other: heartbeats by UDP, and the mirror by tarpc when one is behind.
+//! What nodes tell each other: heartbeats by UDP, and what the store holds by tarpc when one is behind.
 //!
 //! A heartbeat says how far its sender has read the store and what it has at endpoints. A node that
 //! learns of something newer, and does not read it from the store itself at once, pulls it from
@@ -11,21 +11,24 @@
 //! by name, passing over those whose reads fail. Two that differ for a moment read both.
 
 use crate::event;
+use crate::history::{Piece, Wanted};
 use crate::members::{Heartbeat, Message, Scope};
-use crate::meter::Meter;
-use crate::mirror::Delta;
+use crate::mirror::Part;
 use crate::node::{Node, lock};
-use crosslane_platform::store::{Client, Record};
+use crate::pull;
+use crosslane_platform::store::Client;
 use crosslane_state::endpoint::Tag;
 use futures::StreamExt;
-use log::{debug, info, warn};
+use log::{debug, warn};
+use rand::seq::IndexedRandom;
+use serde::{Deserialize, Serialize};
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
+use tarpc::context;
 use tarpc::server::{BaseChannel, Channel};
 use tarpc::tokio_serde::formats::Bincode;
-use tarpc::{client, context};
 use tokio::net::UdpSocket;
 use tokio::time::{sleep, timeout};
 
@@ -40,12 +43,6 @@
 /// all at once.
 const FAR_EVERY: u64 = 3;
 
-/// Time given to the store to bring what a heartbeat told of, before it is pulled from its sender.
-const OWN_READ: Duration = Duration::from_millis(120);
-
-/// Time for a pull.
-const PULL: Duration = Duration::from_millis(1_000);
-
 /// Pause before the store is asked again for the nodes' addresses: refused calls are priced.
 const ENLIST_PAUSE: Duration = Duration::from_millis(700);
 
@@ -55,24 +52,60 @@
 /// Time in which updates are gathered into one message: small against a prefill of 100 ms.
 const UPDATE_BATCH: Duration = Duration::from_millis(3);
 
+/// Near nodes that are told of a configuration by each one that got it: with a link's room for some of
+/// them, all have it after two or three rounds.
+const NEWS_TO: usize = 8;
+
 /// Largest datagram.
 const DATAGRAM: usize = 60_000;
 
+/// Answer to a node that asks for the configuration.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Told {
+    /// A piece of what leads on from what it holds.
+    Piece(Piece),
+    /// Enough was sent for now: others may have it too.
+    Busy,
+    /// This node knows nothing newer.
+    Nothing,
+}
+
 /// What nodes ask each other by tarpc.
 #[tarpc::service]
 pub trait Peer {
-    /// What the store holds beyond these offsets, as the node asked knows it.
-    async fn lacking(ends: (u64, u64)) -> Delta;
+    /// Endpoints' records beyond an offset; of a list, those after a key.
+    async fn endpoints(from: u64, after: Option<String>) -> Part;
+    /// The next piece of a newer configuration.
+    async fn configuration(wanted: Wanted) -> Told;
 }
 
 #[derive(Clone)]
 struct Server(Arc<Node>);
 
 impl Peer for Server {
-    async fn lacking(self, _: context::Context, ends: (u64, u64)) -> Delta {
-        let delta = self.0.mirror().delta(ends);
-        self.0.meter.told_bytes.inc_by(delta.bytes() as u64);
-        delta
+    async fn endpoints(self, _: context::Context, from: u64, after: Option<String>) -> Part {
+        let part = self.0.mirror().part(from, after.as_deref());
+        self.0.meter.told_bytes.inc_by(part.len() as u64);
+        part
+    }
+
+    async fn configuration(self, _: context::Context, wanted: Wanted) -> Told {
+        let node = &self.0;
+        if !lock(&node.pace).open(node.now()) {
+            return Told::Busy;
+        }
+        match node.mirror().piece(wanted) {
+            Ok(Some(piece)) => {
+                lock(&node.pace).spend(piece.len());
+                node.meter.told_bytes.inc_by(piece.len() as u64);
+                Told::Piece(piece)
+            }
+            Ok(None) => Told::Nothing,
+            Err(error) => {
+                warn!(why:% = error; "{}", event::SKIPPED);
+                Told::Nothing
+            }
+        }
     }
 }
 
@@ -84,6 +117,9 @@
     tokio::spawn(enlist(node.clone()));
     tokio::spawn(tell(node.clone(), socket.clone()));
     tokio::spawn(tell_updates(node.clone(), socket.clone()));
+    tokio::spawn(tell_news(node.clone(), socket.clone()));
+    tokio::spawn(pull::follow_endpoints(node.clone()));
+    tokio::spawn(pull::follow_configuration(node.clone()));
     listen(node, socket).await
 }
 
@@ -111,12 +147,11 @@
 async fn enlist(node: Arc<Node>) {
     let mut client = Client::new(node.settings.store);
     let value = node.settings.ip.to_string();
-    let record = Record { key: node.settings.vm.clone(), value: Some(value.into()) };
     let mut appended = false;
     loop {
         let result = async {
             if !appended {
-                client.append(NODES, &record, None).await?;
+                client.append(NODES, &node.settings.vm, value.as_bytes(), None).await?;
                 appended = true;
             }
             client.newest(NODES).await
@@ -191,6 +226,18 @@
     }
 }
 
+/// Tells some near nodes of a configuration that came from another node, so that those who lack it have
+/// more than the few that read the store to ask.
+async fn tell_news(node: Arc<Node>, socket: Arc<UdpSocket>) {
+    loop {
+        node.gained.notified().await;
+        let near = lock(&node.members).addresses(Scope::Near, node.now());
+        let some: Vec<_> = near.choose_multiple(&mut rand::rng(), NEWS_TO).copied().collect();
+        let ends = node.mirror().ends();
+        send(&node, &socket, &Message::News { ends }, &some).await;
+    }
+}
+
 async fn send(node: &Node, socket: &UdpSocket, message: &Message, addresses: &[IpAddr]) {
     let bytes = match bincode::serialize(message) {
         Ok(bytes) => bytes,
@@ -209,7 +256,6 @@
 
 async fn listen(node: Arc<Node>, socket: Arc<UdpSocket>) -> io::Result<()> {
     let mut buffer = vec![0; DATAGRAM];
-    let pulling = Arc::new(tokio::sync::Semaphore::new(1));
     loop {
         let (length, from) = match socket.recv_from(&mut buffer).await {
             Ok(received) => received,
@@ -219,71 +265,22 @@
                 continue;
             }
         };
-        let now = node.now();
-        let heartbeat = match bincode::deserialize(&buffer[..length]) {
-            Ok(Message::Heartbeat(heartbeat)) => heartbeat,
-            Ok(Message::Update { vm, usage }) => {
-                node.pool().update(vm, &usage);
-                continue;
-            }
-            Err(error) => {
-                warn!(from:% = from, why:% = error; "{}", event::SKIPPED);
-                continue;
+        match bincode::deserialize(&buffer[..length]) {
+            Ok(Message::Heartbeat(heartbeat)) => hear(&node, from.ip(), heartbeat),
+            Ok(Message::Update { vm, usage }) => node.pool().update(vm, &usage),
+            Ok(Message::News { ends }) => {
+                lock(&node.members).hear_news(from.ip(), ends);
+                node.hear_of(ends);
             }
-        };
-        lock(&node.members).hear(from.ip(), &heartbeat, now);
-        let ahead = ahead(&node, heartbeat.ends);
-        node.pool().hear(Tag::of(&heartbeat.vm), heartbeat.usage, now);
-        node.pool().hear_changing(&heartbeat.changing, now);
-        if ahead && let Ok(permit) = pulling.clone().try_acquire_owned() {
-            let node = node.clone();
-            tokio::spawn(async move {
-                pull(&node, from.ip(), heartbeat.ends).await;
-                drop(permit);
-            });
-        }
-    }
-}
-
-fn ahead(node: &Node, ends: (u64, u64)) -> bool {
-    let known = node.mirror().ends();
-    ends.0 > known.0 || ends.1 > known.1
-}
-
-/// Takes another node's mirror if the store has not brought the same meanwhile.
-async fn pull(node: &Arc<Node>, from: IpAddr, ends: (u64, u64)) {
-    if node.fed() && node.table().is_some() {
-        sleep(OWN_READ).await;
-    }
-    if !ahead(node, ends) {
-        return;
-    }
-    let known = node.mirror().ends();
-    let address = SocketAddr::new(from, node.settings.peer_port);
-    let began = node.now();
-    let result = match timeout(PULL, ask(address, known)).await {
-        Ok(result) => result,
-        Err(late) => Err(late.into()),
-    };
-    let took_ms = node.now().since(began);
-    Meter::time(&node.meter.pull, Duration::from_millis(took_ms));
-    match result {
-        Ok(delta) => {
-            let (offset, whole) = (delta.endpoints.end, delta.endpoints.whole);
-            let (records, bytes) = (delta.records(), delta.bytes());
-            info!(from:% = from, offset, whole, records, bytes, took_ms; "{}", event::PULLED);
-            let change = node.mirror().merge(delta);
-            node.apply(change, "peer");
-        }
-        Err(error) => {
-            node.meter.pull_failures.inc();
-            warn!(from:% = from, known:? = known, told:? = ends, took_ms, why:% = error; "{}", event::PULL_FAILED);
+            Err(error) => warn!(from:% = from, why:% = error; "{}", event::SKIPPED),
         }
     }
 }
 
-async fn ask(address: SocketAddr, known: (u64, u64)) -> io::Result<Delta> {
-    let transport = tarpc::serde_transport::tcp::connect(address, Bincode::default).await?;
-    let peer = PeerClient::new(client::Config::default(), transport).spawn();
-    peer.lacking(context::current(), known).await.map_err(io::Error::other)
+fn hear(node: &Node, from: IpAddr, heartbeat: Heartbeat) {
+    let now = node.now();
+    lock(&node.members).hear(from, &heartbeat, now);
+    node.hear_of(heartbeat.ends);
+    node.pool().hear(Tag::of(&heartbeat.vm), heartbeat.usage, now);
+    node.pool().hear_changing(&heartbeat.changing, now);
 }
--- a/crates/gateway/src/site.rs
+++ b/crates/gateway/src/site.rs
@@ -1,10 +1,10 @@
 //! A node's life: start, signals and stop.
 
+use crate::mirror::Topic;
 use crate::node::Node;
 use crate::stopping::TAKES_ALL;
 use crate::{duty, event, follower, front, peers};
 use crosslane_platform::settings::Settings;
-use crosslane_platform::store;
 use derive_more::{Display, Error, From};
 use log::{info, warn};
 use std::io;
@@ -70,8 +70,8 @@
     let ready = TcpListener::bind(settings.ready).await?;
     let metrics = TcpListener::bind(SocketAddr::new(settings.ip, metrics_port)).await?;
     info!(vm = settings.vm, domain = settings.domain, callers:% = settings.callers; "{}", event::START);
-    tokio::spawn(follower::follow(node.clone(), store::OPERATORS));
-    tokio::spawn(follower::follow(node.clone(), store::ENDPOINTS));
+    tokio::spawn(follower::follow(node.clone(), Topic::Operators));
+    tokio::spawn(follower::follow(node.clone(), Topic::Endpoints));
     tokio::spawn(front::run(node.clone(), callers, connections.clone()));
     tokio::spawn(front::status(node.clone(), ready, METRICS_PATH));
     tokio::spawn(front::status(node.clone(), metrics, METRICS_PATH));
--- a/crates/gateway/tests/members.rs
+++ b/crates/gateway/tests/members.rs
@@ -1,6 +1,7 @@
 //! Members: which nodes read the store and which gives orders, as heartbeats tell.
 
 use crosslane_gateway::members::{Heartbeat, Members, Scope};
+use crosslane_gateway::mirror::Ends;
 use crosslane_platform::settings::Settings;
 use crosslane_state::time::Millis;
 use rstest::rstest;
@@ -19,6 +20,7 @@
         peer_port: 1,
         seeds: Vec::new(),
         store: address,
+        link: 1_250_000,
         grace: 8_000,
         lease: 3_000,
         retry_ratio: 0.2,
@@ -34,9 +36,12 @@
     steady: bool,
     fed: bool,
     heard: u64,
+    /// Offset after the newest configuration that it knows.
+    knows: u64,
 }
 
-const OTHER: Other = Other { vm: "n1", domain: DOMAIN, steady: true, fed: true, heard: 10_000 };
+const OTHER: Other =
+    Other { vm: "n1", domain: DOMAIN, steady: true, fed: true, heard: 10_000, knows: 0 };
 
 struct Case {
     name: &'static str,
@@ -99,7 +104,7 @@
             domain: other.domain.into(),
             steady: other.steady,
             fed: other.fed,
-            ends: (0, 0),
+            ends: Ends { configuration: other.knows, endpoints: 0 },
             usage: Vec::new(),
             changing: Vec::new(),
         };
@@ -131,3 +136,54 @@
     hear(&mut members, &others);
     assert_eq!(members.addresses(Scope::Near, Millis(10_100)).len(), case.near, "{}", case.name);
 }
+
+const THERE: Other = Other { domain: "olten", ..OTHER };
+
+struct Holders {
+    name: &'static str,
+    others: &'static [Other],
+    /// Whether the first of them then told of the newest configuration by itself.
+    news: bool,
+    /// Last parts of the addresses of those that are asked.
+    asked: &'static [u8],
+}
+
+#[rstest]
+#[case(Holders { name: "nobody knows more", others: &[OTHER, THERE], news: false, asked: &[] })]
+#[case(Holders {
+    name: "the own domain first",
+    others: &[Other { knows: 5, ..THERE }, Other { knows: 5, ..OTHER }, Other { knows: 4, ..OTHER }],
+    news: false,
+    asked: &[3],
+})]
+#[case(Holders {
+    name: "another domain if need be",
+    others: &[Other { knows: 5, ..THERE }, OTHER],
+    news: false,
+    asked: &[2],
+})]
+#[case(Holders {
+    name: "not a silent one",
+    others: &[Other { knows: 5, heard: 0, ..OTHER }, Other { knows: 5, ..THERE }],
+    news: false,
+    asked: &[3],
+})]
+#[case(Holders {
+    name: "one that told of it between heartbeats",
+    others: &[OTHER, Other { knows: 5, ..OTHER }],
+    news: true,
+    asked: &[2, 3],
+})]
+fn who_is_asked_for_a_newer_configuration(#[case] case: Holders) {
+    let mut members = Members::new(&settings());
+    hear(&mut members, case.others);
+    if case.news {
+        let ends = Ends { configuration: 5, endpoints: 0 };
+        members.hear_news(IpAddr::from([127, 0, 0, 2]), ends);
+    }
+    let mut asked = members.holders(Millis(10_100), |it| it.configuration >= 5);
+    asked.sort();
+    let expected: Vec<IpAddr> =
+        case.asked.iter().map(|it| IpAddr::from([127, 0, 0, *it])).collect();
+    assert_eq!(asked, expected, "{}", case.name);
+}
