Pace lists of endpoints too, read the store first at a start, and mend the same limit on the own interface

A node that starts while all others do asked those that had the list first for it, hundreds at once; lists are now given only while the link has room, their pages are kept through failed pulls and may come from several nodes, and a node that knows nothing gives its own read of the store 0.4 s. Pauses after a busy answer double up to 1 s.

Found in looking for the same cause: the own interface reads its log and the list of VMs with one limit for the whole answer (crosslane_transport::http).

--- a/crates/gateway/src/mirror.rs
+++ b/crates/gateway/src/mirror.rs
@@ -113,6 +113,31 @@
     }
 }
 
+/// A list of which pages have come, from one node or several.
+#[derive(Debug, Default)]
+pub struct List {
+    entries: Vec<Entry>,
+    /// Offset up to which it is complete: what came between two pages is read again after it.
+    end: u64,
+    /// Key after which the next page begins.
+    next: Option<String>,
+}
+
+impl List {
+    /// Key after which the next page begins; nothing for the first one.
+    pub fn after(&self) -> Option<&String> {
+        self.next.as_ref()
+    }
+
+    /// Adds a page; the list once it is whole.
+    pub fn add(&mut self, entries: Vec<Entry>, end: u64, next: Option<String>) -> Option<Self> {
+        self.end = if self.next.is_some() { self.end.min(end) } else { end };
+        self.entries.extend(entries);
+        self.next = next;
+        self.next.is_none().then(|| std::mem::take(self))
+    }
+}
+
 /// What changed.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Change {
@@ -283,9 +308,10 @@
         Change { configuration: false, endpoints }
     }
 
-    /// Takes a whole list that another node sent.
-    pub fn merge_list(&mut self, entries: Vec<Entry>, end: u64) -> Change {
-        let records = entries.into_iter().map(Record::from).collect();
-        Change { configuration: false, endpoints: self.endpoints.replace(Page { records, end }) }
+    /// Takes a whole list that other nodes sent.
+    pub fn merge_list(&mut self, list: List) -> Change {
+        let records = list.entries.into_iter().map(Record::from).collect();
+        let page = Page { records, end: list.end };
+        Change { configuration: false, endpoints: self.endpoints.replace(page) }
     }
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -20,6 +20,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::{Notify, watch};
@@ -38,11 +39,11 @@
 /// lost them rather than like endpoints that left.
 const MASS_LAPSE: usize = 3;
 
-/// Share of the link (one part in so many) that the configuration may take on its way to other nodes;
-/// callers have the rest.
+/// Share of the link (one part in so many) that what is handed to other nodes may take; callers have the
+/// rest.
 const LINK_SHARE: u64 = 2;
 
-/// Bytes of the configuration that may go at once: 0.1 s of a link of 10 Mbit/s, behind which an endpoint's
+/// Bytes that may be handed to other nodes at once: 0.1 s of a link of 10 Mbit/s, behind which an endpoint's
 /// leaving waits at most.
 const BURST: u32 = 128 * 1_024;
 
@@ -72,8 +73,6 @@
     pub told: watch::Sender<Ends>,
     /// Wakes what tells near nodes of a configuration that came from another one.
     pub gained: Notify,
-    /// How fast the configuration is handed to other nodes.
-    pub pace: Mutex<Pace>,
     /// When the stop was announced.
     pub stopping: watch::Sender<Option<Millis>>,
     mirror: Mutex<Mirror>,
@@ -82,6 +81,10 @@
     allowance: Mutex<Allowance>,
     store_back: Mutex<Millis>,
     store_read: Mutex<Option<Millis>>,
+    /// Whether the last call to the store failed.
+    store_lost: AtomicBool,
+    /// How fast large things are handed to other nodes.
+    pace: Mutex<Pace>,
     patience: Mutex<HashMap<String, Patience>>,
 }
 
@@ -103,7 +106,6 @@
             updated: Notify::new(),
             told: watch::Sender::default(),
             gained: Notify::new(),
-            pace: Mutex::new(Pace::new(settings.link / LINK_SHARE, BURST)),
             stopping: watch::Sender::new(None),
             mirror: Mutex::default(),
             table: Mutex::default(),
@@ -111,6 +113,8 @@
             allowance: Mutex::new(Allowance::new(budget)),
             store_back: Mutex::default(),
             store_read: Mutex::default(),
+            store_lost: AtomicBool::new(false),
+            pace: Mutex::new(Pace::new(settings.link / LINK_SHARE, BURST)),
             patience: Mutex::default(),
             settings,
         })
@@ -184,6 +188,7 @@
     pub fn store_answered(&self, returned: bool) {
         let now = self.now();
         *lock(&self.store_read) = Some(now);
+        self.store_lost.store(false, Ordering::Relaxed);
         if returned {
             *lock(&self.store_back) = now;
         }
@@ -192,6 +197,7 @@
     /// Notes that the store failed.
     pub fn store_failed(&self, topic: Topic) {
         *lock(&self.store_read) = None;
+        self.store_lost.store(true, Ordering::Relaxed);
         self.meter.store_failed(topic.name());
     }
 
@@ -200,6 +206,22 @@
         lock(&self.store_read).is_some_and(|at| self.now().since(at) < FED)
     }
 
+    /// Whether the last call to the store failed.
+    pub fn store_lost(&self) -> bool {
+        self.store_lost.load(Ordering::Relaxed)
+    }
+
+    /// Whether the link has room to hand something large to another node.
+    pub fn has_room(&self) -> bool {
+        lock(&self.pace).open(self.now())
+    }
+
+    /// Counts bytes handed to another node.
+    pub fn count_told(&self, bytes: usize) {
+        lock(&self.pace).spend(bytes);
+        self.meter.told_bytes.inc_by(bytes as u64);
+    }
+
     /// Puts in force what changed in the mirror.
     pub fn apply(&self, change: Change, source: &'static str) {
         if change.configuration {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -59,11 +59,11 @@
 /// Largest datagram.
 const DATAGRAM: usize = 60_000;
 
-/// Answer to a node that asks for the configuration.
+/// Answer to a node that asks for what is newer.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub enum Told {
-    /// A piece of what leads on from what it holds.
-    Piece(Piece),
+pub enum Told<T> {
+    /// Some of it.
+    Some(T),
     /// Enough was sent for now: others may have it too.
     Busy,
     /// This node knows nothing newer.
@@ -74,31 +74,35 @@
 #[tarpc::service]
 pub trait Peer {
     /// Endpoints' records beyond an offset; of a list, those after a key.
-    async fn endpoints(from: u64, after: Option<String>) -> Part;
+    async fn endpoints(from: u64, after: Option<String>) -> Told<Part>;
     /// The next piece of a newer configuration.
-    async fn configuration(wanted: Wanted) -> Told;
+    async fn configuration(wanted: Wanted) -> Told<Piece>;
 }
 
 #[derive(Clone)]
 struct Server(Arc<Node>);
 
 impl Peer for Server {
-    async fn endpoints(self, _: context::Context, from: u64, after: Option<String>) -> Part {
-        let part = self.0.mirror().part(from, after.as_deref());
-        self.0.meter.told_bytes.inc_by(part.len() as u64);
-        part
+    async fn endpoints(self, _: context::Context, from: u64, after: Option<String>) -> Told<Part> {
+        let node = &self.0;
+        let part = node.mirror().part(from, after.as_deref());
+        // A whole list is large; what was lacking a moment ago is told however busy the link is.
+        if matches!(part, Part::Listed { .. }) && !node.has_room() {
+            return Told::Busy;
+        }
+        node.count_told(part.len());
+        Told::Some(part)
     }
 
-    async fn configuration(self, _: context::Context, wanted: Wanted) -> Told {
+    async fn configuration(self, _: context::Context, wanted: Wanted) -> Told<Piece> {
         let node = &self.0;
-        if !lock(&node.pace).open(node.now()) {
+        if !node.has_room() {
             return Told::Busy;
         }
         match node.mirror().piece(wanted) {
             Ok(Some(piece)) => {
-                lock(&node.pace).spend(piece.len());
-                node.meter.told_bytes.inc_by(piece.len() as u64);
-                Told::Piece(piece)
+                node.count_told(piece.len());
+                Told::Some(piece)
             }
             Ok(None) => Told::Nothing,
             Err(error) => {
--- a/crates/gateway/src/pull.rs
+++ b/crates/gateway/src/pull.rs
@@ -9,7 +9,7 @@
 use crate::event;
 use crate::history::Download;
 use crate::meter::Meter;
-use crate::mirror::{Entry, Part, Topic};
+use crate::mirror::{List, Part, Topic};
 use crate::node::{Node, lock};
 use crate::peers::{PeerClient, Told};
 use crosslane_state::time::Millis;
@@ -39,6 +39,13 @@
 /// what made it so. Drawn, so that those sent away do not meet again.
 const BUSY: Range<u64> = 30..120;
 
+/// How often these pauses double while others go on being busy: up to 1 s, so that hundreds of nodes that start
+/// at once do not keep the first ones from serving.
+const DOUBLED: u32 = 3;
+
+/// Time given to the store while a node knows nothing of a topic: longer, since it brings all there is.
+const FIRST_READ: Duration = Duration::from_millis(400);
+
 /// Name of the source in logs of what came from another node.
 const PEER: &str = "peer";
 
@@ -91,8 +98,9 @@
         self.bytes += bytes;
     }
 
-    /// Logs and counts how it ended, and waits before the next one if there is no use in it yet.
-    async fn ended(self, result: io::Result<Outcome>) {
+    /// Logs and counts how it ended, and waits before the next one if there is no use in it yet. Takes and
+    /// gives how often in a row others were busy.
+    async fn ended(self, result: io::Result<Outcome>, turned_away: u32) -> u32 {
         let took_ms = self.node.now().since(self.began);
         Meter::time(&self.node.meter.pull, Duration::from_millis(took_ms));
         let now = self.now();
@@ -108,25 +116,37 @@
             }
         }
         match result {
-            Ok(Outcome::Busy) => sleep(drawn(BUSY)).await,
+            Ok(Outcome::Busy) => {
+                sleep(drawn(BUSY) * (1 << turned_away.min(DOUBLED))).await;
+                return turned_away + 1;
+            }
             Ok(_) if now > known => {}
             Ok(_) | Err(_) => sleep(PAUSE).await,
         }
+        0
     }
 
-    async fn endpoints(&mut self) -> io::Result<Outcome> {
+    async fn endpoints(&mut self, list: &mut List) -> io::Result<Outcome> {
         let peer = self.connect().await?;
         loop {
             let known = self.now();
             if known >= self.told {
+                *list = List::default();
                 return Ok(Outcome::Complete);
             }
-            let change = match self.part(&peer, known, None).await? {
+            let asked = peer.endpoints(context::current(), known, list.after().cloned());
+            let part = match timeout(ANSWER, asked).await?.map_err(io::Error::other)? {
+                Told::Some(part) => part,
+                Told::Busy => return Ok(Outcome::Busy),
+                Told::Nothing => return Ok(Outcome::Exhausted),
+            };
+            self.came(part.len());
+            let change = match part {
                 Part::Recent { entries, end } => self.node.mirror().merge_recent(entries, end),
-                Part::Listed { entries, end, next } => {
-                    let (entries, end) = self.rest(&peer, entries, end, next).await?;
-                    self.node.mirror().merge_list(entries, end)
-                }
+                Part::Listed { entries, end, next } => match list.add(entries, end, next) {
+                    Some(list) => self.node.mirror().merge_list(list),
+                    None => continue,
+                },
             };
             self.node.apply(change, PEER);
             if self.now() == known {
@@ -135,40 +155,6 @@
         }
     }
 
-    /// A list with its further pages.
-    async fn rest(
-        &mut self,
-        peer: &PeerClient,
-        mut entries: Vec<Entry>,
-        mut end: u64,
-        mut next: Option<String>,
-    ) -> io::Result<(Vec<Entry>, u64)> {
-        while let Some(after) = next {
-            let Part::Listed { entries: more, end: page_end, next: following } =
-                self.part(peer, 0, Some(after)).await?
-            else {
-                return Err(io::Error::other("a list went on as something else"));
-            };
-            entries.extend(more);
-            // What came between two pages is read again after the list.
-            end = end.min(page_end);
-            next = following;
-        }
-        Ok((entries, end))
-    }
-
-    async fn part(
-        &mut self,
-        peer: &PeerClient,
-        from: u64,
-        after: Option<String>,
-    ) -> io::Result<Part> {
-        let asked = peer.endpoints(context::current(), from, after);
-        let part = timeout(ANSWER, asked).await?.map_err(io::Error::other)?;
-        self.came(part.len());
-        Ok(part)
-    }
-
     async fn configuration(&mut self, download: &mut Download) -> io::Result<Outcome> {
         let peer = self.connect().await?;
         loop {
@@ -178,7 +164,7 @@
             }
             let asked = peer.configuration(context::current(), download.wanted(held));
             let piece = match timeout(ANSWER, asked).await?.map_err(io::Error::other)? {
-                Told::Piece(piece) => piece,
+                Told::Some(piece) => piece,
                 Told::Busy => return Ok(Outcome::Busy),
                 Told::Nothing => return Ok(Outcome::Exhausted),
             };
@@ -196,6 +182,8 @@
 /// Keeps up with endpoints' records for good.
 pub async fn follow_endpoints(node: Arc<Node>) {
     let topic = Topic::Endpoints;
+    let mut list = List::default();
+    let mut turned_away = 0;
     loop {
         until_behind(&node, topic).await;
         let Some(from) = source(&node, topic) else {
@@ -203,8 +191,8 @@
             continue;
         };
         let mut pull = Pull::new(&node, topic, from);
-        let result = pull.endpoints().await;
-        pull.ended(result).await;
+        let result = pull.endpoints(&mut list).await;
+        turned_away = pull.ended(result, turned_away).await;
     }
 }
 
@@ -213,6 +201,7 @@
     let topic = Topic::Operators;
     let mut download = Download::default();
     let mut last = None;
+    let mut turned_away = 0;
     loop {
         until_behind(&node, topic).await;
         // Another node may know another step, so a part is gone on with where it came from.
@@ -224,7 +213,7 @@
         let mut pull = Pull::new(&node, topic, from);
         let result = pull.configuration(&mut download).await;
         last = matches!(result, Ok(Outcome::Busy)).then_some(from);
-        pull.ended(result).await;
+        turned_away = pull.ended(result, turned_away).await;
     }
 }
 
@@ -232,20 +221,28 @@
 async fn until_behind(node: &Node, topic: Topic) {
     let mut told = node.told.subscribe();
     loop {
-        if node.behind(topic) && (!node.fed() || node.table().is_none()) {
-            return;
+        if node.behind(topic) {
+            sleep(own_read(node, topic)).await;
         }
         if node.behind(topic) {
-            sleep(OWN_READ).await;
-            if node.behind(topic) {
-                return;
-            }
+            return;
         }
         // The sender is the node's own, so it stays.
         let _ = told.changed().await;
     }
 }
 
+/// Time given to this node's own read of the store.
+fn own_read(node: &Node, topic: Topic) -> Duration {
+    let knows_nothing = node.mirror().ends().of(topic) == 0;
+    match () {
+        () if node.store_lost() => Duration::ZERO,
+        () if knows_nothing => FIRST_READ,
+        () if node.fed() => OWN_READ,
+        () => Duration::ZERO,
+    }
+}
+
 /// A node that knows more than this one, of the own failure domain if there is one. Drawn, so that not
 /// all ask the same one.
 fn source(node: &Node, topic: Topic) -> Option<IpAddr> {
--- a/crates/gateway/tests/mirror.rs
+++ b/crates/gateway/tests/mirror.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use crosslane_gateway::history::Download;
-use crosslane_gateway::mirror::{Mirror, Part, Topic};
+use crosslane_gateway::mirror::{Change, List, Mirror, Part, Topic};
 use crosslane_platform::store::{CONFIGURATION, Page, Record};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -30,34 +30,25 @@
     held(&mirror)
 }
 
-/// What a node sends another one that has read up to an offset.
-fn part(ahead: &Mirror, from: u64) -> Part {
-    match ahead.part(from, None) {
-        Part::Listed { mut entries, mut end, mut next } => {
-            while let Some(after) = next {
-                let Part::Listed { entries: more, end: page_end, next: following } =
-                    ahead.part(0, Some(&after))
-                else {
-                    panic!("a list went on as something else");
-                };
-                entries.extend(more);
-                end = end.min(page_end);
-                next = following;
+/// Takes what another node sends, all pages of a list at once; the entries that came.
+fn pull(node: &mut Mirror, ahead: &Mirror, from: u64) -> (usize, Change) {
+    let mut list = List::default();
+    let mut came = 0;
+    loop {
+        match ahead.part(from, list.after().map(String::as_str)) {
+            Part::Recent { entries, end } => {
+                return (entries.len(), node.merge_recent(entries, end));
+            }
+            Part::Listed { entries, end, next } => {
+                came += entries.len();
+                if let Some(list) = list.add(entries, end, next) {
+                    return (came, node.merge_list(list));
+                }
             }
-            Part::Listed { entries, end, next: None }
         }
-        recent => recent,
     }
 }
 
-fn merge(node: &mut Mirror, part: Part) -> bool {
-    let change = match part {
-        Part::Recent { entries, end } => node.merge_recent(entries, end),
-        Part::Listed { entries, end, .. } => node.merge_list(entries, end),
-    };
-    change.endpoints
-}
-
 /// Nodes read the log at their own pace, and pull from each other at any time.
 #[rstest]
 #[case(1)]
@@ -83,9 +74,12 @@
             }
             _ => {
                 let (from, to) = (random.random_range(0..4), random.random_range(0..4));
-                let sent = part(&nodes[from], nodes[to].end(Topic::Endpoints));
                 let before = nodes[to].end(Topic::Endpoints);
-                merge(&mut nodes[to], sent);
+                let mut node = std::mem::take(&mut nodes[to]);
+                if from != to {
+                    pull(&mut node, &nodes[from], before);
+                }
+                nodes[to] = node;
                 assert!(nodes[to].end(Topic::Endpoints) >= before);
             }
         }
@@ -103,7 +97,7 @@
     ahead.take(Topic::Endpoints, page(0, 3), Some(0));
     let mut node = Mirror::default();
     node.take(Topic::Endpoints, page(0, 1), Some(0));
-    merge(&mut node, part(&ahead, 1));
+    pull(&mut node, &ahead, 1);
     let change = node.take(Topic::Endpoints, page(1, 2), Some(1));
     assert!(!change.endpoints);
     assert_eq!(held(&node), expected(&log, 3));
@@ -117,8 +111,8 @@
     ahead.take(Topic::Endpoints, page(numbered(10, [(2, Some(2))]), 11), Some(10));
     let mut node = Mirror::default();
     // Asked on behalf of a node that had read more.
-    assert!(!merge(&mut node, part(&ahead, 10)) && held(&node).is_empty());
-    merge(&mut node, part(&ahead, 0));
+    assert!(!pull(&mut node, &ahead, 10).1.endpoints && held(&node).is_empty());
+    pull(&mut node, &ahead, 0);
     assert_eq!(held(&node).len(), 2);
 }
 
@@ -142,12 +136,12 @@
     node.take(Topic::Endpoints, Page { records: records(0, case.from), end: case.from }, Some(0));
     let (mut sent, mut parts, mut whole) = (0, 0, false);
     while node.end(Topic::Endpoints) < case.end {
-        let lacking = part(&mirror, node.end(Topic::Endpoints));
-        let (Part::Recent { entries, .. } | Part::Listed { entries, .. }) = &lacking;
-        sent += entries.len();
+        let from = node.end(Topic::Endpoints);
+        whole |= matches!(mirror.part(from, None), Part::Listed { .. });
+        let (came, change) = pull(&mut node, &mirror, from);
+        sent += came;
         parts += 1;
-        whole |= matches!(lacking, Part::Listed { .. });
-        assert!(merge(&mut node, lacking), "{}", case.name);
+        assert!(change.endpoints, "{}", case.name);
     }
     assert_eq!(held(&node), held(&mirror), "{}", case.name);
     let expected = if case.whole { 5_000 } else { (case.end - case.from) as usize };
@@ -206,7 +200,7 @@
     bytes
 }
 
-struct Change {
+struct Versions {
     name: &'static str,
     /// Routes of the versions that the node behind knows.
     known: &'static [u64],
@@ -217,13 +211,13 @@
 }
 
 #[rstest]
-#[case(Change { name: "nothing but the version", known: &[4_000], new: &[4_000], bytes: 200 })]
-#[case(Change { name: "routes added", known: &[3_000], new: &[4_000], bytes: 30_000 })]
-#[case(Change { name: "routes taken away", known: &[4_000], new: &[2_000], bytes: 200 })]
-#[case(Change { name: "two versions behind", known: &[3_000], new: &[4_000, 4_000], bytes: 30_000 })]
-#[case(Change { name: "nothing known", known: &[], new: &[100, 4_000], bytes: 100_000 })]
-#[case(Change { name: "further behind than is kept", known: &[4_000], new: &[4_001; 60], bytes: 100_000 })]
-fn a_node_that_is_behind_gets_what_changed(#[case] case: Change) {
+#[case(Versions { name: "nothing but the version", known: &[4_000], new: &[4_000], bytes: 200 })]
+#[case(Versions { name: "routes added", known: &[3_000], new: &[4_000], bytes: 30_000 })]
+#[case(Versions { name: "routes taken away", known: &[4_000], new: &[2_000], bytes: 200 })]
+#[case(Versions { name: "two versions behind", known: &[3_000], new: &[4_000, 4_000], bytes: 30_000 })]
+#[case(Versions { name: "nothing known", known: &[], new: &[100, 4_000], bytes: 100_000 })]
+#[case(Versions { name: "further behind than is kept", known: &[4_000], new: &[4_001; 60], bytes: 100_000 })]
+fn a_node_that_is_behind_gets_what_changed(#[case] case: Versions) {
     let mut ahead = Mirror::default();
     let mut node = Mirror::default();
     let versions = case.known.iter().chain(case.new);
@@ -309,3 +303,36 @@
     assert!(!change.configuration);
     assert_eq!(node.configuration(), ahead.configuration());
 }
+
+/// Pages of a list may come from several nodes, of which one knows more than the other.
+#[rstest]
+fn a_list_is_gone_on_with_at_another_node() {
+    let start = |it: u64| (it % 6_000, Some(it));
+    let log = numbered(0, (0..40_000).map(start));
+    let read = |end: u64| {
+        let mut node = Mirror::default();
+        let records = log[..end as usize].to_vec();
+        node.take(Topic::Endpoints, Page { records, end }, Some(0));
+        node
+    };
+    let nodes = [39_000, 40_000].map(read);
+    let mut list = List::default();
+    let mut turn = 0;
+    let whole = loop {
+        let ahead = &nodes[turn % 2];
+        let Part::Listed { entries, end, next } = ahead.part(1, list.after().map(String::as_str))
+        else {
+            panic!("not a list");
+        };
+        turn += 1;
+        if let Some(whole) = list.add(entries, end, next) {
+            break whole;
+        }
+    };
+    assert!(turn > 1);
+    let mut node = Mirror::default();
+    node.merge_list(whole);
+    assert_eq!(node.end(Topic::Endpoints), 39_000);
+    pull(&mut node, &nodes[1], 39_000);
+    assert_eq!(held(&node), expected(&log, 40_000));
+}
--- a/crates/transport/src/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -2,9 +2,9 @@
 //!
 //! Dropping a connection closes it at once, which ends the request that runs on it.
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use derive_more::{Display, Error};
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
@@ -64,6 +64,21 @@
     }
 }
 
+/// A whole body, in which no pause is longer than this. It may take any time: with a limit for all of it,
+/// 0.9 MB over 250 KB/s are never read, however often they are asked for.
+pub async fn whole(mut body: Incoming, to: SocketAddr, pause: Duration) -> Result<Bytes, Error> {
+    let mut bytes = BytesMut::new();
+    loop {
+        let frame = match timeout(pause, body.frame()).await {
+            Err(_) => return Err(Error::Timeout { to }),
+            Ok(None) => return Ok(bytes.freeze()),
+            Ok(Some(Err(error))) => return Err(Error::Broken { to, message: error.to_string() }),
+            Ok(Some(Ok(frame))) => frame,
+        };
+        bytes.extend_from_slice(frame.data_ref().map_or(&[], |it| it.as_ref()));
+    }
+}
+
 /// An open connection.
 #[derive(Debug)]
 pub struct Connection {
--- a/crates/transport/src/http.rs
+++ b/crates/transport/src/http.rs
@@ -1,5 +1,6 @@
 //! HTTP by hyper: one pooled client and the bodies that both sides use.
 
+use crate::connection;
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use http_body_util::combinators::BoxBody;
@@ -64,6 +65,16 @@
     },
 }
 
+impl From<connection::Error> for Error {
+    fn from(error: connection::Error) -> Self {
+        match error {
+            connection::Error::Connect { to, .. } => Self::Connect { to },
+            connection::Error::Broken { to, message } => Self::Broken { to, message },
+            connection::Error::Timeout { to } => Self::Timeout { to },
+        }
+    }
+}
+
 /// A call to make.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -151,15 +162,31 @@
         limit: Duration,
     ) -> Result<T, Error> {
         let to = call.to;
-        let response = self.whole(call, limit).await?;
-        let status = response.status();
-        if !status.is_success() {
-            let body = String::from_utf8_lossy(response.body()).into_owned();
-            return Err(Error::Status { to, status: status.as_u16(), body });
-        }
-        serde_json::from_slice(response.body())
-            .map_err(|error| Error::Broken { to, message: error.to_string() })
+        decode(to, self.whole(call, limit).await?)
+    }
+
+    /// The same for an answer of any length: the limit holds until it begins, and for each pause in it.
+    pub async fn fetch_long<T: DeserializeOwned>(
+        &self,
+        call: Call,
+        limit: Duration,
+    ) -> Result<T, Error> {
+        let to = call.to;
+        let (head, body) = self.send(call, limit).await?.into_parts();
+        let body = connection::whole(body, to, limit).await?;
+        decode(to, Response::from_parts(head, body))
+    }
+}
+
+/// Decodes a JSON answer; an error status is an error.
+fn decode<T: DeserializeOwned>(to: SocketAddr, response: Response<Bytes>) -> Result<T, Error> {
+    let status = response.status();
+    if !status.is_success() {
+        let body = String::from_utf8_lossy(response.body()).into_owned();
+        return Err(Error::Status { to, status: status.as_u16(), body });
     }
+    serde_json::from_slice(response.body())
+        .map_err(|error| Error::Broken { to, message: error.to_string() })
 }
 
 /// Why a request's body could not be read.
--- a/crates/transport/src/platform.rs
+++ b/crates/transport/src/platform.rs
@@ -46,7 +46,7 @@
     pub async fn read(&self, stream: &str, from: u64, wait: Duration) -> Result<Read, Error> {
         let path = format!("/streams/{stream}?from={from}&wait={}", wait.as_millis());
         let call = Call::new(Method::GET, self.log, path);
-        match self.client.fetch(call, self.limit + wait).await {
+        match self.client.fetch_long(call, self.limit + wait).await {
             Ok(page) => Ok(Read::Page(page)),
             Err(Error::Status { status: GONE, body, to }) => {
                 let page: Page = serde_json::from_str(&body)
@@ -59,6 +59,6 @@
 
     /// The platform's list of VMs.
     pub async fn vms(&self) -> Result<List, Error> {
-        self.client.fetch(Call::new(Method::GET, self.vms, "/vms"), self.limit).await
+        self.client.fetch_long(Call::new(Method::GET, self.vms, "/vms"), self.limit).await
     }
 }
