Soak: configurations grow in storms, by 1,500 routes to 7,500

So whole versions go between real nodes in several pieces while these are killed, frozen, stopped and cut from the store.

--- a/crates/crosslane/tests/logs_unread.rs
+++ b/crates/crosslane/tests/logs_unread.rs
@@ -44,7 +44,7 @@
     let (store, ledger) = (Store::default(), Ledger::default());
     let page = Endpoint::new("p1".into(), Stage::Plain, ledger.clone(), Engines::default());
     let servers = [store.serve().await.unwrap(), page.serve().await.unwrap()];
-    store.put(OPERATORS, CONFIGURATION, Some(texts::configuration(1)));
+    store.put(OPERATORS, CONFIGURATION, Some(texts::configuration(1, 0)));
     let record = texts::record(servers[1].address, Stage::Plain, "z", false);
     store.put(ENDPOINTS, "p1", Some(record));
     let [callers, ready, peers, metrics] = [free().await, free().await, free().await, free().await];
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -33,7 +33,7 @@
     /// A configuration is published.
     #[display("configuration")]
     Configure,
-    /// Several configurations in quick succession.
+    /// Several configurations in quick succession, larger than those before.
     #[display("configurations in a row")]
     Storm,
     /// An endpoint ends without notice, and another one comes.
@@ -124,6 +124,7 @@
         }
         Fault::Configure => site.configure(),
         Fault::Storm => {
+            site.grow();
             for _ in 0..5 {
                 site.configure();
                 sleep(lasts / 20).await;
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -15,6 +15,12 @@
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
 
+/// Routes by which the configuration grows at once.
+const GROWTH: u64 = 1_500;
+
+/// Most routes that nobody asks for: more than any site has.
+const MOST_BESIDES: u64 = 7_500;
+
 /// Time after a disturbance by which everything that was missed must have been caught up with:
 /// three times what a node takes, since the machine may be busy.
 pub const SETTLED: Duration = Duration::from_secs(6);
@@ -71,6 +77,8 @@
     served: Mutex<Vec<Served>>,
     engines: Engines,
     version: AtomicU64,
+    /// Routes in it that nobody asks for.
+    besides: AtomicU64,
     /// When the newest configuration was accepted.
     accepted: Mutex<Instant>,
     disturbed: Mutex<Instant>,
@@ -100,6 +108,7 @@
             served: Mutex::default(),
             engines: Engines::default(),
             version: AtomicU64::new(0),
+            besides: AtomicU64::new(0),
             accepted: Mutex::new(Instant::now()),
             disturbed: Mutex::new(Instant::now()),
             started: AtomicU64::new(0),
@@ -124,10 +133,18 @@
     /// Publishes the next configuration.
     pub fn configure(&self) {
         let version = self.version.fetch_add(1, Ordering::Relaxed) + 1;
-        self.store.put(OPERATORS, CONFIGURATION, Some(texts::configuration(version)));
+        let besides = self.besides.load(Ordering::Relaxed);
+        self.store.put(OPERATORS, CONFIGURATION, Some(texts::configuration(version, besides)));
         *lock(&self.accepted) = Instant::now();
     }
 
+    /// Has the configurations to come be larger, up to some 1.5 MB.
+    pub fn grow(&self) {
+        if self.besides.load(Ordering::Relaxed) < MOST_BESIDES {
+            self.besides.fetch_add(GROWTH, Ordering::Relaxed);
+        }
+    }
+
     /// The newest configuration, and since when it is accepted.
     pub fn configuration(&self) -> (u64, Instant) {
         (self.version.load(Ordering::Relaxed), *lock(&self.accepted))
