Endpoints are incarnations, and a record that can't be read names none

Rules that changed: an endpoint may start again under its id and then holds nothing of before, and a record may come from another writer. Cause of what was wrong: endpoints were known by their id alone, so usage told by others, health, load and stage orders of a former incarnation counted for the next one; a record with an unknown state counted as leaving, one without slots as one of none; a record with a torn key in the log ended the whole read, again and again; every change of one record decoded (and told of) all others. Change: Tag is a hash of id and birth; the pool drops the former incarnation at once, also while records may lapse; directory::Directory decodes a record when it changes, tells once of what can't be read (log, crosslane_skipped_records) and never goes back to an older birth; fields that every endpoint writes must be there with their type; orders go only to engines of the configuration's services; a lease record of another version counts as somebody else's. Soak: endpoints are born again under their id.

--- a/crates/coordination/src/pool.rs
+++ b/crates/coordination/src/pool.rs
@@ -81,6 +81,7 @@
 /// What is known of one endpoint.
 #[derive(Debug)]
 struct Entry {
+    tag: Tag,
     endpoint: Endpoint,
     here: Usage,
     elsewhere: Usage,
@@ -94,7 +95,7 @@
     /// What this node has there, as it is told to others.
     fn row(&self, now: Millis) -> (Tag, Usage) {
         let outcomes = self.health.record(now);
-        (Tag::of(&self.endpoint.id), Usage { outcomes, ..self.here })
+        (self.tag, Usage { outcomes, ..self.here })
     }
 
     /// How much it is to be avoided: what this node saw itself, or all nodes together.
@@ -161,14 +162,17 @@
     }
 
     /// Takes the list of endpoints as it is now. Those missing from it are kept a while if
-    /// `lenient`: their records may have lapsed with the store away, and may come back.
+    /// `lenient`: their records may have lapsed with the store away, and may come back. One whose id
+    /// has another birth is gone with all that it held.
     pub fn replace(&mut self, endpoints: Vec<Endpoint>, lenient: bool, now: Millis) {
-        let listed: HashSet<Tag> = endpoints.iter().map(|it| Tag::of(&it.id)).collect();
+        let listed: HashSet<Tag> = endpoints.iter().map(Endpoint::tag).collect();
+        let ids: HashSet<&str> = endpoints.iter().map(|it| it.id.as_str()).collect();
         let missing: Vec<Tag> =
             self.tags.keys().filter(|it| !listed.contains(it)).copied().collect();
         for tag in missing {
             let entry = self.tags.get(&tag).and_then(|key| self.entries.get_mut(*key));
             match entry {
+                Some(entry) if ids.contains(entry.endpoint.id.as_str()) => self.remove(tag),
                 Some(entry) if lenient || entry.lapsed.is_some() => {
                     entry.lapsed.get_or_insert(now);
                 }
@@ -185,7 +189,7 @@
         self.changing.retain(|_, (_, until)| *until > now);
         let gone = |it: &Entry| it.lapsed.is_some_and(|at| now.since(at) > LAPSE_GRACE);
         let entries = self.entries.values().filter(|it| gone(it));
-        let tags: Vec<Tag> = entries.map(|it| Tag::of(&it.endpoint.id)).collect();
+        let tags: Vec<Tag> = entries.map(|it| it.tag).collect();
         tags.into_iter().for_each(|tag| self.remove(tag));
     }
 
@@ -196,7 +200,7 @@
     }
 
     fn put(&mut self, endpoint: Endpoint) {
-        let tag = Tag::of(&endpoint.id);
+        let tag = endpoint.tag();
         if let Some(entry) = self.tags.get(&tag).and_then(|key| self.entries.get_mut(*key)) {
             entry.endpoint = endpoint;
             entry.lapsed = None;
@@ -204,6 +208,7 @@
         }
         let elsewhere = self.sum(tag);
         let key = self.entries.insert(Entry {
+            tag,
             endpoint,
             here: Usage::default(),
             elsewhere,
@@ -266,7 +271,7 @@
     pub fn choose(&mut self, query: Query<'_>, now: Millis) -> Option<(Key, f64)> {
         let random = &mut self.random;
         let changing = |it: &Entry| {
-            let order = self.changing.get(&Tag::of(&it.endpoint.id));
+            let order = self.changing.get(&it.tag);
             order.is_some_and(|(stage, until)| *until > now && *stage != it.endpoint.stage)
         };
         let entries = self.entries.iter().filter(|(key, it)| {
@@ -366,8 +371,7 @@
     /// Notes that this node ordered an engine to take a stage.
     pub fn ordered(&mut self, key: Key, stage: Stage, now: Millis) {
         if let Some(entry) = self.entries.get(key) {
-            let tag = Tag::of(&entry.endpoint.id);
-            self.changing.insert(tag, (stage, now + CHANGING));
+            self.changing.insert(entry.tag, (stage, now + CHANGING));
         }
     }
 
--- a/crates/gateway/src/duty.rs
+++ b/crates/gateway/src/duty.rs
@@ -7,7 +7,7 @@
 use crosslane_platform::engine::{self, Order};
 use crosslane_platform::store::{Client, Error};
 use crosslane_state::endpoint::{Stage, Tag};
-use log::{debug, info};
+use log::{debug, info, warn};
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -80,11 +80,16 @@
     }
 }
 
+/// Changes wanted among the engines of the configuration's services; records may name others.
 fn changes(node: &Node, plans: &mut Plans) -> Vec<(String, Change)> {
+    let Some(table) = node.table() else {
+        return Vec::new();
+    };
+    let generates = |it: &str| table.services.get(it).is_some_and(|it| it.engine.is_some());
     let now = node.now();
     let pool = node.pool();
     let mut wanted = Vec::new();
-    for (service, engines) in pool.engines() {
+    for (service, engines) in pool.engines().into_iter().filter(|it| generates(it.0)) {
         let plan = plans.entry(service.to_owned()).or_default();
         let changes = plan.changes(&engines, now).into_iter();
         wanted.extend(changes.map(|change| (service.to_owned(), change)));
@@ -99,7 +104,7 @@
     for (service, engines) in pool.engines() {
         let plan = plans.entry(service.to_owned()).or_default();
         for (key, engine) in engines {
-            let tag = Tag::of(&engine.id);
+            let tag = engine.tag();
             let order = turn.orders.iter().find(|it| it.0 == tag);
             if let Some((_, stage)) = order.filter(|it| it.1 != engine.stage) {
                 plan.told(Change { key, stage: *stage }, now);
@@ -117,7 +122,7 @@
 ) -> Result<Option<(u64, Vec<(String, Change)>)>, Error> {
     let page = client.newest(TOPIC).await?;
     let record = page.records.iter().rfind(|it| it.key == KEY).and_then(|it| it.value.as_deref());
-    let turn: Option<Turn> = record.and_then(|it| bincode::deserialize(it).ok());
+    let turn = record.map(read_turn);
     if let Some(turn) = &turn {
         absorb(node, plans, turn);
     }
@@ -137,10 +142,19 @@
     Ok(Some((offset + 1, changes)))
 }
 
+/// A turn's record. One that can't be read, of another version, counts as the turn of somebody else, who may
+/// be giving orders.
+fn read_turn(bytes: &[u8]) -> Turn {
+    bincode::deserialize(bytes).unwrap_or_else(|error| {
+        warn!(why:% = error; "{}", event::SKIPPED);
+        Turn::default()
+    })
+}
+
 fn orders(node: &Node, changes: &[(String, Change)]) -> Vec<(Tag, Stage)> {
     let pool = node.pool();
     let rows = changes.iter().filter_map(|(_, it)| Some((pool.get(it.key)?, it.stage)));
-    rows.map(|(engine, stage)| (Tag::of(&engine.id), stage)).collect()
+    rows.map(|(engine, stage)| (engine.tag(), stage)).collect()
 }
 
 async fn order(node: Arc<Node>, change: Change, fence: u64) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,11 +2,12 @@
 //!
 //! `front` takes callers' requests; `plain` and `stream` carry them to endpoints by `exchange`, with
 //! memory from `reserve` and what engines keep from `cache`.
-//! `follower` reads the store into the `mirror`, `peers` and `pull` keep nodes at the same view, `duty`
-//! gives orders to engines. Decisions are made in the coordination layer.
+//! `follower` reads the store into the `mirror`, `peers` and `pull` keep nodes at the same view, the
+//! `directory` reads endpoints from it, `duty` gives orders to engines. Decisions are made in the coordination layer.
 
 pub mod cache;
 pub mod control;
+pub mod directory;
 pub mod duty;
 pub mod event;
 pub mod events;
--- a/crates/gateway/src/meter.rs
+++ b/crates/gateway/src/meter.rs
@@ -51,6 +51,8 @@
     store_errors: IntCounterVec,
     /// Pulls from other nodes that failed.
     pub pull_failures: IntCounter,
+    /// Endpoints' records that name no endpoint to use.
+    pub skipped_records: IntCounter,
     /// Bytes of the store's records handed to other nodes.
     pub told_bytes: IntCounter,
     /// Time of a pull from another node.
@@ -103,6 +105,7 @@
             retries: counters("crosslane_retries", "Retries by reason", "reason")?,
             store_errors: counters("crosslane_store_errors", "Failed store calls", "topic")?,
             pull_failures: counter("crosslane_pull_failures", "Failed pulls from other nodes")?,
+            skipped_records: counter("crosslane_skipped_records", "Endpoints' records not used")?,
             told_bytes: counter("crosslane_told_bytes", "Bytes of records handed to other nodes")?,
             pull: histogram("crosslane_pull_seconds", "Time of a pull from another node")?,
             first: histogram("crosslane_first_seconds", "Time to the first byte or event")?,
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -2,6 +2,7 @@
 
 use crate::cache::Lists;
 use crate::control::Control;
+use crate::directory::Directory;
 use crate::event;
 use crate::members::Members;
 use crate::meter::Meter;
@@ -10,9 +11,9 @@
 use crosslane_coordination::allowance::{Allowance, Budget};
 use crosslane_coordination::pace::Pace;
 use crosslane_coordination::pool::Pool;
+use crosslane_platform::configuration;
 use crosslane_platform::settings::Settings;
-use crosslane_platform::{configuration, discovery};
-use crosslane_state::endpoint::{Stage, Tag};
+use crosslane_state::endpoint::{Endpoint, Stage, Tag};
 use crosslane_state::route::Table;
 use crosslane_state::time::Millis;
 use crosslane_transport::clock::Clock;
@@ -76,6 +77,7 @@
     /// When the stop was announced.
     pub stopping: watch::Sender<Option<Millis>>,
     mirror: Mutex<Mirror>,
+    directory: Mutex<Directory>,
     table: Mutex<Option<Arc<Table>>>,
     pool: Mutex<Pool>,
     allowance: Mutex<Allowance>,
@@ -108,6 +110,7 @@
             gained: Notify::new(),
             stopping: watch::Sender::new(None),
             mirror: Mutex::default(),
+            directory: Mutex::default(),
             table: Mutex::default(),
             pool: Mutex::new(Pool::new(settings.domain.clone(), SmallRng::from_os_rng())),
             allowance: Mutex::new(Allowance::new(budget)),
@@ -256,16 +259,16 @@
     }
 
     fn apply_endpoints(&self, source: &'static str) {
-        let mut endpoints = Vec::new();
+        let mut directory = lock(&self.directory);
         let mirror = self.mirror();
-        for (id, bytes) in mirror.endpoints() {
-            match discovery::decode(id, bytes) {
-                Ok(endpoint) => endpoints.push(endpoint),
-                Err(error) => warn!(why:% = error; "{}", event::SKIPPED),
-            }
-        }
+        let errors = directory.take(mirror.endpoints());
         let end = mirror.ends().endpoints;
         drop(mirror);
+        let endpoints: Vec<Endpoint> = directory.endpoints().cloned().collect();
+        for error in errors {
+            self.meter.skipped_records.inc();
+            warn!(why:% = error; "{}", event::SKIPPED);
+        }
         let now = self.now();
         let back = *lock(&self.store_back);
         let mut pool = self.pool();
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -39,6 +39,9 @@
     /// An endpoint ends without notice, and another one comes.
     #[display("endpoint crashed")]
     Crash,
+    /// An endpoint ends without notice, and starts again under its id.
+    #[display("endpoint born again")]
+    Rebirth,
     /// An endpoint announces that it leaves, and ends; another one comes first.
     #[display("endpoint released")]
     Release,
@@ -63,7 +66,7 @@
 }
 
 /// Every kind; those twice are drawn twice as often.
-pub const DRAWN: [Fault; 19] = [
+pub const DRAWN: [Fault; 20] = [
     Fault::Kill,
     Fault::Kill,
     Fault::Freeze,
@@ -75,6 +78,7 @@
     Fault::Configure,
     Fault::Storm,
     Fault::Crash,
+    Fault::Rebirth,
     Fault::Release,
     Fault::Release,
     Fault::Grey,
@@ -131,6 +135,7 @@
             }
         }
         Fault::Crash => crash(&site, &mut random).await?,
+        Fault::Rebirth => rebirth(&site, &mut random).await?,
         Fault::Release => release(&site, &mut random).await?,
         Fault::Grey => grey(&site, lasts, &mut random).await,
         Fault::EndpointWay => endpoint_way(&site, lasts, &mut random).await,
@@ -209,6 +214,20 @@
     }
 }
 
+/// Its record stands until the next incarnation writes its own.
+async fn rebirth(site: &Site, random: &mut SmallRng) -> std::io::Result<()> {
+    let Some(id) = endpoint(site, random) else {
+        return Ok(());
+    };
+    let place = site.with(&id, |it| it.place);
+    let ended = site.remove(&id);
+    sleep(Duration::from_millis(random.random_range(RESTARTS))).await;
+    match (place, ended) {
+        (Some(place), Some(ended)) => site.start_endpoint(id, place, ended.stage()).await,
+        _ => Ok(()),
+    }
+}
+
 async fn release(site: &Site, random: &mut SmallRng) -> std::io::Result<()> {
     let Some(id) = endpoint(site, random) else {
         return Ok(());
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -55,6 +55,8 @@
 pub struct Served {
     /// The endpoint.
     pub endpoint: Endpoint,
+    /// When it started: later ones have higher numbers.
+    born: u64,
     /// Its place, which a successor keeps.
     pub place: usize,
     /// The way to it.
@@ -152,13 +154,18 @@
 
     /// Adds an endpoint in a place.
     pub async fn add(&self, place: usize, stage: Stage) -> io::Result<()> {
-        let number = self.started.fetch_add(1, Ordering::Relaxed);
-        let id = format!("e{place}-{number}");
+        let number = self.started.load(Ordering::Relaxed);
+        self.start_endpoint(format!("e{place}-{number}"), place, stage).await
+    }
+
+    /// Starts an endpoint under an id, which one that ended may have had.
+    pub async fn start_endpoint(&self, id: String, place: usize, stage: Stage) -> io::Result<()> {
+        let born = self.started.fetch_add(1, Ordering::Relaxed);
         let endpoint = Endpoint::new(id, stage, self.ledger.clone(), self.engines.clone());
         let server = endpoint.serve().await?;
         let proxy = Proxy::start(server.address).await?;
         self.engines.add(proxy.address.to_string(), endpoint.clone());
-        let served = Served { endpoint, place, proxy, _server: server, leaving: false };
+        let served = Served { endpoint, born, place, proxy, _server: server, leaving: false };
         self.announce(&served);
         lock(&self.served).push(served);
         Ok(())
@@ -167,7 +174,8 @@
     fn announce(&self, served: &Served) {
         let domain = DOMAINS[served.place % DOMAINS.len()];
         let stage = served.endpoint.stage();
-        let record = texts::record(served.proxy.address, stage, domain, served.leaving);
+        let Served { proxy, leaving, born, .. } = served;
+        let record = texts::record(proxy.address, stage, domain, *leaving, *born);
         self.store.put(ENDPOINTS, &served.endpoint.id, Some(record));
     }
 
--- a/crates/state/src/endpoint.rs
+++ b/crates/state/src/endpoint.rs
@@ -10,14 +10,14 @@
     pub struct Key;
 }
 
-/// Name of an endpoint between nodes: a hash of its id.
+/// Name between nodes: a hash of a VM's name, or of an endpoint's id and birth.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Tag(pub u64);
 
 impl Tag {
-    /// Tag of the endpoint with this id.
-    pub fn of(id: &str) -> Self {
-        Self(hash::of(id.as_bytes()))
+    /// Tag of what has this name.
+    pub fn of(name: &str) -> Self {
+        Self(hash::of(name.as_bytes()))
     }
 }
 
@@ -35,8 +35,10 @@
 /// One incarnation of an endpoint.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Endpoint {
-    /// Identity of this incarnation.
+    /// Name, which the next incarnation may have too.
     pub id: String,
+    /// When this incarnation started, as it says itself: milliseconds of Unix time.
+    pub born: u64,
     /// Service it belongs to.
     pub service: String,
     /// Address of its HTTP interface.
@@ -50,3 +52,12 @@
     /// Whether it announced that it leaves.
     pub draining: bool,
 }
+
+impl Endpoint {
+    /// Name of this incarnation between nodes. Another birth under the same id is another endpoint,
+    /// which holds nothing of what this one held.
+    pub fn tag(&self) -> Tag {
+        let birth = self.born.to_le_bytes();
+        Tag(hash::of(&[self.id.as_bytes(), &birth].concat()))
+    }
+}
