How long a node's word counts follows from when it speaks again

Cause: fixed times for what grows with the fleet. What others had at engines was forgotten 2.0 s after a heartbeat, which at 295 nodes comes each 2.2 s, from other failure domains each 6.6 s, and the updates of a forgotten node were dropped; stage orders of others counted 2 s; a node that started was unknown to those that had not found it first for up to 18 s; the retry budget was shared among those heard in 10 s, at a start among one. Ruled out: a larger constant, which is wrong again at 780 nodes, and keeps dead nodes' load on small sites. Change: coordination::heartbeat gives intervals from the number of nodes, each heartbeat tells its sender's, and all that must outlast it follows from that. coordination::usage keeps what others told by endpoint, so a sum takes those that have something there. A node that found others tells all.

--- a/crates/coordination/src/pool.rs
+++ b/crates/coordination/src/pool.rs
@@ -3,13 +3,13 @@
 //! Load is what this node has at an endpoint plus what other nodes last told they have there.
 //! Health is judged by the outcomes of real requests, here and at other nodes, and fades back.
 
-use crate::health::{Health, Outcome, Record};
+use crate::health::{Health, Outcome};
+use crate::usage::{Told, Usage};
 use crosslane_state::endpoint::{Endpoint, Key, Stage, Tag};
 use crosslane_state::time::Millis;
 use rand::Rng;
 use rand::rngs::SmallRng;
 use rand::seq::SliceRandom;
-use serde::{Deserialize, Serialize};
 use slotmap::SlotMap;
 use std::collections::{HashMap, HashSet};
 
@@ -40,33 +40,16 @@
 /// Width of the random part of a score, which keeps nodes from choosing alike.
 const JITTER: f64 = 0.06;
 
-/// Time that what a silent node had at endpoints is still counted, in milliseconds.
-const PEER_LIFE: u64 = 2_000;
-
 /// Time that an order to change its stage keeps an engine from new work, in milliseconds: its runs
 /// end first, some 3 s, and the change takes 6 s. Meanwhile it grants reservations, looks empty,
 /// and refuses what comes.
 const CHANGING: u64 = 12_000;
 
-/// Time that another node's word of such an order counts, in milliseconds; heartbeats renew it.
-const CHANGING_TOLD: u64 = 2_000;
-
 /// Time that an endpoint is kept after its record lapsed with the store, in milliseconds. Live ones
 /// are back within about 2 s of the store's return; one that really left must get no work 2 s
 /// after its record went, and a request may be on its way for some hundred milliseconds.
 const LAPSE_GRACE: u64 = 1_200;
 
-/// What one node has at one endpoint.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Usage {
-    /// Requests.
-    pub requests: u32,
-    /// Tokens of KV cache taken or being computed.
-    pub tokens: u32,
-    /// Outcomes of requests.
-    pub outcomes: Record,
-}
-
 /// A load report that came with an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Load {
@@ -113,13 +96,6 @@
     }
 }
 
-/// What one other node told.
-#[derive(Debug)]
-struct Told {
-    at: Millis,
-    usage: Vec<(Tag, Usage)>,
-}
-
 /// What a placement asks for.
 #[derive(Clone, Copy, Debug)]
 pub struct Query<'a> {
@@ -133,17 +109,27 @@
     pub except: &'a [Key],
 }
 
+/// An order to an engine to take a stage.
+#[derive(Clone, Copy, Debug)]
+struct Ordered {
+    stage: Stage,
+    /// Until when it counts.
+    until: Millis,
+    /// Whether this node gave it.
+    own: bool,
+}
+
 /// All endpoints by key and by tag.
 #[derive(Debug)]
 pub struct Pool {
     domain: String,
     entries: SlotMap<Key, Entry>,
     tags: HashMap<Tag, Key>,
-    told: HashMap<Tag, Told>,
+    told: Told,
     /// Engines whose usage changed since it was last told.
     updated: HashSet<Key>,
-    /// Stages that engines were ordered to take, and until when that counts.
-    changing: HashMap<Tag, (Stage, Millis)>,
+    /// Stages that engines were ordered to take.
+    changing: HashMap<Tag, Ordered>,
     random: SmallRng,
 }
 
@@ -154,7 +140,7 @@
             domain,
             entries: SlotMap::with_key(),
             tags: HashMap::new(),
-            told: HashMap::new(),
+            told: Told::default(),
             updated: HashSet::new(),
             changing: HashMap::new(),
             random,
@@ -184,9 +170,12 @@
         }
     }
 
-    /// Drops endpoints whose records lapsed and did not come back, and orders that are over.
+    /// Drops endpoints whose records lapsed and did not come back, orders that are over, and what silent
+    /// nodes told.
     pub fn expire(&mut self, now: Millis) {
-        self.changing.retain(|_, (_, until)| *until > now);
+        self.changing.retain(|_, it| it.until > now);
+        let changed = self.told.expire(now);
+        self.resum(changed);
         let gone = |it: &Entry| it.lapsed.is_some_and(|at| now.since(at) > LAPSE_GRACE);
         let entries = self.entries.values().filter(|it| gone(it));
         let tags: Vec<Tag> = entries.map(|it| it.tag).collect();
@@ -206,7 +195,7 @@
             entry.lapsed = None;
             return;
         }
-        let elsewhere = self.sum(tag);
+        let elsewhere = self.told.sum(tag);
         let key = self.entries.insert(Entry {
             tag,
             endpoint,
@@ -219,11 +208,6 @@
         self.tags.insert(tag, key);
     }
 
-    fn sum(&self, tag: Tag) -> Usage {
-        let all = self.told.values().flat_map(|it| &it.usage).filter(|it| it.0 == tag);
-        all.fold(Usage::default(), |sum, (_, it)| plus(sum, *it))
-    }
-
     /// The endpoint at a key.
     pub fn get(&self, key: Key) -> Option<&Endpoint> {
         self.entries.get(key).map(|it| &it.endpoint)
@@ -272,7 +256,7 @@
         let random = &mut self.random;
         let changing = |it: &Entry| {
             let order = self.changing.get(&it.tag);
-            order.is_some_and(|(stage, until)| *until > now && *stage != it.endpoint.stage)
+            order.is_some_and(|order| order.until > now && order.stage != it.endpoint.stage)
         };
         let entries = self.entries.iter().filter(|(key, it)| {
             !it.endpoint.draining
@@ -371,7 +355,8 @@
     /// Notes that this node ordered an engine to take a stage.
     pub fn ordered(&mut self, key: Key, stage: Stage, now: Millis) {
         if let Some(entry) = self.entries.get(key) {
-            self.changing.insert(entry.tag, (stage, now + CHANGING));
+            let order = Ordered { stage, until: now + CHANGING, own: true };
+            self.changing.insert(entry.tag, order);
         }
     }
 
@@ -382,17 +367,19 @@
             entry.map(|it| it.endpoint.stage)
         };
         // What was only heard is not passed on, or it would never end.
-        let own = self.changing.iter().filter(|(_, (_, until))| *until > now + CHANGING_TOLD);
-        let open = own.filter(|(tag, (stage, _))| has(tag).is_some_and(|it| it != *stage));
-        open.map(|(tag, (stage, _))| (*tag, *stage)).collect()
+        let own = self.changing.iter().filter(|(_, it)| it.own && it.until > now);
+        let open = own.filter(|(tag, it)| has(tag).is_some_and(|stage| stage != it.stage));
+        open.map(|(tag, it)| (*tag, it.stage)).collect()
     }
 
-    /// Takes another node's word of orders.
-    pub fn hear_changing(&mut self, orders: &[(Tag, Stage)], now: Millis) {
+    /// Takes another node's word of orders, which counts until a time.
+    pub fn hear_changing(&mut self, orders: &[(Tag, Stage)], until: Millis) {
         for (tag, stage) in orders {
-            let heard = (*stage, now + CHANGING_TOLD);
+            let heard = Ordered { stage: *stage, until, own: false };
             let known = self.changing.entry(*tag).or_insert(heard);
-            *known = if known.1 > heard.1 { *known } else { heard };
+            if known.until < until {
+                *known = heard;
+            }
         }
     }
 
@@ -404,38 +391,23 @@
 
     /// Takes what another node now has at some engines. One that was not heard yet is heard first.
     pub fn update(&mut self, peer: Tag, usage: &[(Tag, Usage)]) {
-        let Some(told) = self.told.get_mut(&peer) else {
-            return;
-        };
-        for (tag, has) in usage {
-            told.usage.retain(|it| it.0 != *tag);
-            told.usage.push((*tag, *has));
+        if self.told.update(peer, usage) {
+            self.resum(usage.iter().map(|it| it.0));
         }
-        usage.iter().for_each(|(tag, _)| self.resum(*tag));
     }
 
-    fn resum(&mut self, tag: Tag) {
-        let sum = self.sum(tag);
-        if let Some(entry) = self.tags.get(&tag).and_then(|key| self.entries.get_mut(*key)) {
-            entry.elsewhere = sum;
-        }
+    /// Takes all that another node has at endpoints, which counts until a time.
+    pub fn hear(&mut self, peer: Tag, usage: Vec<(Tag, Usage)>, until: Millis) {
+        let changed = self.told.hear(peer, usage, until);
+        self.resum(changed);
     }
 
-    /// Takes what another node has at endpoints.
-    pub fn hear(&mut self, peer: Tag, usage: Vec<(Tag, Usage)>, now: Millis) {
-        let before = self.told.insert(peer, Told { at: now, usage });
-        let silent: Vec<Tag> = self
-            .told
-            .iter()
-            .filter(|(_, it)| now.since(it.at) > PEER_LIFE)
-            .map(|(peer, _)| *peer)
-            .collect();
-        let mut changed: HashSet<Tag> = before.into_iter().flat_map(|it| tags(&it)).collect();
-        for peer in silent {
-            changed.extend(self.told.remove(&peer).iter().flat_map(tags));
+    fn resum(&mut self, changed: impl IntoIterator<Item = Tag>) {
+        for tag in changed {
+            if let Some(entry) = self.tags.get(&tag).and_then(|key| self.entries.get_mut(*key)) {
+                entry.elsewhere = self.told.sum(tag);
+            }
         }
-        changed.extend(self.told.get(&peer).iter().flat_map(|it| tags(it)));
-        changed.into_iter().for_each(|tag| self.resum(tag));
     }
 }
 
@@ -447,18 +419,6 @@
     }
 }
 
-fn tags(told: &Told) -> Vec<Tag> {
-    told.usage.iter().map(|it| it.0).collect()
-}
-
-fn plus(one: Usage, other: Usage) -> Usage {
-    Usage {
-        requests: one.requests + other.requests,
-        tokens: one.tokens + other.tokens,
-        outcomes: one.outcomes.plus(other.outcomes),
-    }
-}
-
 /// Load as a share of what the endpoint carries.
 fn fullness(entry: &Entry, capacity: u64, now: Millis) -> f64 {
     if capacity > 0 {
--- a/crates/coordination/tests/pool.rs
+++ b/crates/coordination/tests/pool.rs
@@ -1,7 +1,8 @@
 //! Pool: which endpoints may be used, and which is chosen.
 
 use crosslane_coordination::health::{Outcome, Record};
-use crosslane_coordination::pool::{Pool, Query, Usage};
+use crosslane_coordination::pool::{Pool, Query};
+use crosslane_coordination::usage::Usage;
 use crosslane_state::endpoint::{Endpoint, Stage, Tag};
 use crosslane_state::time::Millis;
 use rand::SeedableRng;
@@ -14,6 +15,9 @@
 /// When the endpoints started, in milliseconds of Unix time.
 const BORN: u64 = 1_800_000_000_000;
 
+/// Until when what others tell counts, where it does to the test's end.
+const UNTIL: Millis = Millis(60_000);
+
 fn tag(id: &str) -> Tag {
     endpoint(id, false).tag()
 }
@@ -82,10 +86,12 @@
 fn what_others_have_at_an_endpoint_counts_until_they_are_silent() {
     let mut pool = pool(&["a", "b"]);
     let usage = Usage { requests: 5, tokens: 40_000, outcomes: Record::default() };
-    pool.hear(Tag(7), vec![(tag("a"), usage)], Millis(100));
-    assert_eq!(chosen(&mut pool, 100).as_deref(), Some("b"));
-    pool.hear(Tag(8), vec![(tag("b"), Usage { tokens: 20_000, ..usage })], Millis(3_000));
-    assert_eq!(chosen(&mut pool, 3_000).as_deref(), Some("a"));
+    pool.hear(Tag(7), vec![(tag("a"), usage)], Millis(2_000));
+    pool.hear(Tag(8), vec![(tag("b"), Usage { tokens: 20_000, ..usage })], Millis(5_000));
+    pool.expire(Millis(1_900));
+    assert_eq!(chosen(&mut pool, 1_900).as_deref(), Some("b"));
+    pool.expire(Millis(2_100));
+    assert_eq!(chosen(&mut pool, 2_100).as_deref(), Some("a"));
 }
 
 #[rstest]
@@ -124,7 +130,7 @@
         tag("a"),
         Usage { outcomes: Record { failures: 3.0, successes: 0.0 }, ..Usage::default() },
     )];
-    (0..8).for_each(|peer| pool.hear(Tag(peer), told.clone(), Millis(100)));
+    (0..8).for_each(|peer| pool.hear(Tag(peer), told.clone(), UNTIL));
     let (_, load) = pool.choose(query, Millis(0)).unwrap();
     assert!(load < 0.1, "an idle engine that failed is believed to be {load} full");
 }
@@ -135,14 +141,14 @@
     let usage = Usage { requests: 1, tokens: 40_000, outcomes: Record::default() };
     pool.update(Tag(7), &[(tag("a"), usage)]);
     assert!((0..50).any(|_| chosen(&mut pool, 100).unwrap() == "a"), "not heard yet");
-    pool.hear(Tag(7), Vec::new(), Millis(100));
+    pool.hear(Tag(7), Vec::new(), UNTIL);
     pool.update(Tag(7), &[(tag("a"), usage)]);
     pool.update(Tag(7), &[(tag("a"), usage)]);
     assert!((0..50).all(|_| chosen(&mut pool, 100).unwrap() == "b"), "told");
     pool.update(Tag(7), &[(tag("a"), Usage::default())]);
     pool.update(Tag(7), &[(tag("b"), usage)]);
     assert!((0..50).all(|_| chosen(&mut pool, 100).unwrap() == "a"), "left again");
-    pool.hear(Tag(7), Vec::new(), Millis(100));
+    pool.hear(Tag(7), Vec::new(), UNTIL);
     assert!((0..50).any(|_| chosen(&mut pool, 200).unwrap() == "b"), "a heartbeat goes before");
 }
 
@@ -184,7 +190,7 @@
     });
     pool.replace(engines.collect(), false, Millis(0));
     let told = (0..20).map(|place| (tag(&format!("e{place}")), usage(1, case.near)));
-    pool.hear(Tag(7), told.collect(), Millis(100));
+    pool.hear(Tag(7), told.collect(), UNTIL);
     for _ in 0..50 {
         let id = chosen(&mut pool, 100).unwrap();
         let place: usize = id[1..].parse().unwrap();
@@ -210,8 +216,8 @@
     let mut pool = pool(&["a", "b"]);
     let (failures, successes) = case.told;
     let told = Usage { outcomes: Record { failures, successes }, ..Usage::default() };
-    (0..8).for_each(|peer| pool.hear(Tag(peer), vec![(tag("a"), told)], Millis(100)));
-    pool.hear(Tag(9), vec![(tag("b"), usage(1, case.other))], Millis(100));
+    (0..8).for_each(|peer| pool.hear(Tag(peer), vec![(tag("a"), told)], UNTIL));
+    pool.hear(Tag(9), vec![(tag("b"), usage(1, case.other))], UNTIL);
     let avoided = (0..50).all(|_| chosen(&mut pool, 100).unwrap() == "b");
     assert_eq!(avoided, case.avoided, "{}", case.name);
 }
@@ -224,7 +230,7 @@
     pool.note(key, Outcome::Good, Millis(0));
     assert!(pool.usage(Millis(0)).is_empty());
     let doubt = Usage { outcomes: Record { failures: 0.6, successes: 0.0 }, ..Usage::default() };
-    pool.hear(Tag(7), vec![(tag("a"), doubt)], Millis(100));
+    pool.hear(Tag(7), vec![(tag("a"), doubt)], UNTIL);
     assert_eq!(pool.usage(Millis(0))[0].1.outcomes, Record { failures: 0.0, successes: 1.0 });
 }
 
@@ -237,7 +243,7 @@
     (0..30).for_each(|_| pool.note(key, Outcome::Good, Millis(0)));
     pool.note(key, Outcome::Down, Millis(0));
     let other = if gone == "a" { "b" } else { "a" };
-    pool.hear(Tag(9), vec![(tag(other), usage(9, 49_000))], Millis(100));
+    pool.hear(Tag(9), vec![(tag(other), usage(9, 49_000))], UNTIL);
     assert!((0..50).all(|_| chosen(&mut pool, 100).unwrap() == other));
 }
 
@@ -263,7 +269,7 @@
 #[case(2_500, true)]
 fn anothers_order_counts_while_it_is_told(#[case] after: u64, #[case] used: bool) {
     let mut pool = pool(&["a", "b"]);
-    pool.hear_changing(&[(tag("a"), Stage::Prefill)], Millis(0));
+    pool.hear_changing(&[(tag("a"), Stage::Prefill)], Millis(2_000));
     assert!(pool.changing(Millis(0)).is_empty(), "not passed on");
     assert_eq!((0..50).any(|_| chosen(&mut pool, after).unwrap() == "a"), used);
 }
@@ -275,7 +281,7 @@
 fn another_birth_is_another_endpoint(#[case] lenient: bool) {
     let mut pool = pool(&["a", "b"]);
     let query = Query { service: SERVICE, stage: Stage::Decode, capacity: CAPACITY, except: &[] };
-    pool.hear(Tag(7), vec![(tag("a"), usage(5, 40_000))], Millis(100));
+    pool.hear(Tag(7), vec![(tag("a"), usage(5, 40_000))], UNTIL);
     let former = pool.engines()[SERVICE].iter().find(|it| it.1.id == "a").unwrap().0;
     pool.enter(former, 5_000);
     pool.note(former, Outcome::Failed, Millis(0));
@@ -287,9 +293,9 @@
     assert!(pool.changing(Millis(100)).is_empty(), "the order was the former one's");
     pool.leave(former, 5_000);
     pool.note(former, Outcome::Failed, Millis(100));
-    pool.hear(Tag(8), vec![(tag("a"), usage(5, 40_000))], Millis(100));
-    pool.hear_changing(&[(tag("a"), Stage::Prefill)], Millis(100));
-    pool.hear(Tag(9), vec![(tag("b"), usage(1, 30_000))], Millis(100));
+    pool.hear(Tag(8), vec![(tag("a"), usage(5, 40_000))], UNTIL);
+    pool.hear_changing(&[(tag("a"), Stage::Prefill)], UNTIL);
+    pool.hear(Tag(9), vec![(tag("b"), usage(1, 30_000))], UNTIL);
     let (key, load) = pool.choose(query, Millis(100)).unwrap();
     assert_eq!((pool.get(key).unwrap().id.as_str(), load), ("a", 0.0));
     assert!(pool.usage(Millis(100)).is_empty(), "nothing is told of it");
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -5,38 +5,19 @@
 //! for orders the store's lease decides.
 
 use crate::mirror::Ends;
-use crosslane_coordination::pool::Usage;
+use crosslane_coordination::heartbeat::{self, FEW, Interval};
+use crosslane_coordination::usage::Usage;
 use crosslane_platform::settings::Settings;
 use crosslane_state::endpoint::{Stage, Tag};
 use crosslane_state::time::Millis;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::net::IpAddr;
-use std::time::Duration;
-
-/// Shortest time between heartbeats. What others have at engines is this old at most; drafts last
-/// some 3 s.
-const HEARTBEAT: Duration = Duration::from_millis(250);
-
-/// Time between heartbeats for each other node: a node sends and takes some 130 heartbeats a second
-/// at most.
-const HEARTBEAT_EACH: Duration = Duration::from_micros(7_500);
-
-/// Time without a heartbeat after which a node counts as silent, in heartbeats.
-const SILENT_HEARTBEATS: u32 = 6;
-
-/// Other nodes up to which all are told of requests at engines at once. Some 8 messages a second
-/// and node are sent at the grown sites' traffic, so this many cost twice what heartbeats do.
-const NEAR: usize = 32;
 
 /// Nodes of a failure domain that read the store: with one, its silence would be noticed only
 /// after seconds.
 const READERS: usize = 2;
 
-/// Time that a silent node still counts towards the retry budget, in milliseconds: the window in
-/// which what it spent still counts.
-const REMEMBERED: u64 = 10_000;
-
 /// What a node tells the others.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Heartbeat {
@@ -44,6 +25,8 @@
     pub vm: String,
     /// Failure domain of the sender.
     pub domain: String,
+    /// Time to its next heartbeats.
+    pub interval: Interval,
     /// Whether the sender goes on: it is not stopping.
     pub steady: bool,
     /// Whether the store answers the sender's reads.
@@ -95,7 +78,22 @@
     steady: bool,
     fed: bool,
     ends: Ends,
-    heard: Option<Millis>,
+    heard: Option<Heard>,
+}
+
+/// When a node was last heard.
+#[derive(Clone, Copy, Debug)]
+struct Heard {
+    at: Millis,
+    /// Time to its next heartbeat, in milliseconds.
+    interval: u64,
+}
+
+impl Heard {
+    /// Until when its word counts.
+    fn until(self) -> Millis {
+        self.at + heartbeat::life(self.interval)
+    }
 }
 
 /// Other nodes by address.
@@ -104,7 +102,11 @@
     me: IpAddr,
     vm: String,
     domain: String,
+    /// Window of the retry budget, in milliseconds.
+    window: u64,
     members: HashMap<IpAddr, Member>,
+    /// Whether some were found that this node has not told of itself.
+    found: bool,
 }
 
 impl Members {
@@ -114,7 +116,9 @@
             me: settings.ip,
             vm: settings.vm.clone(),
             domain: settings.domain.clone(),
+            window: settings.retry_window,
             members: HashMap::new(),
+            found: false,
         };
         settings.seeds.iter().for_each(|ip| members.add(*ip));
         members
@@ -122,15 +126,24 @@
 
     /// Adds a node that was not heard yet.
     pub fn add(&mut self, ip: IpAddr) {
-        if ip != self.me {
-            self.members.entry(ip).or_default();
+        if ip != self.me && !self.members.contains_key(&ip) {
+            self.members.insert(ip, Member::default());
+            self.found = true;
         }
     }
 
-    /// Takes a heartbeat.
-    pub fn hear(&mut self, ip: IpAddr, heartbeat: &Heartbeat, now: Millis) {
+    /// Whether nodes were found, since this was last asked, that must be told of this one. Silent nodes are
+    /// told in every eighth round only: at 295 nodes a node that started was unknown for up to 18 s.
+    pub fn take_found(&mut self) -> bool {
+        std::mem::take(&mut self.found)
+    }
+
+    /// Takes a heartbeat. Returns until when its word counts.
+    pub fn hear(&mut self, ip: IpAddr, heartbeat: &Heartbeat, now: Millis) -> Millis {
+        let interval = heartbeat.interval.toward(heartbeat.domain == self.domain);
+        let heard = Heard { at: now, interval };
         if ip == self.me {
-            return;
+            return heard.until();
         }
         let member = Member {
             vm: heartbeat.vm.clone(),
@@ -138,9 +151,10 @@
             steady: heartbeat.steady,
             fed: heartbeat.fed,
             ends: heartbeat.ends,
-            heard: Some(now),
+            heard: Some(heard),
         };
         self.members.insert(ip, member);
+        heard.until()
     }
 
     /// Takes news of a node that is known.
@@ -166,20 +180,19 @@
         holders.into_iter().map(|(ip, _)| *ip).collect()
     }
 
-    /// Time between heartbeats, which grows with the number of nodes.
-    pub fn interval(&self) -> Duration {
-        HEARTBEAT.max(HEARTBEAT_EACH * self.members.len() as u32)
+    /// Time between this node's heartbeats.
+    pub fn interval(&self) -> Interval {
+        Interval::among(self.members.len())
     }
 
     fn live(&self, now: Millis) -> impl Iterator<Item = (&IpAddr, &Member)> {
-        let silent = (self.interval() * SILENT_HEARTBEATS).as_millis() as u64;
-        let heard = move |it: &Member| it.heard.is_some_and(|at| now.since(at) < silent);
+        let heard = move |it: &Member| it.heard.is_some_and(|it| now < it.until());
         self.members.iter().filter(move |(_, it)| heard(it))
     }
 
     /// Addresses of the nodes in a scope.
     pub fn addresses(&self, scope: Scope, now: Millis) -> Vec<IpAddr> {
-        let few = self.members.len() <= NEAR;
+        let few = self.members.len() <= FEW;
         let domain = |it: &Member| few || it.domain == self.domain;
         match scope {
             Scope::All => self.members.keys().copied().collect(),
@@ -188,10 +201,14 @@
         }
     }
 
-    /// Nodes heard within the retry budget's window, this one among them.
+    /// Nodes that spend from the retry budget, this one among them: what a silent one spent up to the
+    /// heartbeat that it owed still counts for a window. Until this node has lived that long, those
+    /// not heard yet count too: after a restart of all, each would else take most of the budget.
     pub fn count(&self, now: Millis) -> usize {
-        let recent = |it: &&Member| it.heard.is_some_and(|at| now.since(at) < REMEMBERED);
-        1 + self.members.values().filter(recent).count()
+        let started = now < Millis(self.window);
+        let spends =
+            |it: &&Member| it.heard.map_or(started, |it| now < it.at + it.interval + self.window);
+        1 + self.members.values().filter(spends).count()
     }
 
     /// Whether this node comes first among those that may give orders.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -16,6 +16,7 @@
 use crate::mirror::Part;
 use crate::node::{Node, lock};
 use crate::pull;
+use crosslane_coordination::heartbeat::FAR_EVERY;
 use crosslane_platform::store::Client;
 use crosslane_state::endpoint::Tag;
 use futures::StreamExt;
@@ -38,11 +39,6 @@
 /// Heartbeats between those to silent nodes.
 const SILENT_EVERY: u64 = 8;
 
-/// Heartbeats between those to other failure domains, where nodes are many: they choose engines of
-/// their own domain first, and traffic between domains is dear. What changes in the store is told to
-/// all at once.
-const FAR_EVERY: u64 = 3;
-
 /// Pause before the store is asked again for the nodes' addresses: refused calls are priced.
 const ENLIST_PAUSE: Duration = Duration::from_millis(700);
 
@@ -191,19 +187,23 @@
         let heartbeat = Heartbeat {
             vm: node.settings.vm.clone(),
             domain: node.settings.domain.clone(),
+            interval: lock(&node.members).interval(),
             steady: node.stopping.borrow().is_none(),
             fed: node.fed(),
             ends,
             usage,
             changing,
         };
-        let scope = scope(round, changed);
-        let addresses = lock(&node.members).addresses(scope, now);
+        let addresses = {
+            let mut members = lock(&node.members);
+            let scope = if members.take_found() { Scope::All } else { scope(round, changed) };
+            members.addresses(scope, now)
+        };
         node.meter.peers.set(lock(&node.members).addresses(Scope::Live, now).len() as i64);
         send(&node, &socket, &Message::Heartbeat(heartbeat), &addresses).await;
         round += 1;
-        let interval = lock(&node.members).interval();
         // A change is told at once.
+        let interval = Duration::from_millis(lock(&node.members).interval().near);
         changed = timeout(interval, node.changed.notified()).await.is_ok();
     }
 }
@@ -282,9 +282,9 @@
 }
 
 fn hear(node: &Node, from: IpAddr, heartbeat: Heartbeat) {
-    let now = node.now();
-    lock(&node.members).hear(from, &heartbeat, now);
+    let until = lock(&node.members).hear(from, &heartbeat, node.now());
     node.hear_of(heartbeat.ends);
-    node.pool().hear(Tag::of(&heartbeat.vm), heartbeat.usage, now);
-    node.pool().hear_changing(&heartbeat.changing, now);
+    let mut pool = node.pool();
+    pool.hear(Tag::of(&heartbeat.vm), heartbeat.usage, until);
+    pool.hear_changing(&heartbeat.changing, until);
 }
--- a/crates/gateway/tests/members.rs
+++ b/crates/gateway/tests/members.rs
@@ -1,5 +1,6 @@
 //! Members: which nodes read the store and which gives orders, as heartbeats tell.
 
+use crosslane_coordination::heartbeat::Interval;
 use crosslane_gateway::members::{Heartbeat, Members, Scope};
 use crosslane_gateway::mirror::Ends;
 use crosslane_platform::settings::Settings;
@@ -97,17 +98,22 @@
     assert_eq!(members.first(now), case.first, "{}", case.name);
 }
 
+fn heartbeat(other: &Other) -> Heartbeat {
+    Heartbeat {
+        vm: other.vm.into(),
+        domain: other.domain.into(),
+        interval: Interval { near: 250, far: 250 },
+        steady: other.steady,
+        fed: other.fed,
+        ends: Ends { configuration: other.knows, endpoints: 0 },
+        usage: Vec::new(),
+        changing: Vec::new(),
+    }
+}
+
 fn hear(members: &mut Members, others: &[Other]) {
     for (place, other) in others.iter().enumerate() {
-        let heartbeat = Heartbeat {
-            vm: other.vm.into(),
-            domain: other.domain.into(),
-            steady: other.steady,
-            fed: other.fed,
-            ends: Ends { configuration: other.knows, endpoints: 0 },
-            usage: Vec::new(),
-            changing: Vec::new(),
-        };
+        let heartbeat = heartbeat(other);
         let ip = IpAddr::from([127, 0, 0, place as u8 + 2]);
         members.hear(ip, &heartbeat, Millis(other.heard));
     }
@@ -201,3 +207,47 @@
         case.asked.iter().map(|it| IpAddr::from([127, 0, 0, *it])).collect();
     assert_eq!(asked, expected, "{}", case.name);
 }
+
+struct Counted {
+    name: &'static str,
+    /// When this node looks, from its start, in milliseconds.
+    now: u64,
+    /// When the others were heard last, if ever, and the time to their next heartbeats.
+    heard: Option<u64>,
+    interval: u64,
+    count: usize,
+}
+
+/// Ten others besides this node.
+#[rstest]
+#[case(Counted { name: "just heard", now: 30_000, heard: Some(30_000), interval: 250, count: 11 })]
+#[case(Counted { name: "silent, but what they spent counts", now: 30_000, heard: Some(20_100), interval: 250, count: 11 })]
+#[case(Counted { name: "silent for longer", now: 30_000, heard: Some(19_000), interval: 250, count: 1 })]
+#[case(Counted { name: "a slow heartbeat is due later", now: 30_000, heard: Some(14_000), interval: 17_500, count: 11 })]
+#[case(Counted { name: "not heard yet, just started", now: 500, heard: None, interval: 250, count: 11 })]
+#[case(Counted { name: "never heard", now: 30_000, heard: None, interval: 250, count: 1 })]
+fn who_spends_from_the_retry_budget(#[case] case: Counted) {
+    let mut members = Members::new(&settings());
+    for place in 0..10 {
+        let ip = IpAddr::from([127, 0, 0, place + 2]);
+        members.add(ip);
+        if let Some(at) = case.heard {
+            let interval = Interval { near: case.interval, far: case.interval };
+            let heartbeat = Heartbeat { interval, ..heartbeat(&OTHER) };
+            members.hear(ip, &heartbeat, Millis(at));
+        }
+    }
+    assert_eq!(members.count(Millis(case.now)), case.count, "{}", case.name);
+}
+
+#[rstest]
+fn nodes_that_are_found_are_told_once() {
+    let mut members = Members::new(&settings());
+    let ip = IpAddr::from([127, 0, 0, 9]);
+    members.add(ip);
+    assert!(members.take_found());
+    members.add(ip);
+    assert!(!members.take_found(), "it was found before");
+    members.add("127.0.0.1".parse().unwrap());
+    assert!(!members.take_found(), "this node itself");
+}
