Only what was told a second ago is overdue

Cause, by a log line for each call: while endpoints start, others always know something newer, and every moment at which a node lacked something counted from the first: 270 of 295 nodes read the store as well, 3,300 calls in 3 s. Change: follower::Lag holds the offset told of and measures until that one has come.

--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -70,6 +70,28 @@
     }
 }
 
+/// What others told of that this node does not know yet.
+///
+/// Load pattern: while hundreds of endpoints start, others always know something newer. Only what was
+/// told a second ago is overdue; to take every moment at which something was lacking as one made 270
+/// nodes of 295 read the store too, 3,300 calls in 3 s.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Lag {
+    /// Offset that was told of.
+    told: u64,
+    since: Millis,
+}
+
+impl Lag {
+    /// Whether an offset that was told of long ago is still beyond what is known.
+    pub fn overdue(&mut self, told: u64, known: u64, now: Millis) -> bool {
+        if known >= self.told {
+            *self = Self { told, since: now };
+        }
+        known < self.told && now.since(self.since) >= OVERDUE
+    }
+}
+
 /// How a node follows one topic.
 #[derive(Debug, Default)]
 struct Follower {
@@ -79,22 +101,21 @@
     gone: bool,
     /// Failed calls in a row.
     failures: u32,
-    /// Since when others know more.
-    behind: Option<Millis>,
+    lag: Lag,
 }
 
 impl Follower {
     /// Why the topic is to be read now, if so.
     fn need(&mut self, node: &Node, topic: Topic) -> Option<Need> {
         let now = node.now();
-        self.behind = node.behind(topic).then(|| self.behind.unwrap_or(now));
+        let (told, known) = (node.told.borrow().of(topic), node.mirror().ends().of(topic));
+        let overdue = self.lag.overdue(told, known, now);
         if lock(&node.members).reads(now) {
             return Some(Need::Reader);
         }
         if !self.answered && node.mirror().end(topic) == 0 {
             return Some(Need::Nothing);
         }
-        let overdue = self.behind.is_some_and(|it| now.since(it) >= OVERDUE);
         overdue.then_some(Need::Overdue)
     }
 
