--- a/crates/coordination/src/admission.rs
+++ b/crates/coordination/src/admission.rs
@@ -10,7 +10,7 @@
 //! wait as long as they bear silence. Among them, a caller whose stream was cut comes before one who
 //! was refused: the fault was not a burst, and those it cut off return together.
 //!
-//! In a replay of such bursts (20 plays of 34 s, 10 streams a second, 6 engines) 52 streams are never
+//! In a replay of such bursts (20 seeds of 34 s, 10 streams a second, 6 engines) 52 streams are never
 //! answered, where short waits for all lose 159; of streams that are all cut at one moment 56, against 287.
 
 use crosslane_state::time::Millis;
--- a/crates/coordination/tests/pool.rs
+++ b/crates/coordination/tests/pool.rs
@@ -12,6 +12,10 @@
 const SERVICE: &str = "reply";
 const CAPACITY: u64 = 50_000;
 
+/// A request for any decoding engine.
+const QUERY: Query<'static> =
+    Query { service: SERVICE, stage: Stage::Decode, capacity: CAPACITY, room: None, except: &[] };
+
 /// When the endpoints started, in milliseconds of Unix time.
 const BORN: u64 = 1_800_000_000_000;
 
@@ -42,14 +46,7 @@
 }
 
 fn chosen(pool: &mut Pool, now: u64) -> Option<String> {
-    let query = Query {
-        service: SERVICE,
-        stage: Stage::Decode,
-        capacity: CAPACITY,
-        room: None,
-        except: &[],
-    };
-    let (key, _) = pool.choose(query, Millis(now))?;
+    let (key, _) = pool.choose(QUERY, Millis(now))?;
     pool.get(key).map(|it| it.id.clone())
 }
 
@@ -103,14 +100,7 @@
 #[rstest]
 fn failures_are_avoided_and_forgotten() {
     let mut pool = pool(&["a", "b"]);
-    let query = Query {
-        service: SERVICE,
-        stage: Stage::Decode,
-        capacity: CAPACITY,
-        room: None,
-        except: &[],
-    };
-    let (key, _) = pool.choose(query, Millis(0)).unwrap();
+    let (key, _) = pool.choose(QUERY, Millis(0)).unwrap();
     let bad = pool.get(key).unwrap().id.clone();
     pool.note(key, Outcome::Failed, Millis(0));
     for _ in 0..50 {
@@ -122,16 +112,9 @@
 #[rstest]
 fn requests_are_counted_until_they_leave() {
     let mut pool = pool(&["a"]);
-    let query = Query {
-        service: SERVICE,
-        stage: Stage::Decode,
-        capacity: CAPACITY,
-        room: None,
-        except: &[],
-    };
-    let (key, empty) = pool.choose(query, Millis(0)).unwrap();
+    let (key, empty) = pool.choose(QUERY, Millis(0)).unwrap();
     pool.enter(key, 50_000);
-    let (_, full) = pool.choose(query, Millis(0)).unwrap();
+    let (_, full) = pool.choose(QUERY, Millis(0)).unwrap();
     assert!(empty < 1.0 && full >= 1.0);
     assert_eq!(pool.usage(Millis(0)).len(), 1);
     pool.leave(key, 50_000);
@@ -141,21 +124,14 @@
 #[rstest]
 fn failures_are_not_load() {
     let mut pool = pool(&["a"]);
-    let query = Query {
-        service: SERVICE,
-        stage: Stage::Decode,
-        capacity: CAPACITY,
-        room: None,
-        except: &[],
-    };
-    let (key, _) = pool.choose(query, Millis(0)).unwrap();
+    let (key, _) = pool.choose(QUERY, Millis(0)).unwrap();
     pool.note(key, Outcome::Failed, Millis(0));
     let told = vec![(
         tag("a"),
         Usage { outcomes: Record { failures: 3.0, successes: 0.0 }, ..Usage::default() },
     )];
     (0..8).for_each(|peer| pool.hear(Tag(peer), told.clone(), UNTIL));
-    let (_, load) = pool.choose(query, Millis(0)).unwrap();
+    let (_, load) = pool.choose(QUERY, Millis(0)).unwrap();
     assert!(load < 0.1, "an idle engine that failed is believed to be {load} full");
 }
 
@@ -179,14 +155,7 @@
 #[rstest]
 fn what_changed_is_told_once() {
     let mut pool = pool(&["a", "b"]);
-    let query = Query {
-        service: SERVICE,
-        stage: Stage::Decode,
-        capacity: CAPACITY,
-        room: None,
-        except: &[],
-    };
-    let (key, _) = pool.choose(query, Millis(0)).unwrap();
+    let (key, _) = pool.choose(QUERY, Millis(0)).unwrap();
     pool.enter(key, 5_000);
     let updates = pool.updates(Millis(0));
     assert_eq!(updates, [(pool.get(key).unwrap().tag(), usage(1, 5_000))]);
@@ -255,14 +224,7 @@
 #[rstest]
 fn successes_are_told_where_others_doubt() {
     let mut pool = pool(&["a"]);
-    let query = Query {
-        service: SERVICE,
-        stage: Stage::Decode,
-        capacity: CAPACITY,
-        room: None,
-        except: &[],
-    };
-    let (key, _) = pool.choose(query, Millis(0)).unwrap();
+    let (key, _) = pool.choose(QUERY, Millis(0)).unwrap();
     pool.note(key, Outcome::Good, Millis(0));
     assert!(pool.usage(Millis(0)).is_empty());
     let doubt = Usage { outcomes: Record { failures: 0.6, successes: 0.0 }, ..Usage::default() };
@@ -273,14 +235,7 @@
 #[rstest]
 fn an_engine_that_is_gone_is_avoided_at_once_whatever_went_before() {
     let mut pool = pool(&["a", "b"]);
-    let query = Query {
-        service: SERVICE,
-        stage: Stage::Decode,
-        capacity: CAPACITY,
-        room: None,
-        except: &[],
-    };
-    let (key, _) = pool.choose(query, Millis(0)).unwrap();
+    let (key, _) = pool.choose(QUERY, Millis(0)).unwrap();
     let gone = pool.get(key).unwrap().id.clone();
     (0..30).for_each(|_| pool.note(key, Outcome::Good, Millis(0)));
     pool.note(key, Outcome::Down, Millis(0));
@@ -292,14 +247,7 @@
 #[rstest]
 fn an_engine_that_changes_its_stage_gets_no_work_until_it_has() {
     let mut pool = pool(&["a", "b"]);
-    let query = Query {
-        service: SERVICE,
-        stage: Stage::Decode,
-        capacity: CAPACITY,
-        room: None,
-        except: &[],
-    };
-    let (key, _) = pool.choose(query, Millis(0)).unwrap();
+    let (key, _) = pool.choose(QUERY, Millis(0)).unwrap();
     let changes = pool.get(key).unwrap().id.clone();
     pool.ordered(key, Stage::Prefill, Millis(0));
     assert!((0..50).all(|_| chosen(&mut pool, 5_000).unwrap() != changes));
@@ -308,7 +256,7 @@
     let other = if changes == "a" { "b" } else { "a" };
     pool.replace(vec![prefills, endpoint(other, false)], false, Millis(6_000));
     assert!(pool.changing(Millis(6_000)).is_empty(), "it has the stage");
-    let query = Query { stage: Stage::Prefill, ..query };
+    let query = Query { stage: Stage::Prefill, ..QUERY };
     assert!(pool.choose(query, Millis(6_000)).is_some());
 }
 
@@ -328,13 +276,6 @@
 #[case(true)]
 fn another_birth_is_another_endpoint(#[case] lenient: bool) {
     let mut pool = pool(&["a", "b"]);
-    let query = Query {
-        service: SERVICE,
-        stage: Stage::Decode,
-        capacity: CAPACITY,
-        room: None,
-        except: &[],
-    };
     pool.hear(Tag(7), vec![(tag("a"), usage(5, 40_000))], UNTIL);
     let former = pool.engines()[SERVICE].iter().find(|it| it.1.id == "a").unwrap().0;
     pool.enter(former, 5_000);
@@ -350,7 +291,7 @@
     pool.hear(Tag(8), vec![(tag("a"), usage(5, 40_000))], UNTIL);
     pool.hear_changing(&[(tag("a"), Stage::Prefill)], UNTIL);
     pool.hear(Tag(9), vec![(tag("b"), usage(1, 30_000))], UNTIL);
-    let (key, load) = pool.choose(query, Millis(100)).unwrap();
+    let (key, load) = pool.choose(QUERY, Millis(100)).unwrap();
     assert_eq!((pool.get(key).unwrap().id.as_str(), load), ("a", 0.0));
     assert!(pool.usage(Millis(100)).is_empty(), "nothing is told of it");
 }
@@ -387,8 +328,7 @@
     });
     pool.hear(Tag(7), told.collect(), UNTIL);
     let room = Some(Room { tokens: case.needs, below: 1.0 });
-    let (service, stage) = (SERVICE, Stage::Decode);
-    let query = Query { service, stage, capacity: CAPACITY, room, except: &[] };
+    let query = Query { room, ..QUERY };
     for _ in 0..50 {
         let chosen = pool.choose(query, Millis(100));
         let domain = chosen.and_then(|it| pool.get(it.0)).map(|it| it.domain.as_str());
--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -5,6 +5,8 @@
 //! heartbeats to all and at once to near nodes, some of which get lost. Nodes crash with their streams
 //! and start again.
 
+mod node;
+
 use crosslane_coordination::heartbeat::{FAR_EVERY, FEW, Interval};
 use crosslane_coordination::pool::Pool;
 use crosslane_coordination::usage::Usage;
@@ -137,7 +139,9 @@
     let engines = engines(case.engines, case.domains);
     let mut pool = Pool::new(domain(0, case.domains), SmallRng::seed_from_u64(1));
     pool.replace(engines.clone(), false, Millis(0));
-    let mut members = Members::new(&settings(case.domains));
+    let settings =
+        Settings { vm: "n0".into(), domain: domain(0, case.domains), ..node::settings() };
+    let mut members = Members::new(&settings);
     let interval = Interval::among(case.nodes - 1);
     let mut nodes: Vec<Node> = (1..case.nodes)
         .map(|place| Node {
@@ -233,9 +237,8 @@
     let name = |place: usize| format!("n{place:03}");
     let mut nodes: Vec<Members> = (0..case.nodes)
         .map(|place| {
-            let settings = settings(case.domains);
             let (vm, domain) = (name(place), domain(place, case.domains));
-            Members::new(&Settings { vm, domain, ip: ip(place), ..settings })
+            Members::new(&Settings { vm, domain, ip: ip(place), ..node::settings() })
         })
         .collect();
     let interval = Interval::among(case.nodes - 1);
@@ -263,23 +266,3 @@
     println!("{} nodes, heartbeats each {} ms: {} ask", case.nodes, interval.near, asked.len());
     assert!(asked.len() <= case.ask, "{} of {} nodes ask", asked.len(), case.nodes);
 }
-
-fn settings(domains: usize) -> Settings {
-    let address = "127.0.0.1:1".parse().unwrap();
-    Settings {
-        vm: "n0".into(),
-        ip: "127.0.0.1".parse().unwrap(),
-        domain: domain(0, domains),
-        callers: address,
-        ready: address,
-        peer_port: 1,
-        seeds: Vec::new(),
-        store: address,
-        link: 1_250_000,
-        grace: 8_000,
-        lease: 3_000,
-        retry_ratio: 0.2,
-        retry_slack: 50.0,
-        retry_window: 10_000,
-    }
-}
--- a/crates/gateway/tests/members.rs
+++ b/crates/gateway/tests/members.rs
@@ -1,35 +1,15 @@
 //! Members: which nodes read the store and which gives orders, as heartbeats tell.
 
+mod node;
+
 use crosslane_coordination::heartbeat::Interval;
 use crosslane_gateway::members::{Heartbeat, Members, Scope};
 use crosslane_gateway::mirror::Ends;
-use crosslane_platform::settings::Settings;
 use crosslane_state::time::Millis;
+use node::{DOMAIN, settings};
 use rstest::rstest;
 use std::net::IpAddr;
 
-const DOMAIN: &str = "aarau";
-
-fn settings() -> Settings {
-    let address = "127.0.0.1:1".parse().unwrap();
-    Settings {
-        vm: "n3".into(),
-        ip: "127.0.0.1".parse().unwrap(),
-        domain: DOMAIN.into(),
-        callers: address,
-        ready: address,
-        peer_port: 1,
-        seeds: Vec::new(),
-        store: address,
-        link: 1_250_000,
-        grace: 8_000,
-        lease: 3_000,
-        retry_ratio: 0.2,
-        retry_slack: 50.0,
-        retry_window: 10_000,
-    }
-}
-
 #[derive(Clone, Copy)]
 struct Other {
     vm: &'static str,
