--- a/crates/coordination/src/heartbeat.rs
+++ b/crates/coordination/src/heartbeat.rs
@@ -4,7 +4,8 @@
 //! their number. Whatever must outlast a heartbeat follows from the time that its sender says it
 //! will take to the next one. With a fixed life of 2 s, at 295 nodes (2.2 s within a failure domain,
 //! 6.6 s between two) a node forgot what others had at engines before it heard of them again, and
-//! took no updates from them meanwhile: it believed 0.2 to 0.5 less of the memory to be taken.
+//! took no updates from them meanwhile: in a simulation it believed 0.37 less of all memory to be
+//! taken in the mean, and 0.003 more with the times that follow.
 
 use serde::{Deserialize, Serialize};
 
--- a/crates/coordination/src/pool.rs
+++ b/crates/coordination/src/pool.rs
@@ -38,7 +38,7 @@
 const FAR_PENALTY: f64 = 0.15;
 
 /// Load, as a share of a full engine, up to which its memory is given away by what requests are expected
-/// to need: those that run have not generated all of it yet, half of a tenth in the mean.
+/// to need: those that run have not generated all of it yet, some half of a tenth (worked out).
 const OVERBOOKED: f64 = 1.05;
 
 /// Width of the random part of a score, which keeps nodes from choosing alike.
