Sight: log and count engines that fall silent

A stream that was cut for a silent engine said neither at which engine nor for how long; that the node itself had stood still, and found its timer due before it had read what had come, looked the same. The new line has both, and whether the engine was still listed. The pause in which a stream ended now counts in gap_ms of its request.

--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -32,6 +32,8 @@
 pub const PLACE: &str = "place";
 /// An attempt at an endpoint failed.
 pub const ATTEMPT: &str = "attempt";
+/// An engine sent nothing for a while within a stream, or before its first event.
+pub const SILENT: &str = "silent";
 /// An endpoint broke off what it was sent, which a request that makes endpoints crash does again and again.
 pub const BROKE: &str = "broke";
 /// An endpoint ended right after it had begun to run a request, which is held against the request.
@@ -54,7 +56,7 @@
 pub const DROPPED: &str = "dropped";
 
 /// Every event.
-pub const EVENTS: [&str; 26] = [
+pub const EVENTS: [&str; 27] = [
     START,
     STOP,
     SUSPENDED,
@@ -71,6 +73,7 @@
     CACHED,
     PLACE,
     ATTEMPT,
+    SILENT,
     BROKE,
     STRUCK,
     RULED,
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -288,6 +288,9 @@
         let request = self.id.as_deref().unwrap_or_default();
         let status = self.status.as_u16();
         let took_ms = self.arrived.elapsed().as_millis() as u64;
+        if self.ending != ANSWERED {
+            self.gap = self.gap.max(self.piece.map_or(Duration::ZERO, |it| it.elapsed()));
+        }
         let first_ms = self.first.as_millis() as u64;
         let gap_ms = self.gap.as_millis() as u64;
         let (route, ending, version) = (self.route.as_str(), self.ending, self.version);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -140,10 +140,29 @@
             Ok(None) if self.events.partial() => Piece::Broken("engine ended within an event"),
             Ok(None) => Piece::End,
             Err(_) if self.run.call.left().is_zero() => Piece::Broken("time ran out"),
-            Err(_) => Piece::Broken("engine stalled"),
+            Err(_) => {
+                self.told_silent(began, until);
+                Piece::Broken("engine stalled")
+            }
         }
     }
 
+    /// Tells of a silence; how late its end was noticed says whether this node stood still.
+    fn told_silent(&self, began: Instant, due: Instant) {
+        let Some(answer) = &self.answer else {
+            return;
+        };
+        let Run { node, call, .. } = &self.run;
+        node.meter.silences.inc();
+        let (request, to) = (call.ask.id.as_str(), answer.endpoint.id.as_str());
+        let silent_ms = began.elapsed().as_millis() as u64;
+        let late_ms = due.elapsed().as_millis() as u64;
+        let listed = node.pool().usable(answer.key());
+        let after = self.last_event().unwrap_or_default();
+        let left_ms = call.left().as_millis() as u64;
+        info!(request, to, silent_ms, late_ms, listed, after, left_ms; "{}", event::SILENT);
+    }
+
     /// Whether the engine has been leaving for so long that the run is to go on elsewhere.
     fn must_move(&mut self) -> bool {
         let Some(key) = self.answer.as_ref().map(Answer::key) else {
