Red test: answers whose endpoint is silent for a while are cut off

Callers saw streams end without their end, and plain calls a 504, although the endpoint went on with them and time was left.

--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -48,6 +48,9 @@
     /// Some requests at an endpoint meet a fault.
     #[display("endpoint grey")]
     Grey,
+    /// An endpoint does nothing for a while, and goes on.
+    #[display("endpoint silent")]
+    Silence,
     /// The way to an endpoint is disturbed.
     #[display("way to endpoint")]
     EndpointWay,
@@ -89,6 +92,9 @@
     Fault::Compact,
 ];
 
+/// Kinds of a second series, which overlaps the first: what may come near a silence without a part in it.
+pub const BESIDE: [Fault; 4] = [Fault::Silence, Fault::Silence, Fault::Reload, Fault::Configure];
+
 /// Ways in which the store misbehaves.
 const TROUBLES: [Trouble; 5] =
     [Trouble::Busy, Trouble::Silent, Trouble::Slow, Trouble::LosesAnswers, Trouble::Late];
@@ -138,6 +144,7 @@
         Fault::Rebirth => rebirth(&site, &mut random).await?,
         Fault::Release => release(&site, &mut random).await?,
         Fault::Grey => grey(&site, lasts, &mut random).await,
+        Fault::Silence => silence(&site, lasts, &mut random).await,
         Fault::EndpointWay => endpoint_way(&site, lasts, &mut random).await,
         Fault::StoreWay => {
             let mode = choose(&DISTURBING, &mut random);
@@ -255,6 +262,15 @@
     site.with(&id, |it| it.endpoint.fault(None));
 }
 
+async fn silence(site: &Site, lasts: Duration, random: &mut SmallRng) {
+    let Some(id) = endpoint(site, random) else {
+        return;
+    };
+    site.with(&id, |it| it.endpoint.silence(true));
+    sleep(lasts).await;
+    site.with(&id, |it| it.endpoint.silence(false));
+}
+
 async fn endpoint_way(site: &Site, lasts: Duration, random: &mut SmallRng) {
     let mode = choose(&DISTURBING, random);
     let Some(id) = endpoint(site, random) else {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,6 +1,6 @@
 //! One run of the soak, and its report.
 
-use crate::fault::{self, DRAWN, Fault};
+use crate::fault::{self, BESIDE, DRAWN, Fault};
 use crate::site::{Plan, Site};
 use crate::traffic::{self, Endings};
 use crosslane_platform_standins::caller;
@@ -96,7 +96,12 @@
     let probe = tokio::spawn(traffic::probe(site.clone(), plan.seed, over.clone()));
     let culprits = tokio::spawn(traffic::crash(site.clone(), plan.seed, over.clone()));
     let beats = tokio::spawn(beat(site.clone()));
-    let faults = disturb(&site, plan).await?;
+    let (drawn, beside) = tokio::join!(
+        disturb(&site, plan, plan.seed, &DRAWN),
+        disturb(&site, plan, !plan.seed, &BESIDE)
+    );
+    let mut faults = drawn?;
+    beside?.into_iter().for_each(|(fault, count)| *faults.entry(fault).or_default() += count);
     beats.abort();
     site.mend().await?;
     until_ready(&site).await?;
@@ -118,13 +123,18 @@
 }
 
 /// Begins faults, one after the other, and waits until all have ended.
-async fn disturb(site: &Arc<Site>, plan: &Plan) -> io::Result<BTreeMap<Fault, u64>> {
-    let mut random = SmallRng::seed_from_u64(plan.seed);
+async fn disturb(
+    site: &Arc<Site>,
+    plan: &Plan,
+    seed: u64,
+    kinds: &[Fault],
+) -> io::Result<BTreeMap<Fault, u64>> {
+    let mut random = SmallRng::seed_from_u64(seed);
     let mut counts = BTreeMap::new();
     let mut running = JoinSet::new();
     let end = Instant::now() + plan.time;
     while Instant::now() < end {
-        let fault = DRAWN[random.random_range(0..DRAWN.len())];
+        let fault = kinds[random.random_range(0..kinds.len())];
         *counts.entry(fault).or_default() += 1;
         let own = SmallRng::seed_from_u64(random.random());
         running.spawn(fault::play(site.clone(), fault, own));
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -275,6 +275,7 @@
         for served in lock(&self.served).iter() {
             served.proxy.set(Mode::Pass);
             served.endpoint.fault(None);
+            served.endpoint.silence(false);
         }
         for node in &self.nodes {
             node.signal(nix::sys::signal::Signal::SIGCONT);
