A silent endpoint is given up only for another one that has room

Callers saw streams end without their end, although their engines went on with them and time was left: after five times the longest pause on time the node took a silent engine for dead. A stream that may not be resumed was cut at once; of one that may, the run was given up before memory elsewhere was granted, and nothing was left if none was. Before the first event it was the same (504 with time left), and for plain calls whose other endpoint was gone.

Cause: a silence was taken for an end. An engine whose memory runs out puts runs off and goes on with them later. Ruled out: the node's own standstill (the silence was noticed on time), signal and configuration (they do nothing on this way; the soak's cuts come without them too).

Now a silence only starts the search for another engine, the silent one left out. The attempt goes on meanwhile and whichever comes first counts; only a granted reservation and a repeat from the budget end it. A silence is made of several short pauses, so that a node that stood still does not take its own standstill for the engine's.

The soak now waits until an endpoint has noticed a closed connection before it judges; before, most such cuts were passed over.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod record;
 pub mod retry;
 pub mod ruling;
+pub mod silence;
 pub mod slots;
 pub mod splice;
 pub mod stages;
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -342,6 +342,18 @@
     info!(request, to, failure:% = failure, why, left_ms; "{}", event::ATTEMPT);
 }
 
+/// Notes and tells that an endpoint sent nothing of an attempt since a moment.
+pub fn told_silent(node: &Node, call: &Call, at: Key, since: Instant) {
+    let mut pool = node.pool();
+    pool.note(at, Outcome::Failed, node.now());
+    node.meter.silences.inc();
+    let to = pool.get(at).map(|it| it.id.as_str()).unwrap_or_default();
+    let (request, listed) = (call.ask.id.as_str(), pool.usable(at));
+    let silent_ms = since.elapsed().as_millis() as u64;
+    let left_ms = call.left().as_millis() as u64;
+    info!(request, to, silent_ms, listed, left_ms; "{}", event::SILENT);
+}
+
 /// What a failed connection says of the endpoint.
 pub fn outcome(error: &Error) -> Outcome {
     if error.sent() { Outcome::Failed } else { Outcome::Down }
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use crosslane_coordination::health::Outcome;
 use crosslane_coordination::pool::Query;
+use crosslane_coordination::silence::Silence;
 use crosslane_platform::answer;
 use crosslane_platform::ask::Purpose;
 use crosslane_state::endpoint::{Key, Stage};
@@ -20,9 +21,10 @@
 use hyper::body::Frame;
 use hyper::http::response::Parts;
 use log::info;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 /// Answers up to this length are read whole before they are passed on if the request is
 /// idempotent, so that one that breaks off can be asked for again. Pages are about 1 KB.
@@ -32,6 +34,9 @@
 /// usual run at the other endpoint.
 const PATIENCE: f64 = 0.6;
 
+/// Pauses of which that patience is made: with one alone, a standstill of this node would count as the endpoint's.
+const PAUSES: u32 = 2;
+
 /// When a refused caller should come back: plain calls last some 60 ms, bursts seconds.
 const COME_BACK: Duration = Duration::from_millis(250);
 
@@ -42,28 +47,16 @@
     service: &str,
     call: &Call,
 ) -> Result<Response<Reply>, Refusal> {
-    let mut tried: Vec<Key> = Vec::new();
-    let mut sent = 0;
+    let mut tries = Tries { node, route, service, call, tried: Vec::new(), sent: 0, next: None };
     // Once an attempt may have run, a later refusal does not make the request one that has not.
     let mut ran = false;
     let mut last = Reason::NoEndpoint;
     let mut kept: Option<Response<Reply>> = None;
-    loop {
-        let query = Query { service, stage: Stage::Plain, capacity: 0, room: None, except: &tried };
-        let chosen = node.pool().choose(query, node.now());
-        let Some((key, load)) = chosen else {
-            break;
-        };
-        if sent > 0 && !node.take_repeat(service) {
-            node.meter.retried(Retry::DeniedBudget);
-            break;
-        }
-        tried.push(key);
-        let last_try = sent + 1 >= route.attempts;
-        match attempt(node, route, call, (key, load), last_try).await {
+    while let Some(place) = tries.next() {
+        match tries.attempt(place).await {
             Ok(Attempt::Final(response)) => return Ok(response),
             Ok(Attempt::Error(response)) => {
-                sent += 1;
+                tries.sent += 1;
                 kept = Some(response);
                 node.meter.retried(Retry::Error);
             }
@@ -72,7 +65,7 @@
                 if failure.may_have_run() || !ran {
                     last = failure.into();
                 }
-                sent += u32::from(failure.sent());
+                tries.sent += u32::from(failure.sent());
                 if failure.may_have_run() && !route.kind.idempotent() {
                     return Err(last.into());
                 }
@@ -82,7 +75,7 @@
                 }
             }
         }
-        if sent >= route.attempts || call.left().is_zero() {
+        if tries.sent >= route.attempts || call.left().is_zero() {
             break;
         }
     }
@@ -97,6 +90,85 @@
     Error(Response<Reply>),
 }
 
+/// Attempts at a call, one after the other.
+struct Tries<'a> {
+    node: &'a Arc<Node>,
+    route: &'a Route,
+    service: &'a str,
+    call: &'a Call,
+    tried: Vec<Key>,
+    /// Attempts that reached an endpoint.
+    sent: u32,
+    /// Endpoint for the next attempt, with its repeat taken from the budget: the one before fell silent.
+    next: Option<(Key, f64)>,
+}
+
+impl Tries<'_> {
+    /// The endpoint for the next attempt, if there is one and it may be made.
+    fn next(&mut self) -> Option<(Key, f64)> {
+        let place = match self.next.take() {
+            Some(place) => place,
+            None => self.choose(self.sent > 0)?,
+        };
+        self.tried.push(place.0);
+        Some(place)
+    }
+
+    /// The best endpoint that was not tried, with a repeat from the budget if it takes one.
+    fn choose(&self, repeats: bool) -> Option<(Key, f64)> {
+        let (service, except) = (self.service, self.tried.as_slice());
+        let query = Query { service, stage: Stage::Plain, capacity: 0, room: None, except };
+        let place = self.node.pool().choose(query, self.node.now())?;
+        if repeats && !self.node.take_repeat(service) {
+            self.node.meter.retried(Retry::DeniedBudget);
+            return None;
+        }
+        Some(place)
+    }
+
+    fn last(&self) -> bool {
+        self.sent + 1 >= self.route.attempts
+    }
+
+    async fn attempt(&mut self, place: (Key, f64)) -> Result<Attempt, Failure> {
+        let attempt = attempt(self.node, self.route, self.call, place, self.last());
+        if self.last() || self.route.kind != Kind::Safe {
+            return attempt.await;
+        }
+        match self.unless_silent(place.0, attempt).await {
+            Ok(attempted) => attempted,
+            Err(next) => {
+                self.next = Some(next);
+                Err(Failure::Timeout)
+            }
+        }
+    }
+
+    /// Waits for an endpoint. A silent one is given up only for another one: it may merely be slow, and without
+    /// another its answer is the only one that can come.
+    async fn unless_silent<T>(
+        &self,
+        at: Key,
+        attempt: impl Future<Output = T>,
+    ) -> Result<T, (Key, f64)> {
+        let mut attempt = pin!(attempt);
+        let mut silence = Silence::of(PAUSES);
+        let patience = self.route.target as f64 * PATIENCE;
+        let pause = Duration::from_millis((patience / f64::from(PAUSES)) as u64);
+        let began = Instant::now();
+        loop {
+            match timeout(pause, attempt.as_mut()).await {
+                Ok(done) => return Ok(done),
+                Err(_) if !silence.pause() => continue,
+                Err(_) => exchange::told_silent(self.node, self.call, at, began),
+            }
+            if let Some(next) = self.choose(true) {
+                return Err(next);
+            }
+        }
+    }
+}
+
 async fn attempt(
     node: &Arc<Node>,
     route: &Route,
@@ -105,7 +177,7 @@
     last: bool,
 ) -> Result<Attempt, Failure> {
     let seat = Seat::take(node, place, 0);
-    let until = until(route, call, last);
+    let until = call.deadline.instant();
     let answer = exchange::send(call, seat, &Purpose::Run, until).await?;
     Meter::time(&node.meter.first, call.arrived.elapsed());
     let error = answer.parts.status.is_server_error();
@@ -119,15 +191,6 @@
     Ok(if error && !last { Attempt::Error(response) } else { Attempt::Final(response) })
 }
 
-/// How long an attempt may take.
-fn until(route: &Route, call: &Call, last: bool) -> Instant {
-    if last || route.kind != Kind::Safe {
-        return call.deadline.instant();
-    }
-    let patience = Duration::from_millis((route.target as f64 * PATIENCE) as u64);
-    call.deadline.instant().min(Instant::now() + patience)
-}
-
 fn whole(parts: Parts, body: Bytes) -> Response<Reply> {
     let mut response = Response::new(http::full(body));
     *response.status_mut() = parts.status;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -7,6 +7,7 @@
 use crate::event;
 use crate::events::Events;
 use crate::exchange::{self, Answer, Seat};
+use crate::hold::Hold;
 use crate::meter::{Meter, Retry};
 use crate::node::Reply;
 use crate::quarantine;
@@ -26,9 +27,6 @@
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
-/// Silence, as a multiple of the longest pause on time, after which an engine counts as stalled.
-const STALL: u64 = 5;
-
 /// Time after an engine's announcement that it leaves before its runs are moved: short ones end by
 /// themselves, and it serves for 2 s at least.
 const MOVE_AFTER: Duration = Duration::from_millis(1_000);
@@ -60,6 +58,8 @@
     Data(Bytes),
     End,
     Broken(&'static str),
+    /// The engine is silent, and memory for the next attempt is there.
+    Silent(Hold),
 }
 
 type Item = (Result<Frame<Bytes>, BodyError>, Relay);
@@ -100,6 +100,13 @@
                     self.answer.iter_mut().for_each(Answer::ended_well);
                     return None;
                 }
+                Piece::Silent(spare) => {
+                    self.judge().await;
+                    self.run.keep_spare(spare);
+                    if !self.resume("engine silent").await {
+                        return Some((Err("engine silent".into()), self));
+                    }
+                }
                 Piece::Broken(why) => {
                     self.note(Outcome::Failed);
                     self.judge().await;
@@ -129,40 +136,21 @@
         let Some(answer) = &mut self.answer else {
             return Piece::Broken("no engine");
         };
-        let began = Instant::now();
-        let stall = Duration::from_millis(self.run.route.gap * STALL);
-        let until = self.run.call.deadline.instant().min(began + stall);
-        let frame = timeout_at(until, answer.body.frame()).await;
+        let (at, sent, began) = (answer.key(), self.run.sent, Instant::now());
+        let until = self.run.call.deadline.instant();
+        let frame = timeout_at(until, answer.body.frame());
+        let frame = self.run.unless_silent(at, sent, frame).await;
         Meter::time(&self.run.node.meter.gap, began.elapsed());
         match frame {
-            Ok(Some(Ok(frame))) => Piece::Data(frame.into_data().unwrap_or_default()),
-            Ok(Some(Err(_))) => Piece::Broken("engine broke off"),
-            Ok(None) if self.events.partial() => Piece::Broken("engine ended within an event"),
-            Ok(None) => Piece::End,
-            Err(_) if self.run.call.left().is_zero() => Piece::Broken("time ran out"),
-            Err(_) => {
-                self.told_silent(began, until);
-                Piece::Broken("engine stalled")
-            }
+            Err(spare) => Piece::Silent(spare),
+            Ok(Err(_)) => Piece::Broken("time ran out"),
+            Ok(Ok(Some(Ok(frame)))) => Piece::Data(frame.into_data().unwrap_or_default()),
+            Ok(Ok(Some(Err(_)))) => Piece::Broken("engine broke off"),
+            Ok(Ok(None)) if self.events.partial() => Piece::Broken("engine ended within an event"),
+            Ok(Ok(None)) => Piece::End,
         }
     }
 
-    /// Tells of a silence; how late its end was noticed says whether this node stood still.
-    fn told_silent(&self, began: Instant, due: Instant) {
-        let Some(answer) = &self.answer else {
-            return;
-        };
-        let Run { node, call, .. } = &self.run;
-        node.meter.silences.inc();
-        let (request, to) = (call.ask.id.as_str(), answer.endpoint.id.as_str());
-        let silent_ms = began.elapsed().as_millis() as u64;
-        let late_ms = due.elapsed().as_millis() as u64;
-        let listed = node.pool().usable(answer.key());
-        let after = self.last_event().unwrap_or_default();
-        let left_ms = call.left().as_millis() as u64;
-        info!(request, to, silent_ms, late_ms, listed, after, left_ms; "{}", event::SILENT);
-    }
-
     /// Whether the engine has been leaving for so long that the run is to go on elsewhere.
     fn must_move(&mut self) -> bool {
         let Some(key) = self.answer.as_ref().map(Answer::key) else {
@@ -274,6 +262,9 @@
     /// What keeps the stream from being continued, if anything; else a repeat is taken for it.
     fn bound(&self) -> Option<&'static str> {
         let Run { node, call, route, service, sent, .. } = &self.run;
+        if self.run.has_spare() {
+            return None;
+        }
         if route.kind != (Kind::Stream { resumable: true }) {
             return Some("cut: may not be resumed");
         }
--- a/crates/gateway/src/reserve.rs
+++ b/crates/gateway/src/reserve.rs
@@ -50,11 +50,11 @@
         ask.hint.unwrap_or(usual).min(ask.most)
     }
 
-    /// Reserves memory at a decoding engine.
-    pub async fn reserve(&self, until: Instant) -> Result<Hold, Refusal> {
+    /// Reserves memory at a decoding engine, if need be not at one of them.
+    pub async fn reserve(&self, until: Instant, but: Option<Key>) -> Result<Hold, Refusal> {
         let mut rounds = 0_u32;
         loop {
-            let bound = match self.round().await {
+            let bound = match self.round(but).await {
                 Ok(hold) => return Ok(hold),
                 Err(bound) => bound,
             };
@@ -75,13 +75,14 @@
     }
 
     /// Asks the best engines for memory once, or says what is short.
-    async fn round(&self) -> Result<Hold, &'static str> {
+    async fn round(&self, but: Option<Key>) -> Result<Hold, &'static str> {
         let tokens = self.tokens();
         let mut tried = quarantine::others_on_trial(&self.node, &self.call);
-        let most = tried.len() + ASKED;
-        while tried.len() < most {
+        tried.extend(but);
+        let barred = tried.len();
+        while tried.len() < barred + ASKED {
             let Some(place) = self.decoder(self.standing.full(), &tried) else {
-                return Err(if tried.is_empty() { "memory" } else { "reservations" });
+                return Err(if tried.len() == barred { "memory" } else { "reservations" });
             };
             match self.hold(place, tokens).await {
                 Some(hold) => return Ok(hold),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -17,15 +17,17 @@
 use crosslane_coordination::health::Outcome;
 use crosslane_coordination::pool::{Query, Room};
 use crosslane_coordination::reader::{Kept, Reader};
+use crosslane_coordination::silence::Silence;
 use crosslane_platform::ask::Purpose;
 use crosslane_platform::{answer, engine};
 use crosslane_state::endpoint::{Key, Stage};
 use crosslane_state::route::{Engine, Kind, Route};
 use hyper::Response;
 use rand::Rng;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout};
 
 /// Time for a prefill, queueing included: the longest prompts take some 200 ms. After it the
 /// decoding engine reads the prompt itself, while its reservation still lasts.
@@ -38,8 +40,9 @@
 /// Longest answer to a prefill, in bytes.
 const PREFILL_BYTES: usize = 16_384;
 
-/// Time for an answer's head from an engine that holds the memory; it usually takes 50 ms.
-const HEAD_LIMIT: Duration = Duration::from_millis(1_200);
+/// Pauses, each as long as the longest on time, after which an engine counts as silent: no stream that it makes
+/// is on time any more.
+const SILENT: u32 = 5;
 
 /// When a refused caller should come back, in milliseconds: drafts last some 3 s, and bursts are
 /// over within seconds. Spread, so that the refused don't come back at once.
@@ -65,6 +68,8 @@
     pub sent: u32,
     /// Prefilling engine that read the prompt, and may still keep it.
     read_at: Option<Key>,
+    /// Memory for the next attempt, with its repeat taken from the budget: the engine before fell silent.
+    spare: Option<Hold>,
 }
 
 impl Run {
@@ -77,7 +82,8 @@
             resumes: call.ask.last_event.is_some(),
         };
         let standing = Standing::from(&caller);
-        Self { node, call, route, service, engine, caller, standing, sent: 0, read_at: None }
+        let (sent, read_at, spare) = (0, None, None);
+        Self { node, call, route, service, engine, caller, standing, sent, read_at, spare }
     }
 
     /// Carries the request to engines and returns the stream.
@@ -93,8 +99,8 @@
         };
         if !self.node.pool().usable(hold.key) {
             // It announced that it leaves while the prompt was read.
-            hold =
-                self.reserve(self.call.deadline.instant().min(Instant::now() + patience)).await?;
+            let until = self.call.deadline.instant().min(Instant::now() + patience);
+            hold = self.reserve(until, None).await?;
         }
         let answer = self.decode(&mut hold, handle.as_mut(), self.call.ask.last_event).await;
         let answer = match answer {
@@ -149,7 +155,7 @@
         {
             return Ok((hold, Kept::Decoding));
         }
-        let hold = self.reserve(until).await?;
+        let hold = self.reserve(until, None).await?;
         let kept = keepers.prefilling.map_or(Kept::Nowhere, |_| Kept::Prefilling);
         Ok((hold, kept))
     }
@@ -218,8 +224,15 @@
         };
         let source = handle.as_deref().and_then(Handle::source);
         let purpose = Purpose::Decode { hold: hold.id.as_deref(), source, last_event };
-        let until = self.head_by();
-        let answer = exchange::send(&self.call, seat, &purpose, until).await;
+        let (at, until) = (seat.key, self.call.deadline.instant());
+        let sending = exchange::send(&self.call, seat, &purpose, until);
+        let answer = match self.unless_silent(at, self.sent + 1, sending).await {
+            Ok(answer) => answer,
+            Err(spare) => {
+                self.spare = Some(spare);
+                Err(Failure::Timeout)
+            }
+        };
         self.sent += u32::from(answer.as_ref().map_or_else(|it| it.sent(), |_| true));
         if answer.is_ok() {
             hold.id = None;
@@ -230,14 +243,53 @@
         answer
     }
 
-    /// When an answer must have begun: a stream that may be resumed is tried elsewhere after a
-    /// silence.
-    fn head_by(&self) -> Instant {
+    /// Waits for an engine. A silent one is given up only for memory that another one has granted: its run may
+    /// have been put off and go on, and nothing else may be left of the stream.
+    pub async fn unless_silent<T>(
+        &self,
+        at: Key,
+        sent: u32,
+        attempt: impl Future<Output = T>,
+    ) -> Result<T, Hold> {
+        let mut attempt = pin!(attempt);
+        let mut silence = Silence::of(SILENT);
+        let (pause, began) = (Duration::from_millis(self.route.gap), Instant::now());
+        loop {
+            match timeout(pause, attempt.as_mut()).await {
+                Ok(done) => return Ok(done),
+                Err(_) if !silence.pause() => continue,
+                Err(_) => exchange::told_silent(&self.node, &self.call, at, began),
+            }
+            let found = tokio::select! {
+                biased;
+                done = attempt.as_mut() => return Ok(done),
+                found = self.room_elsewhere(at, sent) => found,
+            };
+            if let Some(hold) = found {
+                return Err(hold);
+            }
+        }
+    }
+
+    /// Memory at another engine than a silent one, and a repeat for it, if the stream may go on there.
+    async fn room_elsewhere(&self, silent: Key, sent: u32) -> Option<Hold> {
         let resumable = self.route.kind == Kind::Stream { resumable: true };
-        if !resumable || self.sent + 1 >= self.route.attempts {
-            return self.call.deadline.instant();
+        if !resumable || sent >= self.route.attempts {
+            return None;
         }
-        self.call.deadline.instant().min(Instant::now() + HEAD_LIMIT)
+        quarantine::check(&self.node, &self.call).ok()?;
+        let hold = self.reserve(self.resume_by(), Some(silent)).await.ok()?;
+        if !self.node.take_repeat(&self.service) {
+            self.node.meter.retried(Retry::DeniedBudget);
+            return None;
+        }
+        Some(hold)
+    }
+
+    /// Until when memory is waited for to go on with a stream.
+    fn resume_by(&self) -> Instant {
+        let patience = Duration::from_millis(admission::resume_wait(&self.caller));
+        self.call.deadline.instant().min(Instant::now() + patience)
     }
 
     /// Tries once more after an attempt that has no answer, where that is allowed.
@@ -248,7 +300,8 @@
         }
         let mut failure = failure;
         while !failure.barred() && self.sent < self.route.attempts.max(1) {
-            if self.sent > 0 && !self.node.take_repeat(&self.service) {
+            let paid = self.sent == 0 || self.spare.is_some();
+            if !paid && !self.node.take_repeat(&self.service) {
                 self.node.meter.retried(Retry::DeniedBudget);
                 break;
             }
@@ -271,9 +324,10 @@
     /// Runs the request at another engine, after an event.
     pub async fn elsewhere(&mut self, last_event: Option<u64>) -> Result<Answer, Option<Failure>> {
         quarantine::check(&self.node, &self.call).map_err(Some)?;
-        let patience = Duration::from_millis(admission::resume_wait(&self.caller));
-        let until = self.call.deadline.instant().min(Instant::now() + patience);
-        let mut hold = self.reserve(until).await.map_err(|_| None)?;
+        let mut hold = match self.spare.take() {
+            Some(spare) => spare,
+            None => self.reserve(self.resume_by(), None).await.map_err(|_| None)?,
+        };
         let mut handle = self.prefill_again().await;
         self.decode(&mut hold, handle.as_mut(), last_event).await.map_err(Some)
     }
@@ -288,6 +342,16 @@
         self.prefill(Some(keeper)).await
     }
 
+    /// Whether the next attempt has its memory and its repeat.
+    pub fn has_spare(&self) -> bool {
+        self.spare.is_some()
+    }
+
+    /// Keeps memory for the next attempt.
+    pub fn keep_spare(&mut self, hold: Hold) {
+        self.spare = Some(hold);
+    }
+
     fn relay(self, answer: Answer) -> Response<Reply> {
         let status = answer.parts.status;
         let headers = answer::headers(&answer.parts.headers);
--- a/crates/soak/src/traffic.rs
+++ b/crates/soak/src/traffic.rs
@@ -30,6 +30,10 @@
 /// Share of the requests after which a caller goes to another node although its connection is open.
 const WANDERING: f64 = 0.1;
 
+/// Time for an endpoint to notice that a connection was closed, and pause between looks.
+const ENDS: Duration = Duration::from_secs(2);
+const LOOK: Duration = Duration::from_millis(10);
+
 /// Kinds of request that make endpoints crash, and pause between two of them, in milliseconds.
 const CULPRITS: [Kind; 2] = [Kind::Read, Kind::Page];
 const CULPRIT_PAUSE: std::ops::Range<u64> = 50..600;
@@ -133,7 +137,7 @@
         if !self.life.sound() || self.took > TIMEOUT {
             return;
         }
-        let runs = site.ledger.runs(self.id);
+        let runs = self.runs(site).await;
         let sound = |it: &&Run| !it.disturbed && it.ended.is_some_and(|it| it != Ended::Faulty);
         let Some(run) = runs.iter().find(sound) else {
             return;
@@ -151,6 +155,18 @@
         }
     }
 
+    /// Its runs, once they have ended: where it was cut off, the endpoint may still have to notice.
+    async fn runs(&self, site: &Site) -> Vec<Run> {
+        let end = Instant::now() + ENDS;
+        loop {
+            let runs = site.ledger.runs(self.id);
+            if runs.iter().all(|it| it.ended.is_some()) || Instant::now() > end {
+                return runs;
+            }
+            sleep(LOOK).await;
+        }
+    }
+
     /// Whether a stream that had begun met nothing but errors where it was to go on, and the node says
     /// that it had no attempt or no repeat left: an error can't be passed on within a stream.
     async fn had_to_be_cut(&self, runs: &[Run]) -> bool {
