A stream that waits for memory does not begin late at a stopping node

Callers saw streams cut at the end of a planned stop that were sent to their engine up to 4 s after it was announced: whether a stream may begin was decided when it came, and then it waited for memory, in a burst as long as its caller bears silence.

Now it is decided again once it has memory. Then nothing of it has run, so the 503 is true, and the caller comes back to another node with nearly all its time left. Ruled out: the window itself (streams that begin within it and last longer than the grace are still cut; docs/OPEN.md).

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -3,9 +3,8 @@
 use crate::event;
 use crate::exchange::Call;
 use crate::node::{Node, Reply};
-use crate::refusal::{Reason, Refusal};
-use crate::stopping::Late;
-use crate::{plain, quarantine, quota, stream};
+use crate::refusal::{COME_BACK, Reason, Refusal};
+use crate::{plain, quarantine, quota, stopping, stream};
 use bytes::Bytes;
 use crosslane_coordination::identity;
 use crosslane_platform::answer;
@@ -47,9 +46,6 @@
 /// Smallest buffer that hyper takes, in bytes.
 const LEAST_BUFFER: usize = 8_192;
 
-/// When a caller refused here should come back: a restart takes about as long.
-const COME_BACK: Duration = Duration::from_millis(300);
-
 /// Pause after a failed accept: descriptors may be short.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -156,9 +152,7 @@
     let held = Duration::from_millis(route.timeout);
     let deadline = node.clock.deadline(ask.patience.map_or(held, |it| it.min(held)));
     let body = read(body, table.limits, deadline.left()).await?;
-    if !takes(node, route, deadline.left()) {
-        return Err(Refusal::later(Reason::Stopping, COME_BACK));
-    }
+    stopping::check(node, route, deadline.left())?;
     let service = share(route, &ask.id);
     node.count_request(service);
     let mut parts = hyper::http::uri::Parts::default();
@@ -190,20 +184,6 @@
     Ok((route, organisation))
 }
 
-/// Whether a request is taken although a stop may be announced.
-fn takes(node: &Node, route: &Route, left: Duration) -> bool {
-    let announced = *node.stopping.borrow();
-    announced.is_none_or(|at| {
-        let late = Late {
-            since: Duration::from_millis(node.now().since(at)),
-            grace: Duration::from_millis(node.settings.grace),
-            left,
-            streams: matches!(route.kind, Kind::Stream { .. }),
-        };
-        late.taken()
-    })
-}
-
 async fn read(body: Incoming, limits: Limits, left: Duration) -> Result<Bytes, Refusal> {
     http::read(body, limits.body_bytes, left).await.map_err(|error| match error {
         ReadError::TooLong => Reason::TooLong.into(),
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -7,6 +7,9 @@
 use hyper::{Response, StatusCode};
 use std::time::Duration;
 
+/// When a caller should come back whom this node can't serve for now: a restart takes about as long.
+pub const COME_BACK: Duration = Duration::from_millis(300);
+
 /// Why a request was not answered by an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reason {
--- a/crates/gateway/src/stopping.rs
+++ b/crates/gateway/src/stopping.rs
@@ -4,6 +4,9 @@
 //! failure domain's nodes stop at once it goes on using all of them. So plain calls are taken as long as
 //! they surely end before the kill; streams, which last seconds, only at first.
 
+use crate::node::Node;
+use crate::refusal::{COME_BACK, Reason, Refusal};
+use crosslane_state::route::{Kind, Route};
 use std::time::Duration;
 
 /// Time after the announcement in which everything is taken: a stream begun later may not end
@@ -34,3 +37,17 @@
         self.since <= TAKES_ALL || (!self.streams && ends)
     }
 }
+
+/// Refuses a request that may not begin any more, since a stop was announced.
+pub fn check(node: &Node, route: &Route, left: Duration) -> Result<(), Refusal> {
+    let Some(at) = *node.stopping.borrow() else {
+        return Ok(());
+    };
+    let late = Late {
+        since: Duration::from_millis(node.now().since(at)),
+        grace: Duration::from_millis(node.settings.grace),
+        left,
+        streams: matches!(route.kind, Kind::Stream { .. }),
+    };
+    if late.taken() { Ok(()) } else { Err(Refusal::later(Reason::Stopping, COME_BACK)) }
+}
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -13,6 +13,7 @@
 use crate::quarantine;
 use crate::refusal::{Reason, Refusal};
 use crate::relay::Relay;
+use crate::stopping;
 use crosslane_coordination::admission::{self, Caller, Standing};
 use crosslane_coordination::health::Outcome;
 use crosslane_coordination::pool::{Query, Room};
@@ -92,6 +93,8 @@
         let until = self.call.deadline.instant().min(self.call.arrived + patience);
         let keepers = self.keepers().await;
         let (mut hold, kept) = self.reserve_best(&keepers, until).await?;
+        // It may have waited for memory until a stop leaves it too little time to end.
+        stopping::check(&self.node, &self.route, self.call.left())?;
         Meter::time(&self.node.meter.wait, self.call.arrived.elapsed());
         let mut handle = match self.reader(kept) {
             Reader::Decoding => None,
