A moved run that is refused goes on where it was stopped

Callers of streams that may not be resumed saw them cut when their engine left: a run is stopped to be moved, and if the other engine then refused it, nothing was left. The engine at which it was stopped keeps its memory and takes it up again, so it is asked next. Only a refusal that says that nothing ran leads there; after any other failure the run may go on already. Found in looking for answers that are given up before what replaces them is there; whether it happened on a site is not known.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -181,14 +181,16 @@
             Err(_) => Move::Refused,
         };
         self.told_move(&source, &target, &outcome);
-        let (handle, place) = match outcome {
-            Move::Copied { handle } => (handle, place),
-            Move::Stopped { handle } => (handle, (key, 0.0)),
+        // Where it was stopped its memory is kept until it goes on: one that the other engine refuses is not lost.
+        let stopped = (key, 0.0);
+        let (handle, places) = match outcome {
+            Move::Copied { handle } => (handle, vec![place, stopped]),
+            Move::Stopped { handle } => (handle, vec![stopped]),
             Move::Ended | Move::Refused => return None,
         };
         self.move_at = None;
         let rest = self.drain().await;
-        self.go_on(&source, &handle, place).await;
+        self.go_on(&source, &handle, places).await;
         rest
     }
 
@@ -210,15 +212,23 @@
         (!rest.is_empty()).then(|| rest.freeze())
     }
 
-    /// Lets a stopped run go on from its memory.
-    async fn go_on(&mut self, source: &Endpoint, handle: &str, place: (Key, f64)) {
+    /// Lets a stopped run go on from its memory, at the first of some engines that does not refuse it.
+    async fn go_on(&mut self, source: &Endpoint, handle: &str, places: Vec<(Key, f64)>) {
         let last_event = self.last_event();
         let source = Some((source.address, handle));
         let purpose = Purpose::Decode { hold: None, source, last_event };
-        let seat = Seat::take(&self.run.node, place, self.run.tokens());
         let until = self.run.call.deadline.instant();
+        self.answer = None;
+        for place in places {
+            let seat = Seat::take(&self.run.node, place, self.run.tokens());
+            match exchange::send(&self.run.call, seat, &purpose, until).await {
+                Ok(answer) => self.answer = Some(answer),
+                Err(failure) if !failure.may_have_run() => continue,
+                Err(_) => {}
+            }
+            break;
+        }
         // Without an answer the stream is continued or cut as one that broke off.
-        self.answer = exchange::send(&self.run.call, seat, &purpose, until).await.ok();
         if self.answer.is_none() && !self.resume("move failed").await {
             self.broken = Some("move failed");
         }
