Soak: keys come, go and move between organisations, and one organisation has a limit

Each configuration brings a key and takes the third last one away, moves one key to another organisation, and halves or restores a limit, while nodes, store and endpoints are disturbed. Checked from outside: a key that a node showed to be gone is let in there no more; at the end, once all is calm, each node lets the new key in, refuses the one that went and gives the moved one's requests to the organisation that has it; no endpoint sees a key; what endpoints got for the limited organisation stays within rate, burst, overage and slack in every window.

The check of streams that had to be cut knew only errors where they were to go on. A stream left a silent engine for another one, which a fault of the soak ended; the node's log says 'cut: retry budget spent', so to send it again would have passed the budget. Now an endpoint that broke off by a fault counts as an error does; a log line that says what bound is needed as before.

--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,6 +1,7 @@
 //! One run of the soak, and its report.
 
 use crate::fault::{self, BESIDE, DRAWN, Fault};
+use crate::keys;
 use crate::site::{Plan, Site};
 use crate::traffic::{self, Endings};
 use crosslane_platform_standins::caller;
@@ -95,6 +96,7 @@
     }
     let probe = tokio::spawn(traffic::probe(site.clone(), plan.seed, over.clone()));
     let culprits = tokio::spawn(traffic::crash(site.clone(), plan.seed, over.clone()));
+    let keyed = tokio::spawn(keys::call(site.clone(), plan.seed, over.clone()));
     let beats = tokio::spawn(beat(site.clone()));
     let (drawn, beside) = tokio::join!(
         disturb(&site, plan, plan.seed, &DRAWN),
@@ -108,6 +110,8 @@
     over.store(true, Ordering::Relaxed);
     probe.await?;
     culprits.await?;
+    keyed.await?;
+    keys::check(&site).await;
     traffic::check_crashes(&site);
     let mut endings = Endings::new();
     while let Some(some) = callers.join_next().await {
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -153,7 +153,10 @@
     pub fn configure(&self) {
         let version = self.version.fetch_add(1, Ordering::Relaxed) + 1;
         let besides = self.besides.load(Ordering::Relaxed);
-        self.store.put(OPERATORS, CONFIGURATION, Some(texts::configuration(version, besides)));
+        let configuration = texts::configuration(version, besides);
+        // What was just written as JSON can be read.
+        let bytes = texts::with_organisations(&configuration, version).unwrap_or(configuration);
+        self.store.put(OPERATORS, CONFIGURATION, Some(bytes));
         *lock(&self.accepted) = Instant::now();
     }
 
--- a/crates/soak/src/traffic.rs
+++ b/crates/soak/src/traffic.rs
@@ -5,7 +5,7 @@
 use crosslane_platform_standins::caller::{CULPRIT, Caller, Ending};
 use crosslane_platform_standins::endpoint::CRASHING;
 use crosslane_platform_standins::ledger::{Ended, Kind, Run};
-use crosslane_platform_standins::texts;
+use crosslane_platform_standins::texts::{self, DESK_KEY};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::collections::BTreeMap;
@@ -61,12 +61,16 @@
 /// Endings by kind of request.
 pub type Endings = BTreeMap<(Kind, Ending), u64>;
 
+fn caller_at(site: &Site, node: usize) -> Caller {
+    Caller::new(site.nodes[node].callers(), site.ledger.clone()).with_key(DESK_KEY)
+}
+
 /// Asks until told to end.
 pub async fn call(site: Arc<Site>, name: usize, seed: u64, over: Arc<AtomicBool>) -> Endings {
     let mut random = SmallRng::seed_from_u64(seed ^ (name as u64) << 32);
     let mut endings = Endings::new();
     let mut node = name % site.nodes.len();
-    let mut caller = Caller::new(site.nodes[node].callers(), site.ledger.clone());
+    let mut caller = caller_at(&site, node);
     for number in 0.. {
         if over.load(Ordering::Relaxed) {
             break;
@@ -74,7 +78,7 @@
         // An open connection is used until it is closed.
         if !caller.connected() || random.random_bool(WANDERING) {
             node = random.random_range(0..site.nodes.len());
-            caller = Caller::new(site.nodes[node].callers(), site.ledger.clone());
+            caller = caller_at(&site, node);
         }
         let id = format!("s{seed}-c{name}-{number}");
         let kind = KINDS[random.random_range(0..KINDS.len())];
@@ -106,7 +110,8 @@
         let path = format!("{}{CRASHING}-s{seed}", kind.prefix());
         let id = format!("{CULPRIT}s{seed}-{number}");
         let from = IpAddr::V4(Ipv4Addr::new(127, 0, 0, random.random_range(1..20)));
-        let mut caller = Caller::new(node.callers(), site.ledger.clone()).at(from);
+        let mut caller =
+            Caller::new(node.callers(), site.ledger.clone()).at(from).with_key(DESK_KEY);
         caller.ask_at(&id, kind, &path).await;
     }
 }
@@ -167,13 +172,14 @@
         }
     }
 
-    /// Whether a stream that had begun met nothing but errors where it was to go on, and the node says
-    /// that it had no attempt or no repeat left: an error can't be passed on within a stream.
+    /// Whether a stream that had begun met an error where it was to go on, or broke off there by a fault, and the node
+    /// says that it had no attempt or no repeat left: an error can't be passed on within a stream.
     async fn had_to_be_cut(&self, runs: &[Run]) -> bool {
         let broke = runs.first().is_some_and(|it| it.disturbed || it.ended != Some(Ended::Erred));
-        let erred = |it: &Run| it.ended == Some(Ended::Erred);
+        let failed =
+            |it: &Run| it.disturbed || matches!(it.ended, Some(Ended::Erred | Ended::Faulty));
         let whole = runs.iter().any(|it| it.ended == Some(Ended::Whole) && !it.disturbed);
-        if !broke || whole || !runs.last().is_some_and(erred) {
+        if !broke || whole || runs.len() < 2 || !runs.last().is_some_and(failed) {
             return false;
         }
         self.node.told(self.id, &BOUNDS).await
@@ -194,7 +200,7 @@
         let version = random.random_range(newest.saturating_sub(2).max(1)..=newest);
         let id = format!("s{seed}-p{number}");
         let path = format!("{}{id}", texts::added_path(version));
-        let mut caller = Caller::new(node.callers(), site.ledger.clone());
+        let mut caller = Caller::new(node.callers(), site.ledger.clone()).with_key(DESK_KEY);
         let shown = life.version.load(Ordering::Relaxed);
         match caller.ask_at(&id, Kind::Page, &path).await {
             Ending::Answered => {
