--- a/crates/crosslane/tests/explain.rs
+++ b/crates/crosslane/tests/explain.rs
@@ -35,6 +35,14 @@
     ],
     cause: "cause: cut: attempt outcome=cut why=engine broke off",
 })]
+#[case(Case {
+    name: "left in the middle",
+    lines: &[
+        r#"{"time_ms":7,"event":"silent","request":"r1","to":"e1","listed":true,"silent_ms":3010}"#,
+        r#"{"time_ms":9,"event":"request","request":"r1","ending":"caller_left","took_ms":9800}"#,
+    ],
+    cause: "cause: the caller left after 9800 ms and silent listed=true silent_ms=3010 to=e1",
+})]
 #[case(Case {
     name: "its node was killed",
     lines: &[r#"{"time_ms":8,"event":"attempt","request":"r1","failure":"refused"}"#],
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -32,7 +32,7 @@
 pub const PLACE: &str = "place";
 /// An attempt at an endpoint failed.
 pub const ATTEMPT: &str = "attempt";
-/// An engine sent nothing for a while within a stream, or before its first event.
+/// An endpoint sent nothing for a while within an attempt.
 pub const SILENT: &str = "silent";
 /// An endpoint broke off what it was sent, which a request that makes endpoints crash does again and again.
 pub const BROKE: &str = "broke";
--- a/crates/gateway/src/meter.rs
+++ b/crates/gateway/src/meter.rs
@@ -58,7 +58,7 @@
     pub skipped_records: IntCounter,
     /// Endpoints that ended right after they had begun to run a request.
     pub strikes: IntCounter,
-    /// Times that an engine fell silent within a stream, or before its first event.
+    /// Times that an endpoint fell silent within an attempt.
     pub silences: IntCounter,
     /// Requests that are shut out.
     pub shut_out: IntGauge,
@@ -116,7 +116,7 @@
             pull_failures: counter("crosslane_pull_failures", "Failed pulls from other nodes")?,
             skipped_records: counter("crosslane_skipped_records", "Endpoints' records not used")?,
             strikes: counter("crosslane_strikes", "Endpoints that ended under a request")?,
-            silences: counter("crosslane_silences", "Engines that fell silent in a stream")?,
+            silences: counter("crosslane_silences", "Endpoints that fell silent")?,
             shut_out: gauge("crosslane_shut_out", "Requests that are shut out")?,
             told_bytes: counter("crosslane_told_bytes", "Bytes of records handed to other nodes")?,
             pull: histogram("crosslane_pull_seconds", "Time of a pull from another node")?,
