--- a/crates/crosslane/tests/crashing.rs
+++ b/crates/crosslane/tests/crashing.rs
@@ -12,6 +12,7 @@
 
 use crosslane_platform_standins::caller::{self, CULPRIT, Caller, Ending};
 use crosslane_platform_standins::ledger::{Crashing, Kind};
+use crosslane_platform_standins::texts::DESK_KEY;
 use crosslane_soak::site::{Plan, Site};
 use nix::sys::signal::Signal;
 use rstest::rstest;
@@ -99,7 +100,7 @@
         let to = self.site.nodes[node].callers();
         // A caller comes by other addresses too.
         let from = IpAddr::V4(Ipv4Addr::new(127, 0, 0, node as u8 + 1));
-        let mut caller = Caller::new(to, self.site.ledger.clone()).at(from);
+        let mut caller = Caller::new(to, self.site.ledger.clone()).at(from).with_key(DESK_KEY);
         caller.ask_at(id, kind, path).await
     }
 
