--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -149,15 +149,16 @@
         Ok(site)
     }
 
-    /// Publishes the next configuration.
+    /// Publishes the next configuration. Numbered and written in one step, since versions rise in the store.
     pub fn configure(&self) {
+        let mut accepted = lock(&self.accepted);
         let version = self.version.fetch_add(1, Ordering::Relaxed) + 1;
         let besides = self.besides.load(Ordering::Relaxed);
         let configuration = texts::configuration(version, besides);
         // What was just written as JSON can be read.
         let bytes = texts::with_organisations(&configuration, version).unwrap_or(configuration);
         self.store.put(OPERATORS, CONFIGURATION, Some(bytes));
-        *lock(&self.accepted) = Instant::now();
+        *accepted = Instant::now();
     }
 
     /// Has the configurations to come be larger, up to some 1.5 MB.
