Sight: log and count the limits that endpoints name

Log lines told where requests go, but not what the answers had named, so on call could not tell whether nodes had been told and went on, or were never told. The adapter now reads the limit from every answer, a node logs the first one, each change and the end, and a gauge counts endpoints that name one. Nothing is decided by it yet.

Answers cross: a lower limit counts at once, a higher one or none only if its request was sent since this node knew. A figure that is no rate changes nothing and is logged.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod keyed;
 pub mod lease;
 pub mod ledger;
+pub mod limits;
 pub mod node;
 pub mod pace;
 pub mod placement;
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -46,6 +46,8 @@
 pub const BARRED: &str = "barred";
 /// A request was refused since its organisation is over its limit.
 pub const OVER_QUOTA: &str = "over_quota";
+/// An endpoint names a limit for all nodes together, another one, or none any more.
+pub const LIMIT: &str = "limit";
 /// A run was moved away from a leaving engine, or was not.
 pub const MOVE: &str = "move";
 /// A request ended.
@@ -56,7 +58,7 @@
 pub const DROPPED: &str = "dropped";
 
 /// Every event.
-pub const EVENTS: [&str; 27] = [
+pub const EVENTS: [&str; 28] = [
     START,
     STOP,
     SUSPENDED,
@@ -80,6 +82,7 @@
     UNSAVED,
     BARRED,
     OVER_QUOTA,
+    LIMIT,
     MOVE,
     REQUEST,
     SKIPPED,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -5,6 +5,7 @@
 
 use crate::control::CONNECT;
 use crate::event;
+use crate::limit;
 use crate::meter::Retry;
 use crate::node::Node;
 use crate::quarantine::{self, Trial};
@@ -257,6 +258,9 @@
     if let Some(load) = head.load {
         node.pool().load(seat.key, load, node.now());
     }
+    if head.matches {
+        limit::note(&node, &endpoint, &head.limit, sent);
+    }
     let failure = judge(&head, parts.status, purpose);
     if let Some((failure, outcome)) = failure {
         if !failure.may_have_run() {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! `front` takes callers' requests; `plain` and `stream` carry them to endpoints by `exchange`, with
 //! memory from `reserve` and what engines keep from `cache`.
-//! `quarantine` keeps requests that make endpoints crash away from them, `rulings` keeps what was decided about these in the
+//! `limit` takes the rate limits that endpoints name. `quarantine` keeps requests that make endpoints crash away from them, `rulings` keeps what was decided about these in the
 //! store, `pause` notices that the machine was suspended.
 //! `follower` reads the store into the `mirror`, `peers` and `pull` keep nodes at the same view, the
 //! `directory` reads endpoints from it, `duty` gives orders to engines. Decisions are made in the coordination layer.
@@ -18,6 +18,7 @@
 pub mod front;
 pub mod history;
 pub mod hold;
+pub mod limit;
 pub mod members;
 pub mod meter;
 pub mod mirror;
--- a/crates/gateway/src/meter.rs
+++ b/crates/gateway/src/meter.rs
@@ -60,6 +60,8 @@
     pub strikes: IntCounter,
     /// Times that an endpoint fell silent within an attempt.
     pub silences: IntCounter,
+    /// Endpoints that name a limit for all nodes together.
+    pub limited: IntGauge,
     /// Requests that are shut out.
     pub shut_out: IntGauge,
     /// Bytes of the store's records handed to other nodes.
@@ -117,6 +119,7 @@
             skipped_records: counter("crosslane_skipped_records", "Endpoints' records not used")?,
             strikes: counter("crosslane_strikes", "Endpoints that ended under a request")?,
             silences: counter("crosslane_silences", "Endpoints that fell silent")?,
+            limited: gauge("crosslane_limited_endpoints", "Endpoints that name a limit")?,
             shut_out: gauge("crosslane_shut_out", "Requests that are shut out")?,
             told_bytes: counter("crosslane_told_bytes", "Bytes of records handed to other nodes")?,
             pull: histogram("crosslane_pull_seconds", "Time of a pull from another node")?,
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -11,6 +11,7 @@
 use crate::quota::Desk;
 use crosslane_coordination::admission::Patience;
 use crosslane_coordination::allowance::{Allowance, Budget};
+use crosslane_coordination::limits::Limits;
 use crosslane_coordination::pace::Pace;
 use crosslane_coordination::pool::Pool;
 use crosslane_coordination::quarantine::Quarantine;
@@ -118,6 +119,7 @@
     pace: Mutex<Pace>,
     patience: Mutex<HashMap<String, Patience>>,
     quarantine: Mutex<Quarantine>,
+    limits: Mutex<Limits>,
 }
 
 impl Node {
@@ -158,6 +160,7 @@
             pace: Mutex::new(Pace::new(settings.link / LINK_SHARE, BURST)),
             patience: Mutex::default(),
             quarantine: Mutex::new(Quarantine::new(Tag::of(&settings.vm))),
+            limits: Mutex::default(),
             settings,
         })
     }
@@ -202,6 +205,11 @@
         lock(&self.quarantine)
     }
 
+    /// Limits that endpoints name.
+    pub fn limits(&self) -> MutexGuard<'_, Limits> {
+        lock(&self.limits)
+    }
+
     /// Notes how far another node knows the store.
     pub fn hear_of(&self, ends: Ends) {
         self.told.send_if_modified(|told| {
--- a/crates/gateway/src/site.rs
+++ b/crates/gateway/src/site.rs
@@ -3,7 +3,7 @@
 use crate::mirror::Topic;
 use crate::node::Node;
 use crate::stopping::TAKES_ALL;
-use crate::{duty, event, follower, front, pause, peers, quarantine, rulings};
+use crate::{duty, event, follower, front, limit, pause, peers, quarantine, rulings};
 use crosslane_platform::settings::Settings;
 use derive_more::{Display, Error, From};
 use log::{info, warn};
@@ -96,6 +96,7 @@
         node.pool().expire(node.now());
         quarantine::tidy(&node);
         node.quota.tidy(node.now());
+        limit::tidy(&node);
     }
 }
 
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod member;
 pub mod organisation;
 pub mod policy;
+pub mod rate;
 pub mod request;
 pub mod route;
 pub mod runner;
