--- a/crates/crosslane/tests/crashing.rs
+++ b/crates/crosslane/tests/crashing.rs
@@ -10,19 +10,14 @@
 //!     38.61  attempt  outcome=resumed why="engine broke off" after=0
 //!     38.73  attempt  outcome=cut why="engine broke off" after=0
 
-use crosslane_platform_standins::caller::{self, CULPRIT, Caller, Ending};
+mod fixture;
+
+use crosslane_platform_standins::caller::{CULPRIT, Ending};
 use crosslane_platform_standins::ledger::{Crashing, Kind};
-use crosslane_platform_standins::texts::DESK_KEY;
-use crosslane_soak::site::{Plan, Site};
+use fixture::Fixture;
 use nix::sys::signal::Signal;
 use rstest::rstest;
-use std::net::{IpAddr, Ipv4Addr};
-use std::path::PathBuf;
-use std::sync::Arc;
-use std::time::Duration;
-use tempfile::TempDir;
 use tokio::process::Command;
-use tokio::time::{sleep, timeout};
 
 /// Most endpoints that may end under one such request.
 const MOST_ENDED: u32 = 6;
@@ -30,16 +25,9 @@
 /// Copies of the request, one after the other.
 const COPIES: usize = 14;
 
-/// Endpoints of each kind that must serve before the next copy is sent.
-const SERVING: usize = 3;
-
 /// Topic in which nodes keep what they decided.
 const RULINGS: &str = "keyed.quarantine";
 
-/// Time between looks at a condition, and the longest wait for one.
-const LOOK: Duration = Duration::from_millis(20);
-const PATIENCE: Duration = Duration::from_secs(60);
-
 struct Case {
     kind: Kind,
     path: &'static str,
@@ -54,56 +42,7 @@
     Case { kind: Kind::Confirm, path: "crashing", name: "call that runs once" },
 ];
 
-struct Fixture {
-    site: Arc<Site>,
-    _logs: TempDir,
-}
-
 impl Fixture {
-    async fn start() -> Self {
-        let plan = Plan {
-            seed: 1,
-            nodes: 4,
-            engines: 9,
-            pages: 4,
-            callers: 0,
-            time: Duration::ZERO,
-            program: PathBuf::from(env!("CARGO_BIN_EXE_crosslaned")),
-        };
-        let logs = tempfile::tempdir().unwrap();
-        let site = Site::start(&plan, logs.path()).await.unwrap();
-        let fixture = Self { site, _logs: logs };
-        fixture.until_ready().await;
-        fixture
-    }
-
-    async fn until_ready(&self) {
-        for node in &self.site.nodes {
-            self.until(|| caller::ready(node.ready())).await;
-        }
-    }
-
-    async fn until<F: Future<Output = bool>>(&self, condition: impl Fn() -> F) {
-        let wait = async {
-            while !condition().await {
-                sleep(LOOK).await;
-            }
-        };
-        timeout(PATIENCE, wait).await.expect("the condition never held");
-    }
-
-    async fn until_served(&self, kind: Kind) {
-        self.until(|| async { self.site.serving(kind) >= SERVING }).await;
-    }
-
-    async fn ask(&self, node: usize, id: &str, kind: Kind, path: &str) -> Ending {
-        let to = self.site.nodes[node].callers();
-        // A caller comes by other addresses too.
-        let from = IpAddr::V4(Ipv4Addr::new(127, 0, 0, node as u8 + 1));
-        let mut caller = Caller::new(to, self.site.ledger.clone()).at(from).with_key(DESK_KEY);
-        caller.ask_at(id, kind, path).await
-    }
-
     /// How each node answers the request.
     async fn asked_everywhere(&self, round: &str, kind: Kind, path: &str) -> Vec<Ending> {
         let mut endings = Vec::new();
