An endpoint's limit holds over all nodes: its owner grants each request

Callers' endpoints in need were given as much as before: two of three that asked for 3 and 1.4 requests a second got 7 to 9, since nothing read the limit and an endpoint with a short queue looks the better choice. Class: what must hold over all nodes was decided by each node alone.

Now: a limit read from an answer is told to all live nodes at once, with a revision, so that all come to the same in whatever order words arrive; a digest in each heartbeat lets whoever missed a word ask for it. Each send to a limited endpoint, prompts and repeats included, first takes a permit from the limit's owner: the machinery of organisations' limits, with the subject as an organisation or an endpoint. A node that is not the first owner grants a quarter, since some nodes may miss the owner's answers while others hear them. What has no room goes to another endpoint; the node leaves the limited one alone until its turn. If no endpoint has room the request is refused at once with 503 limited and when to come back; it never ran.

An endpoint in need that refuses is not avoided for it. One whose limit ends gets its full part over 3 s. A node that is stopping no longer rules on limits, as others do not ask it.

--- a/crates/coordination/src/pool.rs
+++ b/crates/coordination/src/pool.rs
@@ -54,6 +54,11 @@
 /// after its record went, and a request may be on its way for some hundred milliseconds.
 const LAPSE_GRACE: u64 = 1_200;
 
+/// Time in which an endpoint that ceased to name a limit gets its full part again, in milliseconds, and the load of full
+/// endpoints that it is taken to have at first. It looks empty, and all nodes would send it what comes at once.
+const EASES: u64 = 3_000;
+const EASED: f64 = 0.5;
+
 /// A load report that came with an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Load {
@@ -76,6 +81,10 @@
     load: Option<(Load, Millis)>,
     /// When its record went, if it may come back.
     lapsed: Option<Millis>,
+    /// Until when its limit has no room for this node.
+    held: Millis,
+    /// When it ceased to name a limit.
+    eased: Option<Millis>,
 }
 
 impl Entry {
@@ -91,6 +100,12 @@
         here.penalty().max(here.plus(self.elsewhere.outcomes).penalty())
     }
 
+    /// Load that it is taken to have beside its own, while it comes back from need.
+    fn easing(&self, now: Millis) -> f64 {
+        let since = self.eased.map_or(EASES, |at| now.since(at));
+        EASED * EASES.saturating_sub(since) as f64 / EASES as f64
+    }
+
     /// Whether other nodes need to know what this one has there.
     fn worth_telling(&self, now: Millis) -> bool {
         let Usage { requests, tokens, .. } = self.here;
@@ -235,6 +250,8 @@
             health: Health::default(),
             load: None,
             lapsed: None,
+            held: Millis::default(),
+            eased: None,
         });
         self.tags.insert(tag, key);
     }
@@ -288,6 +305,11 @@
         if all > ALL_LOOKED_AT { near } else { all }
     }
 
+    /// Endpoints known, by their names between nodes.
+    pub fn tags(&self) -> HashSet<Tag> {
+        self.tags.keys().copied().collect()
+    }
+
     /// Endpoints known.
     pub fn len(&self) -> usize {
         self.entries.len()
@@ -312,6 +334,7 @@
         };
         let entries = self.entries.iter().filter(|(key, it)| {
             !it.endpoint.draining
+                && it.held <= now
                 && !changing(it)
                 && it.endpoint.stage == query.stage
                 && it.endpoint.service == query.service
@@ -340,7 +363,7 @@
         }
         let away = if many { FAR_PENALTY } else { DOMAIN_PENALTY };
         let scored = candidates.into_iter().map(|Candidate { key, entry, fullness }| {
-            let mut score = fullness + entry.penalty(now);
+            let mut score = fullness + entry.penalty(now) + entry.easing(now);
             if entry.endpoint.domain != self.domain {
                 score += away;
             }
@@ -405,6 +428,32 @@
         }
     }
 
+    /// Keeps requests from an endpoint for a while: its limit has no room.
+    pub fn hold_back(&mut self, key: Key, until: Millis) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.held = until;
+        }
+    }
+
+    /// Lets requests go to an endpoint again whose limit changed, or ended.
+    pub fn let_in(&mut self, tag: Tag, ended: bool, now: Millis) {
+        if let Some(entry) = self.tags.get(&tag).and_then(|key| self.entries.get_mut(*key)) {
+            entry.held = now;
+            entry.eased = ended.then_some(now);
+        }
+    }
+
+    /// Time until the first endpoint of a service and stage takes requests again, in milliseconds, if the limits of all
+    /// have no room now.
+    pub fn held_for(&self, service: &str, stage: Stage, now: Millis) -> Option<u64> {
+        let usable = self.entries.values().filter(|it| {
+            let endpoint = &it.endpoint;
+            endpoint.service == service && endpoint.stage == stage && !endpoint.draining
+        });
+        let first = usable.map(|it| it.held).min()?;
+        (first > now).then(|| first.since(now))
+    }
+
     /// What this node has at endpoints, to be told to others.
     pub fn usage(&self, now: Millis) -> Vec<(Tag, Usage)> {
         let told = self.entries.values().filter(|it| it.worth_telling(now));
--- a/crates/coordination/src/quota.rs
+++ b/crates/coordination/src/quota.rs
@@ -1,4 +1,4 @@
-//! How much of its limit an organisation may still use, over all nodes together.
+//! How much of a limit may still be used, over all nodes together: an organisation's, or one that an endpoint names.
 //!
 //! Load pattern: hundreds of nodes see a request or less a second of each organisation, until one of them sends
 //! seven times its usual. No node sees the whole, and an even share is less than one request. So each
@@ -73,9 +73,9 @@
 /// A request that is to run.
 #[derive(Clone, Copy, Debug)]
 pub struct Ask {
-    /// Whose it is.
-    pub organisation: Tag,
-    /// The organisation's limit.
+    /// Whose limit it counts against.
+    pub subject: Tag,
+    /// The limit.
     pub limit: Limit,
     /// What the request costs, in the limit's unit.
     pub cost: u32,
@@ -93,7 +93,7 @@
         /// Time until there should be room, in milliseconds.
         wait: u64,
     },
-    /// Whoever was asked sees too little of the fleet, or does not know the organisation.
+    /// Whoever was asked sees too little of the fleet, or does not know the limit.
     Unsure,
 }
 
@@ -140,7 +140,7 @@
     }
 
     fn take(&mut self, ask: Ask, share: f64, needed: f64, now: Millis) -> Verdict {
-        let Ask { organisation, limit, cost, draw } = ask;
+        let Ask { subject, limit, cost, draw } = ask;
         let cost = f64::from(cost);
         let rate = limit.rate * share;
         let spare = self.bound.spare(limit) * share;
@@ -148,7 +148,7 @@
         // A share of the burst may be less than the request; it may then be saved up within a window.
         let burst = limit.burst * share + spare * ON_TOP;
         let most = burst.max(cost.min(self.bound.earned(limit) * share));
-        let bucket = self.buckets.entry(organisation).or_insert(Bucket { level: 0.0, at: now });
+        let bucket = self.buckets.entry(subject).or_insert(Bucket { level: 0.0, at: now });
         bucket.refill(rate, most, now);
         let lacking = needed - bucket.level - overdraft;
         if lacking > 0.0 {
@@ -159,8 +159,8 @@
     }
 
     /// Takes back what a request was granted that never ran.
-    pub fn give_back(&mut self, organisation: Tag, cost: u32) {
-        if let Some(bucket) = self.buckets.get_mut(&organisation) {
+    pub fn give_back(&mut self, subject: Tag, cost: u32) {
+        if let Some(bucket) = self.buckets.get_mut(&subject) {
             bucket.level += f64::from(cost);
         }
     }
@@ -171,18 +171,18 @@
     }
 }
 
-/// Nodes that may rule on an organisation's limit, first choice first, of nodes with their tags. One that comes
-/// or goes moves the organisations of few.
-pub fn owners<T: Ord>(organisation: Tag, nodes: impl Iterator<Item = (Tag, T)>) -> Vec<T> {
-    let mut owners = ranked(organisation, nodes);
+/// Nodes that may rule on a limit, first choice first, of nodes with their tags. One that comes
+/// or goes moves few limits.
+pub fn owners<T: Ord>(subject: Tag, nodes: impl Iterator<Item = (Tag, T)>) -> Vec<T> {
+    let mut owners = ranked(subject, nodes);
     owners.truncate(OWNERS);
     owners
 }
 
-/// Nodes by their weight for an organisation, the highest first.
-pub fn ranked<T: Ord>(organisation: Tag, nodes: impl Iterator<Item = (Tag, T)>) -> Vec<T> {
+/// Nodes by their weight for a limit, the highest first.
+pub fn ranked<T: Ord>(subject: Tag, nodes: impl Iterator<Item = (Tag, T)>) -> Vec<T> {
     let mut ranked: Vec<_> =
-        nodes.map(|(tag, node)| (hash::weight(organisation.0, tag.0), node)).collect();
+        nodes.map(|(tag, node)| (hash::weight(subject.0, tag.0), node)).collect();
     ranked.sort_unstable_by(|one, other| other.cmp(one));
     ranked.into_iter().map(|(_, node)| node).collect()
 }
--- a/crates/coordination/tests/quota.rs
+++ b/crates/coordination/tests/quota.rs
@@ -104,7 +104,7 @@
 
     fn granted(&mut self, at: usize, cost: u32, now: u64) -> bool {
         let draw = self.random.random();
-        let ask = Ask { organisation: ORGANISATION, limit: self.limit, cost, draw };
+        let ask = Ask { subject: ORGANISATION, limit: self.limit, cost, draw };
         if self.way == Way::Owner {
             for owner in self.owners(at, now) {
                 let reached = owner == at || !(self.away(owner, now) || self.away(at, now));
@@ -199,7 +199,7 @@
                 if fleet.nodes[at].killed && fleet.away(at, now) {
                     continue;
                 }
-                let ask = Ask { organisation: ORGANISATION, limit: self.limit, cost, draw: 0.5 };
+                let ask = Ask { subject: ORGANISATION, limit: self.limit, cost, draw: 0.5 };
                 let rightful = whole.rule(ask, 1.0, Millis(now)) == Verdict::Granted;
                 let granted = fleet.granted(at, cost, now);
                 outcome.rightful += if rightful { f64::from(cost) } else { 0.0 };
@@ -272,7 +272,7 @@
 fn what_never_ran_is_given_back() {
     let mut quota = Quota::new(Bound { window: 8_000, ..Bound::default() });
     let limit = Limit { rate: 100.0, burst: 100.0 };
-    let ask = Ask { organisation: ORGANISATION, limit, cost: 100, draw: 0.0 };
+    let ask = Ask { subject: ORGANISATION, limit, cost: 100, draw: 0.0 };
     let rule = |quota: &mut Quota, now| quota.rule(ask, 1.0, Millis(now));
     assert_eq!(rule(&mut quota, 0), Verdict::Over { wait: 1_000 });
     assert_eq!(rule(&mut quota, 1_000), Verdict::Granted);
@@ -284,7 +284,7 @@
 #[rstest]
 fn an_owner_that_sees_less_than_half_of_the_fleet_rules_on_nothing() {
     let mut quota = Quota::new(BOUND);
-    let ask = Ask { organisation: ORGANISATION, limit: SMALL, cost: 1, draw: 0.0 };
+    let ask = Ask { subject: ORGANISATION, limit: SMALL, cost: 1, draw: 0.0 };
     assert_eq!(quota.rule(ask, 0.49, Millis(0)), Verdict::Unsure);
     assert_eq!(quota.rule(ask, 0.5, Millis(0)), Verdict::Granted);
 }
--- a/crates/crosslane/src/explain.rs
+++ b/crates/crosslane/src/explain.rs
@@ -70,7 +70,14 @@
             return format!("no ending: its node was killed or dropped the line, after {last}");
         };
         let ending = text(ended, "ending");
-        let trouble = [event::ATTEMPT, event::SILENT, event::RESERVE, event::STRUCK, event::BARRED];
+        let trouble = [
+            event::ATTEMPT,
+            event::HELD_BACK,
+            event::SILENT,
+            event::RESERVE,
+            event::STRUCK,
+            event::BARRED,
+        ];
         let before = self.lines.iter().rfind(|it| trouble.contains(&it.event.as_str()));
         let took = text(ended, "took_ms");
         match (ending.as_str(), before) {
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -48,6 +48,8 @@
 pub const OVER_QUOTA: &str = "over_quota";
 /// An endpoint names a limit for all nodes together, another one, or none any more.
 pub const LIMIT: &str = "limit";
+/// A request was kept from an endpoint whose limit has no room.
+pub const HELD_BACK: &str = "held_back";
 /// A run was moved away from a leaving engine, or was not.
 pub const MOVE: &str = "move";
 /// A request ended.
@@ -58,7 +60,7 @@
 pub const DROPPED: &str = "dropped";
 
 /// Every event.
-pub const EVENTS: [&str; 28] = [
+pub const EVENTS: [&str; 29] = [
     START,
     STOP,
     SUSPENDED,
@@ -83,6 +85,7 @@
     BARRED,
     OVER_QUOTA,
     LIMIT,
+    HELD_BACK,
     MOVE,
     REQUEST,
     SKIPPED,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -84,6 +84,9 @@
     /// The endpoint says that it did not run it.
     #[display("refused")]
     Refused,
+    /// It was not sent: the endpoint's limit has no room.
+    #[display("limited")]
+    Limited,
     /// It was sent, and no usable answer came.
     #[display("broken")]
     Broken,
@@ -124,6 +127,8 @@
     tokens: u32,
     /// Load for which the endpoint was chosen, as a share of a full one.
     load: f64,
+    /// What it took of the endpoint's limit, once it has.
+    permit: Option<Grant>,
 }
 
 impl Seat {
@@ -131,7 +136,20 @@
     pub fn take(node: &Arc<Node>, (key, load): (Key, f64), tokens: u32) -> Self {
         node.pool().enter(key, tokens);
         node.updated.notify_one();
-        Self { node: node.clone(), key, tokens, load }
+        Self { node: node.clone(), key, tokens, load, permit: None }
+    }
+
+    /// Takes its part of the limit that the endpoint names, if it names one.
+    pub async fn admit(&mut self, request: &str) -> Result<(), Failure> {
+        if self.permit.is_none() {
+            self.permit = Some(limit::admit(&self.node, self.key, request).await?);
+        }
+        Ok(())
+    }
+
+    /// Goes on at an endpoint that has the run already: it is no new one there.
+    pub fn excuse(&mut self) {
+        self.permit = Some(Grant::unlimited(&self.node));
     }
 
     /// Notes how the request ended.
@@ -219,7 +237,7 @@
 /// Sends a call to an endpoint and waits for the answer's head.
 pub async fn send(
     call: &Call,
-    seat: Seat,
+    mut seat: Seat,
     purpose: &Purpose<'_>,
     until: Instant,
 ) -> Result<Answer, Failure> {
@@ -227,6 +245,7 @@
     let Some(endpoint) = node.pool().get(seat.key).cloned() else {
         return Err(Failure::Unsent);
     };
+    seat.admit(&call.ask.id).await?;
     let mut trial = quarantine::admit(&node, call, &endpoint, purpose)?;
     placed(&node, call, &seat, &endpoint, purpose);
     let sent = node.now();
@@ -238,6 +257,9 @@
             call.grant.unsent();
         }
     };
+    seat.permit.iter().for_each(|it| {
+        it.sent();
+    });
     let attempt = attempt(call, &endpoint, purpose, until).await;
     let (connection, parts, body) = match attempt {
         Ok(answered) => answered,
@@ -245,6 +267,7 @@
             let failure = Failure::from(&error);
             if !failure.may_have_run() {
                 unsent();
+                seat.permit.iter().for_each(Grant::unsent);
             }
             seat.note(outcome(&error));
             told(call, &endpoint, failure, &error.to_string());
@@ -266,7 +289,10 @@
         if !failure.may_have_run() {
             unsent();
         }
-        seat.note(outcome);
+        // An endpoint in need that refuses keeps to its limit; it is not to be avoided for that.
+        if failure != Failure::Refused || node.limits().rate(endpoint.tag()).is_none() {
+            seat.note(outcome);
+        }
         told(call, &endpoint, failure, &parts.status.to_string());
         return Err(failure);
     }
@@ -367,6 +393,7 @@
     fn from(failure: Failure) -> Self {
         match failure {
             Failure::Unsent => Self::Unreachable,
+            Failure::Limited => Self::Limited,
             Failure::Refused => Self::Refused,
             Failure::Broken | Failure::Timeout => Self::Broken,
             Failure::OnTrial | Failure::ShutOut => Self::Barred,
@@ -378,6 +405,7 @@
     fn from(failure: Failure) -> Self {
         match failure {
             Failure::Unsent => Self::NoEndpoint,
+            Failure::Limited => Self::Limited,
             Failure::Refused => Self::Refused,
             Failure::Broken => Self::Broken,
             Failure::Timeout => Self::Timeout,
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -6,6 +6,7 @@
 
 use crate::mirror::Ends;
 use crosslane_coordination::heartbeat::{self, FEW, Interval};
+use crosslane_coordination::limits::Word as LimitWord;
 use crosslane_coordination::quarantine;
 use crosslane_coordination::quota;
 use crosslane_coordination::usage::Usage;
@@ -47,6 +48,26 @@
     pub usage: Vec<(Tag, Usage)>,
     /// Stages that it ordered engines to take, until they have.
     pub changing: Vec<(Tag, Stage)>,
+    /// Digest of the limits that endpoints name, as it knows them.
+    pub limits: u64,
+}
+
+/// Whose limit a request counts against.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Subject {
+    /// An organisation's, as configured.
+    Organisation(Tag),
+    /// An endpoint's, as it names it.
+    Endpoint(Tag),
+}
+
+impl Subject {
+    /// Name between nodes.
+    pub fn tag(self) -> Tag {
+        match self {
+            Self::Organisation(tag) | Self::Endpoint(tag) => tag,
+        }
+    }
 }
 
 /// What nodes send each other by UDP.
@@ -80,26 +101,37 @@
     },
     /// Asks for all rulings.
     RulingsWanted,
-    /// Asks an organisation's owner whether a request may run.
+    /// Limits that endpoints name, as the sender knows them.
+    Limits {
+        /// By endpoint.
+        words: Vec<(Tag, LimitWord)>,
+    },
+    /// Asks for all limits that endpoints name.
+    LimitsWanted,
+    /// Asks a limit's owner whether a request may be sent.
     Ask {
         /// Number of the question.
         number: u32,
-        /// Whose request it is.
-        organisation: Tag,
+        /// Whose limit.
+        subject: Subject,
         /// What it costs.
         cost: u32,
+        /// The limit as the sender knows it, if an endpoint names it.
+        word: Option<LimitWord>,
     },
     /// An owner's answer.
     Ruled {
         /// Number of the question.
         number: u32,
+        /// Whose limit.
+        subject: Subject,
         /// Answer.
         verdict: quota::Verdict,
     },
-    /// Gives back what was granted for a request that never ran.
+    /// Gives back what was granted and not used.
     GivenBack {
-        /// Whose request it was.
-        organisation: Tag,
+        /// Whose limit.
+        subject: Subject,
         /// What it would have cost.
         cost: u32,
     },
@@ -288,11 +320,10 @@
         1 + self.members.values().filter(spends).count()
     }
 
-    /// Nodes that may rule on an organisation's limit, first choice first, among all that live and are not
-    /// stopping.
-    pub fn owners(&self, organisation: Tag, now: Millis) -> Vec<IpAddr> {
+    /// Nodes that may rule on a limit, first choice first, among all that live and are not stopping.
+    pub fn owners(&self, subject: Tag, now: Millis) -> Vec<IpAddr> {
         let others = self.live(now).filter(|(_, it)| it.steady).map(|(ip, it)| (it.tag, *ip));
-        quota::owners(organisation, others.chain([(Tag::of(&self.vm), self.me)]))
+        quota::owners(subject, others.chain([(Tag::of(&self.vm), self.me)]))
     }
 
     /// Nodes that this one sees, and those that may serve callers, this one among both. Until this node has
--- a/crates/gateway/src/meter.rs
+++ b/crates/gateway/src/meter.rs
@@ -19,6 +19,8 @@
 pub enum Retry {
     /// No connection.
     Unreachable,
+    /// The endpoint's limit had no room.
+    Limited,
     /// The endpoint said that it did not run it.
     Refused,
     /// The endpoint broke off.
@@ -34,8 +36,9 @@
 }
 
 /// Every retry reason with its name.
-pub const RETRIES: [(Retry, &str); 7] = [
+pub const RETRIES: [(Retry, &str); 8] = [
     (Retry::Unreachable, "unreachable"),
+    (Retry::Limited, "limited"),
     (Retry::Refused, "refused"),
     (Retry::Broken, "broken"),
     (Retry::Error, "error"),
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -4,14 +4,14 @@
 use crate::control::Control;
 use crate::directory::Directory;
 use crate::event;
-use crate::members::Members;
+use crate::members::{Members, Subject};
 use crate::meter::Meter;
 use crate::mirror::{Change, Ends, Mirror, Topic};
 use crate::quarantine::Checks;
 use crate::quota::Desk;
 use crosslane_coordination::admission::Patience;
 use crosslane_coordination::allowance::{Allowance, Budget};
-use crosslane_coordination::limits::Limits;
+use crosslane_coordination::limits::{self, Limits, Queues};
 use crosslane_coordination::pace::Pace;
 use crosslane_coordination::pool::Pool;
 use crosslane_coordination::quarantine::Quarantine;
@@ -90,6 +90,8 @@
     pub gained: Notify,
     /// Wakes what tells others of requests under which endpoints ended.
     pub suspected: Notify,
+    /// Wakes what tells others of limits that endpoints name.
+    pub limited: Notify,
     /// Wakes what writes rulings to the store.
     pub ruled: Notify,
     /// Looks at endpoints that broke something off.
@@ -98,6 +100,8 @@
     pub rulings_read: AtomicBool,
     /// Organisations' limits.
     pub quota: Desk,
+    /// Limits that endpoints name.
+    pub throttle: Desk,
     /// Socket for messages between nodes, once it is bound.
     pub socket: OnceLock<Arc<UdpSocket>>,
     /// Wakes what waits for a newer configuration.
@@ -120,6 +124,8 @@
     patience: Mutex<HashMap<String, Patience>>,
     quarantine: Mutex<Quarantine>,
     limits: Mutex<Limits>,
+    /// Requests that wait for room under limits that this node owns.
+    pub queues: Mutex<Queues>,
 }
 
 impl Node {
@@ -141,10 +147,12 @@
             told: watch::Sender::default(),
             gained: Notify::new(),
             suspected: Notify::new(),
+            limited: Notify::new(),
             ruled: Notify::new(),
             checks: Checks::default(),
             rulings_read: AtomicBool::new(false),
             quota: Desk::new(settings.quota),
+            throttle: Desk::new(limits::BOUND),
             socket: OnceLock::new(),
             in_force: Notify::new(),
             stopping: watch::Sender::new(None),
@@ -161,6 +169,7 @@
             patience: Mutex::default(),
             quarantine: Mutex::new(Quarantine::new(Tag::of(&settings.vm))),
             limits: Mutex::default(),
+            queues: Mutex::default(),
             settings,
         })
     }
@@ -205,6 +214,14 @@
         lock(&self.quarantine)
     }
 
+    /// Where it is decided what may be used of a limit.
+    pub fn desk(&self, subject: Subject) -> &Desk {
+        match subject {
+            Subject::Organisation(_) => &self.quota,
+            Subject::Endpoint(_) => &self.throttle,
+        }
+    }
+
     /// Limits that endpoints name.
     pub fn limits(&self) -> MutexGuard<'_, Limits> {
         lock(&self.limits)
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -15,12 +15,14 @@
 use crate::members::{Heartbeat, Message, Scope};
 use crate::mirror::{Part, Topic};
 use crate::node::{Node, lock};
-use crate::{pull, quarantine, quota};
+use crate::{limit, pull, quarantine, quota};
 use crosslane_coordination::heartbeat::FAR_EVERY;
+use crosslane_coordination::limits;
 use crosslane_coordination::quarantine::Word;
 use crosslane_platform::store::Client;
 use crosslane_state::endpoint::Tag;
 use crosslane_state::fingerprint::Fingerprint;
+use crosslane_state::time::Millis;
 use futures::StreamExt;
 use log::{debug, warn};
 use rand::seq::IndexedRandom;
@@ -56,10 +58,14 @@
 /// that have it multiply with each round, while each has room on its link for a few.
 const NEWS_TO: usize = 8;
 
+/// Pause after limits were told: what changes meanwhile goes into one message, also when endpoints name another limit in
+/// each answer.
+const LIMITS_PAUSE: Duration = Duration::from_millis(20);
+
 /// Words in a datagram: some 100 bytes each.
 const WORDS: usize = 200;
 
-/// Time between two questions for rulings, in milliseconds: hundreds of nodes may know the same that this
+/// Time between two questions for rulings, or for limits, in milliseconds: hundreds of nodes may know the same that this
 /// one lacks.
 const ASK_PAUSE: u64 = 300;
 
@@ -132,6 +138,7 @@
     tokio::spawn(tell_updates(node.clone(), socket.clone()));
     tokio::spawn(tell_news(node.clone(), socket.clone()));
     tokio::spawn(tell_words(node.clone(), socket.clone()));
+    tokio::spawn(tell_limits(node.clone(), socket.clone()));
     tokio::spawn(pull::follow_endpoints(node.clone()));
     tokio::spawn(pull::follow_configuration(node.clone()));
     listen(node, socket).await
@@ -194,6 +201,7 @@
 fn heartbeat(node: &Node) -> Heartbeat {
     let now = node.now();
     let ends = node.mirror().ends();
+    let limits = node.limits().digest();
     let (usage, changing) = {
         let pool = node.pool();
         (pool.usage(now), pool.changing(now))
@@ -208,6 +216,7 @@
         ends,
         usage,
         changing,
+        limits,
     }
 }
 
@@ -289,6 +298,32 @@
     }
 }
 
+/// Tells others at once of limits that endpoints begin to name, change or no longer name.
+async fn tell_limits(node: Arc<Node>, socket: Arc<UdpSocket>) {
+    loop {
+        node.limited.notified().await;
+        let news = node.limits().news();
+        let live = lock(&node.members).addresses(Scope::Live, node.now());
+        send_limits(&node, &socket, news.all, &live).await;
+        for (endpoint, word) in news.owners {
+            let owners = lock(&node.members).owners(endpoint, node.now());
+            send_limits(&node, &socket, vec![(endpoint, word)], &owners).await;
+        }
+        sleep(LIMITS_PAUSE).await;
+    }
+}
+
+async fn send_limits(
+    node: &Node,
+    socket: &UdpSocket,
+    words: Vec<(Tag, limits::Word)>,
+    addresses: &[IpAddr],
+) {
+    for words in words.chunks(WORDS) {
+        send(node, socket, &Message::Limits { words: words.to_vec() }, addresses).await;
+    }
+}
+
 /// Tells which rulings this node knows, if any, so that whoever missed one asks for it.
 async fn tell_rulings(node: &Node, socket: &UdpSocket, addresses: &[IpAddr]) {
     let digest = node.quarantine().digest();
@@ -338,6 +373,7 @@
 async fn listen(node: Arc<Node>, socket: Arc<UdpSocket>) -> io::Result<()> {
     let mut buffer = vec![0; DATAGRAM];
     let mut asked = None;
+    let mut limits_asked = None;
     loop {
         let (length, from) = match socket.recv_from(&mut buffer).await {
             Ok(received) => received,
@@ -348,7 +384,13 @@
             }
         };
         match bincode::deserialize(&buffer[..length]) {
-            Ok(Message::Heartbeat(heard)) => hear(&node, &socket, from.ip(), heard).await,
+            Ok(Message::Heartbeat(heard)) => {
+                let differs = heard.limits != node.limits().digest();
+                hear(&node, &socket, from.ip(), heard).await;
+                if differs && due(&mut limits_asked, node.now()) {
+                    send(&node, &socket, &Message::LimitsWanted, &[from.ip()]).await;
+                }
+            }
             Ok(Message::Update { vm, usage }) => node.pool().update(vm, &usage),
             Ok(Message::News { ends }) => {
                 lock(&node.members).hear_news(from.ip(), ends);
@@ -356,23 +398,27 @@
             }
             Ok(Message::Words { vm, words }) => quarantine::hear(&node, vm, words),
             Ok(Message::Rulings { digest }) => {
-                let due = asked.is_none_or(|at| node.now().since(at) >= ASK_PAUSE);
-                if due && digest != node.quarantine().digest() {
-                    asked = Some(node.now());
+                if digest != node.quarantine().digest() && due(&mut asked, node.now()) {
                     send(&node, &socket, &Message::RulingsWanted, &[from.ip()]).await;
                 }
             }
-            Ok(Message::Ask { number, organisation, cost }) => {
-                let answer = quota::answer(&node, number, organisation, cost);
+            Ok(Message::Limits { words }) => limit::hear(&node, &words, from.ip()),
+            Ok(Message::LimitsWanted) => {
+                let words = node.limits().words();
+                send_limits(&node, &socket, words, &[from.ip()]).await;
+            }
+            Ok(Message::Ask { number, subject, cost, word }) => {
+                limit::hear_asker(&node, subject, word, from.ip());
+                let answer = quota::answer(&node, number, subject, cost);
                 post(&node, &answer, from.ip());
             }
-            Ok(Message::Ruled { number, verdict }) => {
-                if let Some((organisation, cost)) = node.quota.hear(number, verdict) {
-                    post(&node, &Message::GivenBack { organisation, cost }, from.ip());
+            Ok(Message::Ruled { number, subject, verdict }) => {
+                if let Some((subject, cost)) = node.desk(subject).hear(number, verdict) {
+                    post(&node, &Message::GivenBack { subject, cost }, from.ip());
                 }
             }
-            Ok(Message::GivenBack { organisation, cost }) => {
-                node.quota.hear_back(organisation, cost);
+            Ok(Message::GivenBack { subject, cost }) => {
+                node.desk(subject).hear_back(subject, cost);
             }
             Ok(Message::RulingsWanted) => send_rulings(&node, &socket, from.ip()).await,
             Err(error) => warn!(from:% = from, why:% = error; "{}", event::SKIPPED),
@@ -380,6 +426,15 @@
     }
 }
 
+/// Whether it is time to ask again for what this node lacks.
+fn due(asked: &mut Option<Millis>, now: Millis) -> bool {
+    let due = asked.is_none_or(|at| now.since(at) >= ASK_PAUSE);
+    if due {
+        *asked = Some(now);
+    }
+    due
+}
+
 /// Takes a heartbeat; one that is new to this node hears of it at once.
 async fn hear(node: &Node, socket: &UdpSocket, from: IpAddr, heard: Heartbeat) {
     let word = lock(&node.members).hear(from, &heard, node.now());
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -2,6 +2,7 @@
 
 use crate::event;
 use crate::exchange::{self, Answer, Call, Failure, Seat};
+use crate::limit;
 use crate::meter::{Meter, Retry};
 use crate::node::{Node, Reply};
 use crate::quarantine;
@@ -79,7 +80,7 @@
             break;
         }
     }
-    kept.ok_or_else(|| refusal(last))
+    kept.ok_or_else(|| refusal(node, service, last))
 }
 
 /// An endpoint's answer.
@@ -229,9 +230,12 @@
 }
 
 /// Says when to come back if the request has not run.
-fn refusal(reason: Reason) -> Refusal {
+fn refusal(node: &Node, service: &str, reason: Reason) -> Refusal {
     match reason {
         Reason::Broken | Reason::Timeout => reason.into(),
+        Reason::NoEndpoint | Reason::Limited => {
+            limit::refusal(node, service, Stage::Plain).unwrap_or(Refusal::later(reason, COME_BACK))
+        }
         _ => Refusal::later(reason, COME_BACK),
     }
 }
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -1,16 +1,18 @@
-//! Asks an organisation's owner whether a request may run, and answers as an owner.
+//! Asks a limit's owner whether a request may be sent, and answers as an owner.
 //!
-//! What is decided stands in `coordination::quota`. The owner is the same at all nodes that hear of the same
+//! A limit is an organisation's, or one that an endpoint names (`limit`). What is decided stands in `coordination::quota`. The owner is the same at all nodes that hear of the same
 //! others, without agreement; one that does not answer is passed over for a while, and the next one asked.
 
 use crate::event;
-use crate::members::Message;
+use crate::limit;
+use crate::members::{Message, Subject};
 use crate::node::{Node, lock};
 use crate::peers;
 use crate::refusal::{Reason, Refusal};
+use crosslane_coordination::limits;
 use crosslane_coordination::quota::{Ask, Bound, Quota, Verdict};
 use crosslane_state::endpoint::Tag;
-use crosslane_state::organisation::Organisation;
+use crosslane_state::organisation::{Limit, Organisation};
 use crosslane_state::time::Millis;
 use derive_more::Display;
 use log::info;
@@ -48,7 +50,7 @@
 #[derive(Debug)]
 struct Question {
     waiting: oneshot::Sender<Verdict>,
-    organisation: Tag,
+    subject: Subject,
     cost: u32,
     asked: Millis,
 }
@@ -80,27 +82,27 @@
     /// Notes a question to an owner; its number, and where the answer comes.
     pub fn ask(
         &self,
-        organisation: Tag,
+        subject: Subject,
         cost: u32,
         asked: Millis,
     ) -> (u32, oneshot::Receiver<Verdict>) {
         let number = self.next.fetch_add(1, Ordering::Relaxed);
         let (waiting, answer) = oneshot::channel();
-        lock(&self.pending).insert(number, Question { waiting, organisation, cost, asked });
+        lock(&self.pending).insert(number, Question { waiting, subject, cost, asked });
         (number, answer)
     }
 
     /// Takes an owner's answer. What it granted to a request that waits no longer is to be given back: whose,
     /// and how much.
-    pub fn hear(&self, number: u32, verdict: Verdict) -> Option<(Tag, u32)> {
-        let Question { waiting, organisation, cost, .. } = lock(&self.pending).remove(&number)?;
+    pub fn hear(&self, number: u32, verdict: Verdict) -> Option<(Subject, u32)> {
+        let Question { waiting, subject, cost, .. } = lock(&self.pending).remove(&number)?;
         let unheard = waiting.send(verdict).is_err();
-        (unheard && verdict == Verdict::Granted).then_some((organisation, cost))
+        (unheard && verdict == Verdict::Granted).then_some((subject, cost))
     }
 
     /// Takes back what another node was granted and did not use.
-    pub fn hear_back(&self, organisation: Tag, cost: u32) {
-        lock(&self.owned).give_back(organisation, cost);
+    pub fn hear_back(&self, subject: Subject, cost: u32) {
+        lock(&self.owned).give_back(subject.tag(), cost);
     }
 
     /// Forgets what is over.
@@ -112,45 +114,54 @@
     }
 }
 
-/// What a request took of its organisation's limit; given back when dropped, unless the request ran.
+/// What a request took of a limit; given back when dropped, unless the request was sent.
 #[derive(Debug)]
 pub struct Grant {
     node: Arc<Node>,
     taken: Option<Taken>,
-    ran: AtomicBool,
+    sent: AtomicBool,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Taken {
-    organisation: Tag,
+    subject: Subject,
     cost: u32,
     source: Source,
 }
 
 impl Grant {
-    /// Notes that the request is sent to an endpoint to run there; whether it was before.
+    /// Of no limit.
+    pub fn unlimited(node: &Arc<Node>) -> Self {
+        Self::new(node, None)
+    }
+
+    fn new(node: &Arc<Node>, taken: Option<Taken>) -> Self {
+        Self { node: node.clone(), taken, sent: AtomicBool::new(false) }
+    }
+
+    /// Notes that the request is sent; whether it was before.
     pub fn sent(&self) -> bool {
-        self.ran.swap(true, Ordering::Relaxed)
+        self.sent.swap(true, Ordering::Relaxed)
     }
 
-    /// Notes that it did not run there after all, nor before.
+    /// Notes that it does not count after all, nor before.
     pub fn unsent(&self) {
-        self.ran.store(false, Ordering::Relaxed);
+        self.sent.store(false, Ordering::Relaxed);
     }
 }
 
 impl Drop for Grant {
     fn drop(&mut self) {
-        let unused = !self.ran.load(Ordering::Relaxed);
-        let Some(Taken { organisation, cost, source }) = self.taken.filter(|_| unused) else {
+        let unused = !self.sent.load(Ordering::Relaxed);
+        let Some(Taken { subject, cost, source }) = self.taken.filter(|_| unused) else {
             return;
         };
-        let desk = &self.node.quota;
+        let desk = self.node.desk(subject);
         match source {
-            Source::Alone => lock(&desk.alone).give_back(organisation, cost),
-            Source::Owner(ip) if ip == self.node.settings.ip => desk.hear_back(organisation, cost),
+            Source::Alone => lock(&desk.alone).give_back(subject.tag(), cost),
+            Source::Owner(ip) if ip == self.node.settings.ip => desk.hear_back(subject, cost),
             Source::Owner(ip) => {
-                peers::post(&self.node, &Message::GivenBack { organisation, cost }, ip);
+                peers::post(&self.node, &Message::GivenBack { subject, cost }, ip);
             }
         }
     }
@@ -163,68 +174,129 @@
     tokens: Option<u32>,
     request: &str,
 ) -> Result<Grant, Refusal> {
-    let grant = |taken| Grant { node: node.clone(), taken, ran: AtomicBool::new(false) };
     let limited = organisation.and_then(|it| it.limit.map(|limit| (it, limit)));
     let Some((organisation, limit)) = limited else {
-        return Ok(grant(None));
+        return Ok(Grant::unlimited(node));
     };
     let cost = organisation.unit.cost(tokens);
-    let ask = Ask { organisation: organisation.tag(), limit, cost, draw: rand::random() };
-    let (verdict, source) = rule(node, ask).await;
-    let Verdict::Over { wait } = verdict else {
-        return Ok(grant(Some(Taken { organisation: ask.organisation, cost, source })));
-    };
-    let (name, wait_ms) = (organisation.name.as_str(), wait);
-    info!(request, organisation = name, cost, source:%, wait_ms; "{}", event::OVER_QUOTA);
-    Err(Refusal::later(Reason::OverQuota, Duration::from_millis(wait)))
+    let subject = Subject::Organisation(organisation.tag());
+    match ask(node, subject, limit, cost).await {
+        Ok(grant) => Ok(grant),
+        Err(Over { wait_ms, source }) => {
+            let organisation = organisation.name.as_str();
+            info!(request, organisation, cost, source:%, wait_ms; "{}", event::OVER_QUOTA);
+            Err(Refusal::later(Reason::OverQuota, Duration::from_millis(wait_ms)))
+        }
+    }
+}
+
+/// What is asked for is over a limit.
+#[derive(Clone, Copy, Debug)]
+pub struct Over {
+    /// Time until there should be room, in milliseconds.
+    pub wait_ms: u64,
+    /// Who ruled so.
+    pub source: Source,
+}
+
+/// Takes something from a limit, as its owner rules.
+pub async fn ask(
+    node: &Arc<Node>,
+    subject: Subject,
+    limit: Limit,
+    cost: u32,
+) -> Result<Grant, Over> {
+    let ask = Ask { subject: subject.tag(), limit, cost, draw: rand::random() };
+    let (verdict, source) = rule(node, subject, ask).await;
+    if let Verdict::Over { wait: wait_ms } = verdict {
+        return Err(Over { wait_ms, source });
+    }
+    Ok(Grant::new(node, Some(Taken { subject, cost, source })))
 }
 
 /// What the owner says, the next one in its place, or this node alone.
-async fn rule(node: &Arc<Node>, ask: Ask) -> (Verdict, Source) {
-    let owners = lock(&node.members).owners(ask.organisation, node.now());
+async fn rule(node: &Arc<Node>, subject: Subject, ask: Ask) -> (Verdict, Source) {
+    let owners = owners(node, subject);
+    let desk = node.desk(subject);
     for owner in owners {
-        let silent = lock(&node.quota.silent).get(&owner).copied();
+        let silent = lock(&desk.silent).get(&owner).copied();
         if silent.is_some_and(|at| node.now().since(at) < PASSED_OVER) {
             continue;
         }
         let verdict = if owner == node.settings.ip {
-            Some(own(node, ask))
+            Some(own(node, subject, ask))
         } else {
-            question(node, ask, owner).await
+            question(node, subject, ask, owner).await
         };
         match verdict {
             Some(Verdict::Unsure) => {}
             Some(verdict) => return (verdict, Source::Owner(owner)),
             None => {
-                lock(&node.quota.silent).insert(owner, node.now());
+                lock(&desk.silent).insert(owner, node.now());
             }
         }
     }
     let (_, known) = lock(&node.members).seen(node.now());
     let share = 1.0 / known as f64;
-    (lock(&node.quota.alone).rule_alone(ask, share, node.now()), Source::Alone)
+    (lock(&desk.alone).rule_alone(ask, share, node.now()), Source::Alone)
+}
+
+/// Nodes that may rule on a limit, first choice first. Others no longer ask a node that is stopping, so it does not rule
+/// either.
+fn owners(node: &Node, subject: Subject) -> Vec<IpAddr> {
+    let mut owners = lock(&node.members).owners(subject.tag(), node.now());
+    if node.stopping.borrow().is_some() {
+        owners.retain(|it| *it != node.settings.ip);
+    }
+    owners
 }
 
-/// Rules on a request as its organisation's owner.
-fn own(node: &Node, ask: Ask) -> Verdict {
-    let (seen, known) = lock(&node.members).seen(node.now());
-    lock(&node.quota.owned).rule(ask, seen as f64 / known as f64, node.now())
+/// Rules on a request as the limit's owner, or in the owner's place.
+fn own(node: &Node, subject: Subject, mut ask: Ask) -> Verdict {
+    let now = node.now();
+    let first = owners(node, subject).first() == Some(&node.settings.ip);
+    if matches!(subject, Subject::Endpoint(_)) && !first {
+        ask.limit = limits::deputy(ask.limit);
+    }
+    let (seen, known) = lock(&node.members).seen(now);
+    let share = seen as f64 / known as f64;
+    let verdict = lock(&node.desk(subject).owned).rule(ask, share, now);
+    match (subject, verdict) {
+        (Subject::Endpoint(endpoint), Verdict::Over { wait }) => {
+            let wait = lock(&node.queues).join(endpoint, ask.limit.rate, wait, now);
+            Verdict::Over { wait }
+        }
+        _ => verdict,
+    }
 }
 
-async fn question(node: &Node, ask: Ask, owner: IpAddr) -> Option<Verdict> {
-    let Ask { organisation, cost, .. } = ask;
-    let (number, answer) = node.quota.ask(organisation, cost, node.now());
-    peers::post(node, &Message::Ask { number, organisation, cost }, owner);
+async fn question(node: &Node, subject: Subject, ask: Ask, owner: IpAddr) -> Option<Verdict> {
+    let cost = ask.cost;
+    let word = match subject {
+        Subject::Organisation(_) => None,
+        Subject::Endpoint(endpoint) => node.limits().word(endpoint),
+    };
+    let (number, answer) = node.desk(subject).ask(subject, cost, node.now());
+    peers::post(node, &Message::Ask { number, subject, cost, word }, owner);
     timeout(ANSWER, answer).await.ok()?.ok()
 }
 
 /// Answers another node's question.
-pub fn answer(node: &Node, number: u32, organisation: Tag, cost: u32) -> Message {
-    let table = node.table();
-    let known = table.as_ref().and_then(|it| it.organisations.as_ref()?.named(organisation));
-    let limit = known.and_then(|it| it.limit);
-    let verdict = limit.map_or(Verdict::Unsure, |limit| {
-        own(node, Ask { organisation, limit, cost, draw: rand::random() })
+pub fn answer(node: &Node, number: u32, subject: Subject, cost: u32) -> Message {
+    let (limit, without) = match subject {
+        Subject::Organisation(organisation) => (configured(node, organisation), Verdict::Unsure),
+        // It names none any more, which the asker is told besides.
+        Subject::Endpoint(endpoint) => (limit::of(node, endpoint), Verdict::Granted),
+    };
+    let verdict = limit.map_or(without, |limit| {
+        let ask = Ask { subject: subject.tag(), limit, cost, draw: rand::random() };
+        own(node, subject, ask)
     });
-    Message::Ruled { number, verdict }
+    Message::Ruled { number, subject, verdict }
+}
+
+/// An organisation's limit.
+fn configured(node: &Node, organisation: Tag) -> Option<Limit> {
+    let table = node.table()?;
+    table.organisations.as_ref()?.named(organisation)?.limit
 }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -45,11 +45,13 @@
     UnknownKey,
     /// The caller's organisation is over its limit.
     OverQuota,
+    /// The limits of all endpoints that could serve it have no room.
+    Limited,
 }
 
 /// Every reason with its name and its status. Where the status is 408, 429 or 503 the request has
 /// not run.
-pub const REASONS: [(Reason, &str, StatusCode); 16] = [
+pub const REASONS: [(Reason, &str, StatusCode); 17] = [
     (Reason::NoId, "no_id", StatusCode::BAD_REQUEST),
     (Reason::NoRoute, "no_route", StatusCode::NOT_FOUND),
     (Reason::TooLong, "too_long", StatusCode::PAYLOAD_TOO_LARGE),
@@ -66,6 +68,7 @@
     (Reason::NoKey, "no_key", StatusCode::UNAUTHORIZED),
     (Reason::UnknownKey, "unknown_key", StatusCode::UNAUTHORIZED),
     (Reason::OverQuota, "over_quota", StatusCode::TOO_MANY_REQUESTS),
+    (Reason::Limited, "limited", StatusCode::SERVICE_UNAVAILABLE),
 ];
 
 impl Reason {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -17,7 +17,7 @@
 use crosslane_coordination::health::Outcome;
 use crosslane_platform::ask::Purpose;
 use crosslane_platform::engine::{self, Move};
-use crosslane_state::endpoint::{Endpoint, Key};
+use crosslane_state::endpoint::Endpoint;
 use crosslane_state::route::Kind;
 use crosslane_transport::http::BodyError;
 use http_body_util::combinators::BoxBody;
@@ -59,7 +59,7 @@
     End,
     Broken(&'static str),
     /// The engine is silent, and memory for the next attempt is there.
-    Silent(Hold),
+    Silent(Box<Hold>),
 }
 
 type Item = (Result<Frame<Bytes>, BodyError>, Relay);
@@ -102,7 +102,7 @@
                 }
                 Piece::Silent(spare) => {
                     self.judge().await;
-                    self.run.keep_spare(spare);
+                    self.run.keep_spare(*spare);
                     if !self.resume("engine silent").await {
                         return Some((Err("engine silent".into()), self));
                     }
@@ -142,7 +142,7 @@
         let frame = self.run.unless_silent(at, sent, frame).await;
         Meter::time(&self.run.node.meter.gap, began.elapsed());
         match frame {
-            Err(spare) => Piece::Silent(spare),
+            Err(spare) => Piece::Silent(Box::new(spare)),
             Ok(Err(_)) => Piece::Broken("time ran out"),
             Ok(Ok(Some(Ok(frame)))) => Piece::Data(frame.into_data().unwrap_or_default()),
             Ok(Ok(Some(Err(_)))) => Piece::Broken("engine broke off"),
@@ -170,6 +170,9 @@
         let (source, key) = self.answer.as_ref().map(|it| (it.endpoint.clone(), it.key()))?;
         let place = self.run.decoder(FULL, &[key])?;
         let target = self.run.node.pool().get(place.0).cloned()?;
+        let mut seat = Seat::take(&self.run.node, place, self.run.tokens());
+        // Before the run is stopped: it must be able to go on there.
+        seat.admit(&self.run.call.ask.id).await.ok()?;
         if !self.run.node.take_repeat(&self.run.service) {
             return None;
         }
@@ -182,15 +185,16 @@
         };
         self.told_move(&source, &target, &outcome);
         // Where it was stopped its memory is kept until it goes on: one that the other engine refuses is not lost.
-        let stopped = (key, 0.0);
-        let (handle, places) = match outcome {
-            Move::Copied { handle } => (handle, vec![place, stopped]),
+        let mut stopped = Seat::take(&self.run.node, (key, 0.0), self.run.tokens());
+        stopped.excuse();
+        let (handle, seats) = match outcome {
+            Move::Copied { handle } => (handle, vec![seat, stopped]),
             Move::Stopped { handle } => (handle, vec![stopped]),
             Move::Ended | Move::Refused => return None,
         };
         self.move_at = None;
         let rest = self.drain().await;
-        self.go_on(&source, &handle, places).await;
+        self.go_on(&source, &handle, seats).await;
         rest
     }
 
@@ -213,14 +217,13 @@
     }
 
     /// Lets a stopped run go on from its memory, at the first of some engines that does not refuse it.
-    async fn go_on(&mut self, source: &Endpoint, handle: &str, places: Vec<(Key, f64)>) {
+    async fn go_on(&mut self, source: &Endpoint, handle: &str, seats: Vec<Seat>) {
         let last_event = self.last_event();
         let source = Some((source.address, handle));
         let purpose = Purpose::Decode { hold: None, source, last_event };
         let until = self.run.call.deadline.instant();
         self.answer = None;
-        for place in places {
-            let seat = Seat::take(&self.run.node, place, self.run.tokens());
+        for seat in seats {
             match exchange::send(&self.run.call, seat, &purpose, until).await {
                 Ok(answer) => self.answer = Some(answer),
                 Err(failure) if !failure.may_have_run() => continue,
--- a/crates/gateway/src/reserve.rs
+++ b/crates/gateway/src/reserve.rs
@@ -6,6 +6,7 @@
 use crate::event;
 use crate::exchange::{self, Seat};
 use crate::hold::Hold;
+use crate::limit;
 use crate::quarantine;
 use crate::refusal::{Reason, Refusal};
 use crate::stream::{Run, come_back};
@@ -59,6 +60,9 @@
                 Err(bound) => bound,
             };
             rounds += 1;
+            if let Some(refusal) = limit::refusal_by(&self.node, &self.service, until) {
+                return Err(refusal);
+            }
             let pause = Duration::from_millis(rand::rng().random_range(PAUSE_MILLIS));
             if Instant::now() + pause >= until {
                 self.no_room(bound, rounds);
@@ -104,7 +108,9 @@
     async fn hold(&self, place: (Key, f64), tokens: u32) -> Option<Hold> {
         let key = place.0;
         let engine = self.node.pool().get(key).cloned()?;
-        let seat = Seat::take(&self.node, place, self.tokens());
+        let mut seat = Seat::take(&self.node, place, self.tokens());
+        // Before memory is reserved, which would lie idle without it.
+        seat.admit(&self.call.ask.id).await.ok()?;
         let request = engine::take_hold(&engine, tokens, self.engine.hold_limit);
         let answer = self.node.control.call(engine.address, request, HOLD_ANSWER).await;
         let id = match &answer {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -38,6 +38,9 @@
 /// 1 s, after which a first event would be late.
 const PREFILL_BACKLOG: u64 = 33_000;
 
+/// Prefilling engines that are tried where limits have no room; each costs a round trip to the limit's owner.
+const PREFILLERS: usize = 4;
+
 /// Longest answer to a prefill, in bytes.
 const PREFILL_BYTES: usize = 16_384;
 
@@ -196,23 +199,35 @@
         Ok(handle)
     }
 
-    /// Has the prompt read at an engine that keeps it, or at the best one.
-    async fn prefill(&mut self, keeper: Option<Key>) -> Option<Handle> {
-        let place = match keeper {
-            Some(key) => (key, 0.0),
-            None => self.prefiller()?,
-        };
+    /// Has the prompt read at an engine that keeps it, or at the best one whose limit has room.
+    async fn prefill(&mut self, mut keeper: Option<Key>) -> Option<Handle> {
+        for _ in 0..PREFILLERS {
+            let place = match keeper.take() {
+                Some(key) => (key, 0.0),
+                None => self.prefiller()?,
+            };
+            match self.prefill_at(place).await {
+                Err(Failure::Limited) => {}
+                read => return read.ok().flatten(),
+            }
+        }
+        None
+    }
+
+    async fn prefill_at(&mut self, place: (Key, f64)) -> Result<Option<Handle>, Failure> {
         self.read_at = Some(place.0);
         let began = Instant::now();
         let seat = Seat::take(&self.node, place, self.call.ask.prompt);
         let until = self.call.deadline.instant().min(began + PREFILL_LIMIT);
-        let answer = exchange::send(&self.call, seat, &Purpose::Prefill, until).await.ok()?;
+        let answer = exchange::send(&self.call, seat, &Purpose::Prefill, until).await?;
         let engine = answer.endpoint.clone();
         answer.note(Outcome::Good);
-        let (_, body) = answer.read(&self.call, PREFILL_BYTES, until).await.ok()?;
-        let id = engine::handle(&body)?;
+        let (_, body) = answer.read(&self.call, PREFILL_BYTES, until).await?;
+        let Some(id) = engine::handle(&body) else {
+            return Ok(None);
+        };
         Meter::time(&self.node.meter.prefill, began.elapsed());
-        Some(Handle::new(&self.node, engine, id))
+        Ok(Some(Handle::new(&self.node, engine, id)))
     }
 
     /// Sends the request to the engine that holds its memory.
--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -117,6 +117,7 @@
             ends: Ends::default(),
             usage: self.usage(),
             changing: Vec::new(),
+            limits: 0,
         }
     }
 }
@@ -254,6 +255,7 @@
                 ends: Ends::default(),
                 usage: Vec::new(),
                 changing: Vec::new(),
+                limits: 0,
             };
             node.hear(ip(other), &heartbeat, Millis(0));
         }
--- a/crates/gateway/tests/members.rs
+++ b/crates/gateway/tests/members.rs
@@ -83,6 +83,7 @@
         ends: Ends { configuration: other.knows, endpoints: 0 },
         usage: Vec::new(),
         changing: Vec::new(),
+        limits: 0,
     }
 }
 
--- a/crates/gateway/tests/pause.rs
+++ b/crates/gateway/tests/pause.rs
@@ -35,6 +35,7 @@
         ends: Ends::default(),
         usage: vec![(Tag(1), Usage::default())],
         changing: Vec::new(),
+        limits: 0,
     }
 }
 
--- a/crates/gateway/tests/quota.rs
+++ b/crates/gateway/tests/quota.rs
@@ -1,11 +1,14 @@
 //! Questions to owners of limits, and answers that come too late.
 
 use crosslane_coordination::quota::{Bound, Verdict};
+use crosslane_gateway::members::Subject;
 use crosslane_gateway::quota::Desk;
 use crosslane_state::endpoint::Tag;
 use crosslane_state::time::Millis;
 use rstest::rstest;
 
+const SUBJECT: Subject = Subject::Organisation(Tag(7));
+
 struct Late {
     name: &'static str,
     waits: bool,
@@ -20,9 +23,9 @@
 #[case(Late { name: "refused too late", waits: false, verdict: Verdict::Over { wait: 1 }, given_back: false })]
 fn what_is_granted_too_late_is_given_back(#[case] case: Late) {
     let desk = Desk::new(Bound::default());
-    let (number, answer) = desk.ask(Tag(7), 3_000, Millis(0));
+    let (number, answer) = desk.ask(SUBJECT, 3_000, Millis(0));
     let waiting = case.waits.then_some(answer);
-    let expected = case.given_back.then_some((Tag(7), 3_000));
+    let expected = case.given_back.then_some((SUBJECT, 3_000));
     assert_eq!(desk.hear(number, case.verdict), expected, "{}", case.name);
     assert_eq!(desk.hear(number, case.verdict), None, "{}: heard twice", case.name);
     assert_eq!(waiting.map(|mut it| it.try_recv().ok()), case.waits.then_some(Some(case.verdict)));
@@ -31,7 +34,7 @@
 #[rstest]
 fn questions_that_are_never_answered_are_forgotten() {
     let desk = Desk::new(Bound::default());
-    let (number, answer) = desk.ask(Tag(7), 3_000, Millis(0));
+    let (number, answer) = desk.ask(SUBJECT, 3_000, Millis(0));
     drop(answer);
     desk.tidy(Millis(5_000));
     assert_eq!(desk.hear(number, Verdict::Granted), None);
