A lost answer does not give a limit a second owner

An owner is now passed over only after two answers missed in a row, and a node that gets no answer at all uses its even share of a quarter only.

--- a/crates/coordination/src/quota.rs
+++ b/crates/coordination/src/quota.rs
@@ -43,6 +43,39 @@
 /// Time after which an unused bucket is forgotten, in milliseconds: long after it is full again.
 const IDLE: u64 = 600_000;
 
+/// Answers missed in a row after which an owner is passed over. One may just be lost, and to ask the next owner for a second
+/// then has two of them grant the limit at a time.
+const MISSED: u32 = 2;
+
+/// Time for which an owner that does not answer is passed over, in milliseconds: that after which a heartbeat
+/// tells whether it lives.
+const PASSED_OVER: u64 = 1_000;
+
+/// Answers that a node misses from an owner.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Misses {
+    missed: u32,
+    at: Millis,
+}
+
+impl Misses {
+    /// Notes that a question was not answered.
+    pub fn miss(&mut self, now: Millis) {
+        self.missed += 1;
+        self.at = now;
+    }
+
+    /// Whether it lies so far back that it says nothing any more.
+    pub fn forgotten(&self, now: Millis) -> bool {
+        now.since(self.at) >= PASSED_OVER * u64::from(MISSED)
+    }
+
+    /// Whether the owner is passed over.
+    pub fn passed_over(&self, now: Millis) -> bool {
+        self.missed >= MISSED && now.since(self.at) < PASSED_OVER
+    }
+}
+
 /// How far all nodes together may be over a limit.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Bound {
--- a/crates/coordination/tests/limits.rs
+++ b/crates/coordination/tests/limits.rs
@@ -1,9 +1,10 @@
 //! Limits that endpoints name: what a node takes from answers that cross.
 
-use crosslane_coordination::limits::{Change, Limits};
+use crosslane_coordination::limits::{Change, Limits, Queues, Word};
 use crosslane_state::endpoint::Tag;
 use crosslane_state::rate::Rate;
 use crosslane_state::time::Millis;
+use proptest::prelude::*;
 use rstest::rstest;
 
 const ENDPOINT: Tag = Tag(7);
@@ -45,3 +46,87 @@
     let expected = case.counts.then_some(Change { before: last, rate: named });
     assert_eq!(change, expected, "{}", case.name);
 }
+
+fn word() -> impl Strategy<Value = (Tag, Word)> {
+    let rate = prop::option::of((0_u32..4).prop_map(|it| Rate::try_from(f64::from(it)).unwrap()));
+    (0_u64..3, 1_u64..4, rate)
+        .prop_map(|(endpoint, revision, rate)| (Tag(endpoint), Word { revision, rate }))
+}
+
+proptest! {
+    #[test]
+    fn nodes_that_heard_the_same_words_know_the_same(
+        words in prop::collection::vec(word(), 0..12),
+        seed in any::<u64>(),
+    ) {
+        use rand::SeedableRng;
+        use rand::seq::SliceRandom;
+        let hear = |words: &[(Tag, Word)]| {
+            let mut limits = Limits::default();
+            for (endpoint, word) in words {
+                limits.hear(*endpoint, *word, Millis(0));
+            }
+            limits
+        };
+        let mut other = words.clone();
+        other.shuffle(&mut rand::rngs::SmallRng::seed_from_u64(seed));
+        let (one, other) = (hear(&words), hear(&other));
+        prop_assert_eq!(one.digest(), other.digest());
+        for (endpoint, _) in words {
+            prop_assert_eq!(one.word(endpoint), other.word(endpoint));
+        }
+    }
+}
+
+#[rstest]
+fn whoever_missed_a_change_learns_it_from_the_words_of_another() {
+    let (mut one, mut other) = (Limits::default(), Limits::default());
+    one.note(ENDPOINT, rate(3.0), Millis(1), Millis(2));
+    assert_ne!(one.digest(), other.digest());
+    for (endpoint, word) in one.words() {
+        other.hear(endpoint, word, Millis(5));
+    }
+    assert_eq!((other.rate(ENDPOINT), one.digest()), (rate(3.0), other.digest()));
+    one.note(ENDPOINT, None, Millis(10), Millis(11));
+    for (endpoint, word) in one.words() {
+        other.hear(endpoint, word, Millis(12));
+    }
+    assert_eq!((other.rate(ENDPOINT), other.digest()), (None, 0));
+    // One that was answered before it ended does not bring it back to those who know.
+    assert_eq!(other.hear(ENDPOINT, Word { revision: 1, rate: rate(3.0) }, Millis(13)), None);
+}
+
+#[rstest]
+fn all_are_told_who_is_in_need_and_owners_of_what() {
+    let mut limits = Limits::default();
+    limits.note(ENDPOINT, rate(3.0), Millis(1), Millis(2));
+    let news = limits.news();
+    assert_eq!((news.all.len(), news.owners.len()), (1, 0));
+    limits.note(ENDPOINT, rate(2.0), Millis(3), Millis(4));
+    let news = limits.news();
+    assert_eq!((news.all.len(), news.owners.len()), (0, 1));
+    let news = limits.news();
+    assert_eq!((news.all.len(), news.owners.len()), (0, 0));
+}
+
+#[rstest]
+fn an_endpoint_that_is_gone_is_forgotten_but_not_one_whose_record_lags() {
+    let mut limits = Limits::default();
+    limits.note(ENDPOINT, rate(3.0), Millis(1), Millis(2));
+    limits.expire(&[].into(), Millis(5_000));
+    assert_eq!(limits.rate(ENDPOINT), rate(3.0));
+    limits.expire(&[ENDPOINT].into(), Millis(60_000));
+    assert_eq!(limits.rate(ENDPOINT), rate(3.0));
+    limits.expire(&[].into(), Millis(60_000));
+    assert_eq!(limits.rate(ENDPOINT), None);
+}
+
+#[rstest]
+fn those_who_are_refused_are_sent_to_the_end_of_the_queue() {
+    let mut queues = Queues::default();
+    let mut join = |now| queues.join(ENDPOINT, 2.0, 500, Millis(now));
+    assert_eq!([join(0), join(0), join(0)], [500, 1_000, 1_500]);
+    // Two of three were served meanwhile.
+    assert_eq!(join(1_000), 1_000);
+    assert!((0..100).map(|_| join(1_000)).all(|it| it <= 10_000));
+}
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -10,7 +10,7 @@
 use crate::peers;
 use crate::refusal::{Reason, Refusal};
 use crosslane_coordination::limits;
-use crosslane_coordination::quota::{Ask, Bound, Quota, Verdict};
+use crosslane_coordination::quota::{Ask, Bound, Misses, Quota, Verdict};
 use crosslane_state::endpoint::Tag;
 use crosslane_state::organisation::{Limit, Organisation};
 use crosslane_state::time::Millis;
@@ -28,10 +28,6 @@
 /// in a burst. Two of them leave time for a call with a target of 120 ms.
 const ANSWER: Duration = Duration::from_millis(40);
 
-/// Time for which an owner that did not answer is passed over, in milliseconds: that after which a heartbeat
-/// tells whether it lives.
-const PASSED_OVER: u64 = 1_000;
-
 /// Time for which a late answer is waited for, in milliseconds, to give back what it grants.
 const LATE_ANSWER: u64 = 5_000;
 
@@ -62,8 +58,8 @@
     alone: Mutex<Quota>,
     /// Questions that are not answered yet, by number.
     pending: Mutex<HashMap<u32, Question>>,
-    /// Owners that did not answer, and when.
-    silent: Mutex<HashMap<IpAddr, Millis>>,
+    /// Owners that did not answer.
+    silent: Mutex<HashMap<IpAddr, Misses>>,
     next: AtomicU32,
 }
 
@@ -109,7 +105,7 @@
     pub fn tidy(&self, now: Millis) {
         lock(&self.owned).expire(now);
         lock(&self.alone).expire(now);
-        lock(&self.silent).retain(|_, at| now.since(*at) < PASSED_OVER);
+        lock(&self.silent).retain(|_, it| !it.forgotten(now));
         lock(&self.pending).retain(|_, it| now.since(it.asked) < LATE_ANSWER);
     }
 }
@@ -219,8 +215,8 @@
     let owners = owners(node, subject);
     let desk = node.desk(subject);
     for owner in owners {
-        let silent = lock(&desk.silent).get(&owner).copied();
-        if silent.is_some_and(|at| node.now().since(at) < PASSED_OVER) {
+        let silence = lock(&desk.silent).get(&owner).copied();
+        if silence.is_some_and(|it| it.passed_over(node.now())) {
             continue;
         }
         let verdict = if owner == node.settings.ip {
@@ -228,16 +224,18 @@
         } else {
             question(node, subject, ask, owner).await
         };
-        match verdict {
-            Some(Verdict::Unsure) => {}
-            Some(verdict) => return (verdict, Source::Owner(owner)),
-            None => {
-                lock(&desk.silent).insert(owner, node.now());
-            }
+        let Some(verdict) = verdict else {
+            lock(&desk.silent).entry(owner).or_default().miss(node.now());
+            continue;
+        };
+        lock(&desk.silent).remove(&owner);
+        if verdict != Verdict::Unsure {
+            return (verdict, Source::Owner(owner));
         }
     }
     let (_, known) = lock(&node.members).seen(node.now());
     let share = 1.0 / known as f64;
+    let ask = in_place(subject, ask);
     (lock(&desk.alone).rule_alone(ask, share, node.now()), Source::Alone)
 }
 
@@ -251,12 +249,21 @@
     owners
 }
 
+/// What is asked for in the place of a limit's first owner, which may rule at the same time. What organisations may use beyond
+/// their limits covers that.
+fn in_place(subject: Subject, ask: Ask) -> Ask {
+    match subject {
+        Subject::Organisation(_) => ask,
+        Subject::Endpoint(_) => Ask { limit: limits::deputy(ask.limit), ..ask },
+    }
+}
+
 /// Rules on a request as the limit's owner, or in the owner's place.
 fn own(node: &Node, subject: Subject, mut ask: Ask) -> Verdict {
     let now = node.now();
     let first = owners(node, subject).first() == Some(&node.settings.ip);
-    if matches!(subject, Subject::Endpoint(_)) && !first {
-        ask.limit = limits::deputy(ask.limit);
+    if !first {
+        ask = in_place(subject, ask);
     }
     let (seen, known) = lock(&node.members).seen(now);
     let share = seen as f64 / known as f64;
