A silent stream is given up only once its prompt is read for the next engine

Callers whose engine was silent for 1.5 s had their stream cut, though the engine went on: it was given up once another engine had granted memory, the prompt was still to be read for up to 1 s, and the engine that had granted the memory was gone by then with the retry budget spent. Cause: the run was ended before all that replaces it was sure.

Now the prompt is read beside the silent run too; only memory, prompt and repeat together end it, and an event of the silent engine meanwhile ends the search. An engine counts as the one that read the prompt only if it did.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -7,11 +7,10 @@
 use crate::event;
 use crate::events::Events;
 use crate::exchange::{self, Answer, Seat};
-use crate::hold::Hold;
 use crate::meter::{Meter, Retry};
 use crate::node::Reply;
 use crate::quarantine;
-use crate::stream::Run;
+use crate::stream::{Run, Spare};
 use bytes::{Bytes, BytesMut};
 use crosslane_coordination::admission::FULL;
 use crosslane_coordination::health::Outcome;
@@ -58,8 +57,8 @@
     Data(Bytes),
     End,
     Broken(&'static str),
-    /// The engine is silent, and memory for the next attempt is there.
-    Silent(Box<Hold>),
+    /// The engine is silent, and all that the next attempt needs is there.
+    Silent(Box<Spare>),
 }
 
 type Item = (Result<Frame<Bytes>, BodyError>, Relay);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -72,8 +72,16 @@
     pub sent: u32,
     /// Prefilling engine that read the prompt, and may still keep it.
     read_at: Option<Key>,
-    /// Memory for the next attempt, with its repeat taken from the budget: the engine before fell silent.
-    spare: Option<Hold>,
+    /// What the next attempt needs: the engine before fell silent.
+    spare: Option<Spare>,
+}
+
+/// All that an attempt at another engine needs, with its repeat taken from the budget.
+#[derive(Debug)]
+pub struct Spare {
+    hold: Hold,
+    /// Its prompt, if that was to be read elsewhere first.
+    handle: Option<Handle>,
 }
 
 impl Run {
@@ -191,16 +199,19 @@
     /// Has the prompt read for a first attempt. If that fails, the decoding engine is to read it
     /// itself, as the retry budget allows: the engine that failed had an attempt.
     async fn first_prefill(&mut self, keeper: Option<Key>) -> Result<Option<Handle>, Refusal> {
-        let handle = self.prefill(keeper).await;
-        if handle.is_none() && !self.node.take_repeat(&self.service) {
+        let read = self.prefill(keeper).await;
+        if read.is_none() && !self.node.take_repeat(&self.service) {
             self.node.meter.retried(Retry::DeniedBudget);
             return Err(come_back(Reason::Refused));
         }
-        Ok(handle)
+        Ok(read.map(|(at, handle)| {
+            self.read_at = Some(at);
+            handle
+        }))
     }
 
     /// Has the prompt read at an engine that keeps it, or at the best one whose limit has room.
-    async fn prefill(&mut self, mut keeper: Option<Key>) -> Option<Handle> {
+    async fn prefill(&self, mut keeper: Option<Key>) -> Option<(Key, Handle)> {
         for _ in 0..PREFILLERS {
             let place = match keeper.take() {
                 Some(key) => (key, 0.0),
@@ -208,14 +219,13 @@
             };
             match self.prefill_at(place).await {
                 Err(Failure::Limited) => {}
-                read => return read.ok().flatten(),
+                read => return Some((place.0, read.ok()??)),
             }
         }
         None
     }
 
-    async fn prefill_at(&mut self, place: (Key, f64)) -> Result<Option<Handle>, Failure> {
-        self.read_at = Some(place.0);
+    async fn prefill_at(&self, place: (Key, f64)) -> Result<Option<Handle>, Failure> {
         let began = Instant::now();
         let seat = Seat::take(&self.node, place, self.call.ask.prompt);
         let until = self.call.deadline.instant().min(began + PREFILL_LIMIT);
@@ -261,14 +271,14 @@
         answer
     }
 
-    /// Waits for an engine. A silent one is given up only for memory that another one has granted: its run may
-    /// have been put off and go on, and nothing else may be left of the stream.
+    /// Waits for an engine. A silent one is given up only once another one has granted memory and the prompt is read
+    /// for it: its run may have been put off and go on, and nothing else may be left of the stream.
     pub async fn unless_silent<T>(
         &self,
         at: Key,
         sent: u32,
         attempt: impl Future<Output = T>,
-    ) -> Result<T, Hold> {
+    ) -> Result<T, Spare> {
         let mut attempt = pin!(attempt);
         let mut silence = Silence::of(SILENT);
         let (pause, began) = (Duration::from_millis(self.route.gap), Instant::now());
@@ -283,25 +293,26 @@
                 done = attempt.as_mut() => return Ok(done),
                 found = self.room_elsewhere(at, sent) => found,
             };
-            if let Some(hold) = found {
-                return Err(hold);
+            if let Some(spare) = found {
+                return Err(spare);
             }
         }
     }
 
-    /// Memory at another engine than a silent one, and a repeat for it, if the stream may go on there.
-    async fn room_elsewhere(&self, silent: Key, sent: u32) -> Option<Hold> {
+    /// Memory at another engine than a silent one, the prompt and a repeat for it, if the stream may go on there.
+    async fn room_elsewhere(&self, silent: Key, sent: u32) -> Option<Spare> {
         let resumable = self.route.kind == Kind::Stream { resumable: true };
         if !resumable || sent >= self.route.attempts {
             return None;
         }
         quarantine::check(&self.node, &self.call).ok()?;
         let hold = self.reserve(self.resume_by(), Some(silent)).await.ok()?;
+        let handle = self.prefill_again().await;
         if !self.node.take_repeat(&self.service) {
             self.node.meter.retried(Retry::DeniedBudget);
             return None;
         }
-        Some(hold)
+        Some(Spare { hold, handle })
     }
 
     /// Until when memory is waited for to go on with a stream.
@@ -342,32 +353,35 @@
     /// Runs the request at another engine, after an event.
     pub async fn elsewhere(&mut self, last_event: Option<u64>) -> Result<Answer, Option<Failure>> {
         quarantine::check(&self.node, &self.call).map_err(Some)?;
-        let mut hold = match self.spare.take() {
+        let Spare { mut hold, mut handle } = match self.spare.take() {
             Some(spare) => spare,
-            None => self.reserve(self.resume_by(), None).await.map_err(|_| None)?,
+            None => {
+                let hold = self.reserve(self.resume_by(), None).await.map_err(|_| None)?;
+                Spare { hold, handle: self.prefill_again().await }
+            }
         };
-        let mut handle = self.prefill_again().await;
         self.decode(&mut hold, handle.as_mut(), last_event).await.map_err(Some)
     }
 
     /// Fetches the prompt from the engine that read it, which usually keeps it: reading it again at
     /// the next engine takes 0.2 s, and its streams pause meanwhile.
-    async fn prefill_again(&mut self) -> Option<Handle> {
+    async fn prefill_again(&self) -> Option<Handle> {
         let keeper = self.read_at.filter(|it| self.node.pool().usable(*it))?;
         if !self.node.take_repeat(&self.service) {
             return None;
         }
-        self.prefill(Some(keeper)).await
+        let (_, handle) = self.prefill(Some(keeper)).await?;
+        Some(handle)
     }
 
-    /// Whether the next attempt has its memory and its repeat.
+    /// Whether the next attempt has all that it needs.
     pub fn has_spare(&self) -> bool {
         self.spare.is_some()
     }
 
-    /// Keeps memory for the next attempt.
-    pub fn keep_spare(&mut self, hold: Hold) {
-        self.spare = Some(hold);
+    /// Keeps what the next attempt needs.
+    pub fn keep_spare(&mut self, spare: Spare) {
+        self.spare = Some(spare);
     }
 
     fn relay(self, answer: Answer) -> Response<Reply> {
