A node keeps to its part of an endpoint's connections

Class of the limits that endpoints name: what an endpoint bears from all nodes together was left to each node alone. In bursts beside planned stops, endpoints reset connections over their cap, and callers of requests that may not be repeated got 502 for what never ran, which they can't know.

Now a node has at most an even part of nine tenths of the cap open at one endpoint, which the configuration tells; what finds none is refused with 503 and Retry-After before it is sent.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod admission;
 pub mod allowance;
 pub mod claims;
+pub mod connections;
 pub mod detector;
 pub mod fold;
 pub mod health;
--- a/crates/coordination/src/pool.rs
+++ b/crates/coordination/src/pool.rs
@@ -141,6 +141,8 @@
     pub stage: Stage,
     /// Tokens of KV cache that one endpoint of this stage carries; zero for plain services.
     pub capacity: u64,
+    /// Connections that this node may have at one endpoint.
+    pub connections: u32,
     /// Room that the endpoint must have; without, the least loaded is taken however full it is.
     pub room: Option<Room>,
     /// Endpoints not to use.
@@ -335,6 +337,7 @@
         let entries = self.entries.iter().filter(|(key, it)| {
             !it.endpoint.draining
                 && it.held <= now
+                && it.here.requests < query.connections
                 && !changing(it)
                 && it.endpoint.stage == query.stage
                 && it.endpoint.service == query.service
--- a/crates/coordination/tests/pool.rs
+++ b/crates/coordination/tests/pool.rs
@@ -1,5 +1,6 @@
 //! Pool: which endpoints may be used, and which is chosen.
 
+use crosslane_coordination::connections;
 use crosslane_coordination::health::{Outcome, Record};
 use crosslane_coordination::pool::{Pool, Query, Room};
 use crosslane_coordination::usage::Usage;
@@ -13,8 +14,14 @@
 const CAPACITY: u64 = 50_000;
 
 /// A request for any decoding engine.
-const QUERY: Query<'static> =
-    Query { service: SERVICE, stage: Stage::Decode, capacity: CAPACITY, room: None, except: &[] };
+const QUERY: Query<'static> = Query {
+    service: SERVICE,
+    stage: Stage::Decode,
+    capacity: CAPACITY,
+    connections: u32::MAX,
+    room: None,
+    except: &[],
+};
 
 /// When the endpoints started, in milliseconds of Unix time.
 const BORN: u64 = 1_800_000_000_000;
@@ -328,10 +335,64 @@
     });
     pool.hear(Tag(7), told.collect(), UNTIL);
     let room = Some(Room { tokens: case.needs, below: 1.0 });
-    let query = Query { room, ..QUERY };
+    let query = Query { connections: u32::MAX, room, ..QUERY };
     for _ in 0..50 {
         let chosen = pool.choose(query, Millis(100));
         let domain = chosen.and_then(|it| pool.get(it.0)).map(|it| it.domain.as_str());
         assert_eq!(domain, case.domain, "{}", case.name);
     }
 }
+
+struct Part {
+    cap: u32,
+    nodes: usize,
+    part: u32,
+}
+
+#[rstest]
+#[case(Part { cap: 110, nodes: 8, part: 12 })]
+#[case(Part { cap: 410, nodes: 58, part: 6 })]
+#[case(Part { cap: 110, nodes: 780, part: 1 })]
+#[case(Part { cap: 0, nodes: 8, part: 1 })]
+fn connections_are_shared_out_among_nodes(#[case] case: Part) {
+    assert_eq!(connections::part(case.cap, case.nodes), case.part);
+}
+
+#[rstest]
+fn an_endpoint_at_which_this_node_has_its_part_of_connections_is_not_chosen() {
+    let mut pool = pool(&["a"]);
+    let query = Query { connections: 2, ..QUERY };
+    let (key, _) = pool.choose(query, Millis(0)).unwrap();
+    pool.enter(key, 0);
+    assert!(pool.choose(query, Millis(0)).is_some());
+    pool.enter(key, 0);
+    assert!(pool.choose(query, Millis(0)).is_none());
+    pool.leave(key, 0);
+    assert!(pool.choose(query, Millis(0)).is_some());
+}
+
+#[rstest]
+fn an_endpoint_whose_limit_has_no_room_is_left_alone_until_it_has() {
+    let mut pool = pool(&["a", "b"]);
+    let keys = ["a", "b"].map(|it| pool.key(tag(it)).unwrap());
+    pool.hold_back(keys[0], Millis(500));
+    assert_eq!(chosen(&mut pool, 100).as_deref(), Some("b"));
+    assert_eq!(pool.held_for(SERVICE, Stage::Decode, Millis(100)), None);
+    pool.hold_back(keys[1], Millis(300));
+    assert_eq!(chosen(&mut pool, 100), None);
+    assert_eq!(pool.held_for(SERVICE, Stage::Decode, Millis(100)), Some(200));
+    assert_eq!(chosen(&mut pool, 300).as_deref(), Some("b"));
+    pool.let_in(tag("a"), true, Millis(310));
+    pool.hold_back(keys[1], Millis(900));
+    assert_eq!(chosen(&mut pool, 310).as_deref(), Some("a"));
+}
+
+#[rstest]
+fn an_endpoint_that_comes_back_from_need_does_not_get_all_that_comes_at_once() {
+    let mut pool = pool(&["a", "b"]);
+    let key = pool.key(tag("b")).unwrap();
+    pool.enter(key, (CAPACITY / 4) as u32);
+    pool.let_in(tag("a"), true, Millis(1_000));
+    assert_eq!(chosen(&mut pool, 1_010).as_deref(), Some("b"));
+    assert_eq!(chosen(&mut pool, 4_000).as_deref(), Some("a"));
+}
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -11,6 +11,7 @@
 use crate::quota::Desk;
 use crosslane_coordination::admission::Patience;
 use crosslane_coordination::allowance::{Allowance, Budget};
+use crosslane_coordination::connections;
 use crosslane_coordination::limits::{self, Limits, Queues};
 use crosslane_coordination::pace::Pace;
 use crosslane_coordination::pool::Pool;
@@ -268,6 +269,14 @@
         lock(&self.woken).is_none_or(|at| self.now().since(at) >= UNSURE)
     }
 
+    /// Connections that this node may have at one endpoint of a service.
+    pub fn connections(&self, service: &str) -> u32 {
+        let table = self.table();
+        let cap = table.as_ref().and_then(|it| it.services.get(service)?.connections);
+        let (_, nodes) = lock(&self.members).seen(self.now());
+        cap.map_or(u32::MAX, |it| connections::part(it, nodes))
+    }
+
     /// Counts a request for a service.
     pub fn count_request(&self, service: &str) {
         lock(&self.allowance).request(service, self.now());
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -118,7 +118,9 @@
     /// The best endpoint that was not tried, with a repeat from the budget if it takes one.
     fn choose(&self, repeats: bool) -> Option<(Key, f64)> {
         let (service, except) = (self.service, self.tried.as_slice());
-        let query = Query { service, stage: Stage::Plain, capacity: 0, room: None, except };
+        let connections = self.node.connections(service);
+        let stage = Stage::Plain;
+        let query = Query { service, stage, capacity: 0, connections, room: None, except };
         let place = self.node.pool().choose(query, self.node.now())?;
         if repeats && !self.node.take_repeat(service) {
             self.node.meter.retried(Retry::DeniedBudget);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -183,7 +183,8 @@
     /// The prefilling engine with the shortest queue, and its load.
     fn prefiller(&self) -> Option<(Key, f64)> {
         let (service, stage) = (self.service.as_str(), Stage::Prefill);
-        let query = Query { service, stage, capacity: PREFILL_BACKLOG, room: None, except: &[] };
+        let (capacity, connections) = (PREFILL_BACKLOG, self.node.connections(service));
+        let query = Query { service, stage, capacity, connections, room: None, except: &[] };
         self.node.pool().choose(query, self.node.now())
     }
 
@@ -192,7 +193,9 @@
     pub fn decoder(&self, below: f64, except: &[Key]) -> Option<(Key, f64)> {
         let room = Some(Room { tokens: self.tokens(), below });
         let (service, capacity) = (self.service.as_str(), self.engine.capacity);
-        let query = Query { service, stage: Stage::Decode, capacity, room, except };
+        let connections = self.node.connections(service);
+        let stage = Stage::Decode;
+        let query = Query { service, stage, capacity, connections, room, except };
         self.node.pool().choose(query, self.node.now())
     }
 
--- a/crates/state/src/route.rs
+++ b/crates/state/src/route.rs
@@ -82,6 +82,8 @@
 pub struct Service {
     /// Its engines, if it generates tokens.
     pub engine: Option<Engine>,
+    /// Connections that one of its endpoints takes from all nodes together, if it is told.
+    pub connections: Option<u32>,
 }
 
 /// What callers may send, and how long connections rest.
