--- a/crates/coordination/src/limits.rs
+++ b/crates/coordination/src/limits.rs
@@ -95,6 +95,8 @@
     known: HashMap<Tag, Known>,
     /// Endpoints whose words are to be told, and whether to all.
     news: HashMap<Tag, bool>,
+    /// Endpoints that named what is no limit.
+    unreadable: HashSet<Tag>,
 }
 
 impl Limits {
@@ -118,6 +120,11 @@
         Some(change)
     }
 
+    /// Notes that an endpoint names what is no limit; whether for the first time.
+    pub fn unreadable(&mut self, endpoint: Tag) -> bool {
+        self.unreadable.insert(endpoint)
+    }
+
     /// Takes another node's word.
     pub fn hear(&mut self, endpoint: Tag, word: Word, now: Millis) -> Option<Change> {
         let known = self.known.get(&endpoint).map(|it| it.word).unwrap_or_default();
@@ -172,6 +179,7 @@
 
     /// Forgets endpoints that are gone.
     pub fn expire(&mut self, listed: &HashSet<Tag>, now: Millis) {
+        self.unreadable.retain(|it| listed.contains(it));
         self.known.retain(|it, known| listed.contains(it) || now.since(known.since) < UNLISTED);
     }
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -281,7 +281,8 @@
     if let Some(load) = head.load {
         node.pool().load(seat.key, load, node.now());
     }
-    if head.matches {
+    // Whoever says that another one is meant names a limit of its own.
+    if head.matches && parts.status != StatusCode::MISDIRECTED_REQUEST {
         limit::note(&node, &endpoint, &head.limit, sent);
     }
     let failure = judge(&head, parts.status, purpose);
--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -27,7 +27,8 @@
 /// What a request costs an endpoint's limit.
 const COST: u32 = 1;
 
-/// Takes what an answer of an endpoint says whose request was sent at a time. What can't be read changes nothing.
+/// Takes what an answer of an endpoint says whose request was sent at a time. What can't be read changes
+/// nothing, and is told of once.
 pub fn note(
     node: &Node,
     endpoint: &Endpoint,
@@ -38,7 +39,9 @@
     let rate = match named {
         Ok(rate) => *rate,
         Err(error) => {
-            warn!(from, why:% = error; "{}", event::SKIPPED);
+            if node.limits().unreadable(endpoint.tag()) {
+                warn!(from, why:% = error; "{}", event::SKIPPED);
+            }
             return;
         }
     };
