Soak: endpoints in need; nodes agree on which endpoints are limited, not on how

Endpoints of the soak name limits, change and drop them in a series of its own beside the other faults; what they get is held against the limit. The first two series draw as before.

The digest by which nodes notice that one missed a limit no longer covers the figures: an endpoint may name another one in each answer, and at 780 nodes with a tenth of 10,000 endpoints in need each node would have fetched all words several times a second. Questions are paced with the heartbeats.

--- a/crates/coordination/src/limits.rs
+++ b/crates/coordination/src/limits.rs
@@ -150,14 +150,11 @@
         self.known.iter().map(|(endpoint, it)| (*endpoint, it.word)).collect()
     }
 
-    /// Digest of the limits in force: the same at nodes that know the same.
+    /// Digest of the endpoints that name a limit: the same at nodes that know of the same ones. Which limit it is may
+    /// change with each answer, and only owners have to know.
     pub fn digest(&self) -> u64 {
-        let named = self.known.iter().filter_map(|(endpoint, it)| {
-            let rate = it.word.rate?.per_second().to_le_bytes();
-            let bytes = [&endpoint.0.to_le_bytes()[..], &it.word.revision.to_le_bytes(), &rate];
-            Some(hash::of(&bytes.concat()))
-        });
-        named.fold(0, |digest, it| digest ^ it)
+        let named = self.known.iter().filter(|(_, it)| it.word.rate.is_some());
+        named.fold(0, |digest, (endpoint, _)| digest ^ hash::of(&endpoint.0.to_le_bytes()))
     }
 
     /// What changed since this was last asked.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -65,7 +65,7 @@
 /// Words in a datagram: some 100 bytes each.
 const WORDS: usize = 200;
 
-/// Time between two questions for rulings, or for limits, in milliseconds: hundreds of nodes may know the same that this
+/// Least time between two questions for rulings, or for limits, in milliseconds: hundreds of nodes may know the same that this
 /// one lacks.
 const ASK_PAUSE: u64 = 300;
 
@@ -387,7 +387,8 @@
             Ok(Message::Heartbeat(heard)) => {
                 let differs = heard.limits != node.limits().digest();
                 hear(&node, &socket, from.ip(), heard).await;
-                if differs && due(&mut limits_asked, node.now()) {
+                let pause = limits_pause(&node);
+                if differs && due(&mut limits_asked, pause, node.now()) {
                     send(&node, &socket, &Message::LimitsWanted, &[from.ip()]).await;
                 }
             }
@@ -398,7 +399,7 @@
             }
             Ok(Message::Words { vm, words }) => quarantine::hear(&node, vm, words),
             Ok(Message::Rulings { digest }) => {
-                if digest != node.quarantine().digest() && due(&mut asked, node.now()) {
+                if digest != node.quarantine().digest() && due(&mut asked, ASK_PAUSE, node.now()) {
                     send(&node, &socket, &Message::RulingsWanted, &[from.ip()]).await;
                 }
             }
@@ -426,9 +427,15 @@
     }
 }
 
+/// Time between two questions for limits, in milliseconds. In a large fleet some endpoint begins or ceases to name one at any
+/// time, so that nodes hardly ever agree; what a node lacks, it also learns from answers and from owners.
+fn limits_pause(node: &Node) -> u64 {
+    ASK_PAUSE.max(2 * lock(&node.members).interval().near)
+}
+
 /// Whether it is time to ask again for what this node lacks.
-fn due(asked: &mut Option<Millis>, now: Millis) -> bool {
-    let due = asked.is_none_or(|at| now.since(at) >= ASK_PAUSE);
+fn due(asked: &mut Option<Millis>, pause: u64, now: Millis) -> bool {
+    let due = asked.is_none_or(|at| now.since(at) >= pause);
     if due {
         *asked = Some(now);
     }
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -51,6 +51,9 @@
     /// An endpoint does nothing for a while, and goes on.
     #[display("endpoint silent")]
     Silence,
+    /// An endpoint names a limit, other ones, and none again.
+    #[display("endpoint in need")]
+    Need,
     /// The way to an endpoint is disturbed.
     #[display("way to endpoint")]
     EndpointWay,
@@ -95,6 +98,15 @@
 /// Kinds of a second series, which overlaps the first: what may come near a silence without a part in it.
 pub const BESIDE: [Fault; 4] = [Fault::Silence, Fault::Silence, Fault::Reload, Fault::Configure];
 
+/// Kinds of a third series beside both.
+pub const IN_NEED: [Fault; 1] = [Fault::Need];
+
+/// Requests a second that an endpoint in need takes, from none to more than come.
+const RATES: [f64; 7] = [0.0, 0.3, 1.0, 2.1, 3.0, 8.0, 40.0];
+
+/// Limits that it names one after the other.
+const NAMED: u32 = 3;
+
 /// Ways in which the store misbehaves.
 const TROUBLES: [Trouble; 5] =
     [Trouble::Busy, Trouble::Silent, Trouble::Slow, Trouble::LosesAnswers, Trouble::Late];
@@ -145,6 +157,7 @@
         Fault::Release => release(&site, &mut random).await?,
         Fault::Grey => grey(&site, lasts, &mut random).await,
         Fault::Silence => silence(&site, lasts, &mut random).await,
+        Fault::Need => need(&site, lasts, &mut random).await,
         Fault::EndpointWay => endpoint_way(&site, lasts, &mut random).await,
         Fault::StoreWay => {
             let mode = choose(&DISTURBING, &mut random);
@@ -271,6 +284,18 @@
     site.with(&id, |it| it.endpoint.silence(false));
 }
 
+async fn need(site: &Site, lasts: Duration, random: &mut SmallRng) {
+    let Some(id) = endpoint(site, random) else {
+        return;
+    };
+    for _ in 0..NAMED {
+        let rate = choose(&RATES, random);
+        site.with(&id, |it| it.endpoint.need(Some(rate)));
+        sleep(lasts).await;
+    }
+    site.with(&id, |it| it.endpoint.need(None));
+}
+
 async fn endpoint_way(site: &Site, lasts: Duration, random: &mut SmallRng) {
     let mode = choose(&DISTURBING, random);
     let Some(id) = endpoint(site, random) else {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,6 +1,6 @@
 //! One run of the soak, and its report.
 
-use crate::fault::{self, BESIDE, DRAWN, Fault};
+use crate::fault::{self, BESIDE, DRAWN, Fault, IN_NEED};
 use crate::keys;
 use crate::site::{Plan, Site};
 use crate::traffic::{self, Endings};
@@ -98,12 +98,15 @@
     let culprits = tokio::spawn(traffic::crash(site.clone(), plan.seed, over.clone()));
     let keyed = tokio::spawn(keys::call(site.clone(), plan.seed, over.clone()));
     let beats = tokio::spawn(beat(site.clone()));
-    let (drawn, beside) = tokio::join!(
+    let (drawn, beside, in_need) = tokio::join!(
         disturb(&site, plan, plan.seed, &DRAWN),
-        disturb(&site, plan, !plan.seed, &BESIDE)
+        disturb(&site, plan, !plan.seed, &BESIDE),
+        disturb(&site, plan, plan.seed.rotate_left(17), &IN_NEED)
     );
     let mut faults = drawn?;
-    beside?.into_iter().for_each(|(fault, count)| *faults.entry(fault).or_default() += count);
+    for (fault, count) in beside?.into_iter().chain(in_need?) {
+        *faults.entry(fault).or_default() += count;
+    }
     beats.abort();
     site.mend().await?;
     until_ready(&site).await?;
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -280,6 +280,7 @@
             served.proxy.set(Mode::Pass);
             served.endpoint.fault(None);
             served.endpoint.silence(false);
+            served.endpoint.need(None);
         }
         for node in &self.nodes {
             node.signal(nix::sys::signal::Signal::SIGCONT);
