One loop for attempts whose endpoint is silent

The same loop stood in calls and streams, with two searches; it is one function now, and a stream that broke off or is given up goes on by one path. No change of behaviour.

--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -1,7 +1,7 @@
 //! Calls to plain services.
 
 use crate::event;
-use crate::exchange::{self, Answer, Call, Failure, Seat};
+use crate::exchange::{self, Answer, Call, Failure, Seat, Watch};
 use crate::limit;
 use crate::meter::{Meter, Retry};
 use crate::node::{Node, Reply};
@@ -10,7 +10,6 @@
 use bytes::Bytes;
 use crosslane_coordination::health::Outcome;
 use crosslane_coordination::pool::Query;
-use crosslane_coordination::silence::Silence;
 use crosslane_platform::answer;
 use crosslane_platform::ask::Purpose;
 use crosslane_state::endpoint::{Key, Stage};
@@ -22,10 +21,10 @@
 use hyper::body::Frame;
 use hyper::http::response::Parts;
 use log::info;
-use std::pin::pin;
+use std::future::ready;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::timeout_at;
 
 /// Answers up to this length are read whole before they are passed on if the request is
 /// idempotent, so that one that breaks off can be asked for again. Pages are about 1 KB.
@@ -154,21 +153,10 @@
         at: Key,
         attempt: impl Future<Output = T>,
     ) -> Result<T, (Key, f64)> {
-        let mut attempt = pin!(attempt);
-        let mut silence = Silence::of(PAUSES);
         let patience = self.route.target as f64 * PATIENCE;
         let pause = Duration::from_millis((patience / f64::from(PAUSES)) as u64);
-        let began = Instant::now();
-        loop {
-            match timeout(pause, attempt.as_mut()).await {
-                Ok(done) => return Ok(done),
-                Err(_) if !silence.pause() => continue,
-                Err(_) => exchange::told_silent(self.node, self.call, at, began),
-            }
-            if let Some(next) = self.choose(true) {
-                return Err(next);
-            }
-        }
+        let watch = Watch { node: self.node, call: self.call, at, pauses: (PAUSES, pause) };
+        exchange::unless_silent(watch, attempt, || ready(self.choose(true))).await
     }
 }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -100,23 +100,25 @@
                     return None;
                 }
                 Piece::Silent(spare) => {
-                    self.judge().await;
                     self.run.keep_spare(*spare);
-                    if !self.resume("engine silent").await {
-                        return Some((Err("engine silent".into()), self));
-                    }
+                    self.go_on_after("engine silent").await;
                 }
                 Piece::Broken(why) => {
                     self.note(Outcome::Failed);
-                    self.judge().await;
-                    if !self.resume(why).await {
-                        return Some((Err(why.into()), self));
-                    }
+                    self.go_on_after(why).await;
                 }
             }
         }
     }
 
+    /// Gives an engine up, and continues the stream elsewhere; else it is to be cut.
+    async fn go_on_after(&mut self, why: &'static str) {
+        self.judge().await;
+        if !self.resume(why).await {
+            self.broken = Some(why);
+        }
+    }
+
     fn note(&self, outcome: Outcome) {
         if let Some(answer) = &self.answer {
             answer.note(outcome);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -5,7 +5,7 @@
 //! nodes. A stream that breaks off is continued at another engine if its route allows.
 
 use crate::cache::{self, Keepers};
-use crate::exchange::{self, Answer, Call, Failure, Seat};
+use crate::exchange::{self, Answer, Call, Failure, Seat, Watch};
 use crate::hold::{Handle, Hold};
 use crate::meter::{Meter, Retry};
 use crate::node::{Node, Reply};
@@ -18,17 +18,15 @@
 use crosslane_coordination::health::Outcome;
 use crosslane_coordination::pool::{Query, Room};
 use crosslane_coordination::reader::{Kept, Reader};
-use crosslane_coordination::silence::Silence;
 use crosslane_platform::ask::Purpose;
 use crosslane_platform::{answer, engine};
 use crosslane_state::endpoint::{Key, Stage};
 use crosslane_state::route::{Engine, Kind, Route};
 use hyper::Response;
 use rand::Rng;
-use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::{Instant, timeout};
+use tokio::time::Instant;
 
 /// Time for a prefill, queueing included: the longest prompts take some 200 ms. After it the
 /// decoding engine reads the prompt itself, while its reservation still lasts.
@@ -282,24 +280,9 @@
         sent: u32,
         attempt: impl Future<Output = T>,
     ) -> Result<T, Spare> {
-        let mut attempt = pin!(attempt);
-        let mut silence = Silence::of(SILENT);
-        let (pause, began) = (Duration::from_millis(self.route.gap), Instant::now());
-        loop {
-            match timeout(pause, attempt.as_mut()).await {
-                Ok(done) => return Ok(done),
-                Err(_) if !silence.pause() => continue,
-                Err(_) => exchange::told_silent(&self.node, &self.call, at, began),
-            }
-            let found = tokio::select! {
-                biased;
-                done = attempt.as_mut() => return Ok(done),
-                found = self.room_elsewhere(at, sent) => found,
-            };
-            if let Some(spare) = found {
-                return Err(spare);
-            }
-        }
+        let pause = Duration::from_millis(self.route.gap);
+        let watch = Watch { node: &self.node, call: &self.call, at, pauses: (SILENT, pause) };
+        exchange::unless_silent(watch, attempt, || self.room_elsewhere(at, sent)).await
     }
 
     /// Memory at another engine than a silent one, the prompt and a repeat for it, if the stream may go on there.
