A limit's bucket fills from when its owner knows it; an endpoint that takes nothing is probed

After a lull the first request to an endpoint that names 0.3 a second was refused for 6 s though nothing had been sent there: the owner's bucket began with the first question. It begins now when the owner hears of the limit; a new owner's still begins with the question. An endpoint that named zero was tried once in 50 s, so it stayed unused that long after it recovered; now once in 10 s.

--- a/crates/coordination/src/limits.rs
+++ b/crates/coordination/src/limits.rs
@@ -22,7 +22,10 @@
 /// request would waste much of the limit; a full second of it would burden an endpoint in need.
 const BURST_S: f64 = 0.5;
 
-/// Least rate that is used, in requests a second: an endpoint that takes none could never say that it does again.
+/// Rate that is used of an endpoint that takes none, in requests a second: only an answer can say that it does again.
+const PROBES: f64 = 0.1;
+
+/// Least rate that is used of any other, in requests a second.
 const LEAST: f64 = 0.02;
 
 /// How a bucket is filled: nothing is borne beyond the limit, and a whole request can be saved up at the least rate.
@@ -192,7 +195,10 @@
 
 /// What all nodes together may send to an endpoint that names a rate.
 pub fn limit(rate: Rate) -> Limit {
-    let rate = rate.per_second().max(LEAST);
+    let rate = match rate.per_second() {
+        0.0 => PROBES,
+        rate => rate.max(LEAST),
+    };
     Limit { rate, burst: rate * BURST_S }
 }
 
--- a/crates/coordination/src/quota.rs
+++ b/crates/coordination/src/quota.rs
@@ -158,6 +158,11 @@
         Self { bound, buckets: HashMap::new() }
     }
 
+    /// Begins to count against a limit: its bucket fills from now on, and not only from the first request.
+    pub fn begin(&mut self, subject: Tag, now: Millis) {
+        self.buckets.entry(subject).or_insert(Bucket { level: 0.0, at: now });
+    }
+
     /// Rules on a request as the owner, who sees a share of the fleet.
     pub fn rule(&mut self, ask: Ask, share: f64, now: Millis) -> Verdict {
         if share < QUORUM {
--- a/crates/coordination/tests/limits.rs
+++ b/crates/coordination/tests/limits.rs
@@ -1,6 +1,6 @@
 //! Limits that endpoints name: what a node takes from answers that cross.
 
-use crosslane_coordination::limits::{Change, Limits, Queues, Word};
+use crosslane_coordination::limits::{self, Change, Limits, Queues, Word};
 use crosslane_state::endpoint::Tag;
 use crosslane_state::rate::Rate;
 use crosslane_state::time::Millis;
@@ -121,6 +121,21 @@
     assert_eq!(limits.rate(ENDPOINT), None);
 }
 
+struct Used {
+    named: f64,
+    used: f64,
+}
+
+#[rstest]
+#[case(Used { named: 3.0, used: 3.0 })]
+#[case(Used { named: 0.1, used: 0.1 })]
+#[case(Used { named: 0.001, used: 0.02 })]
+#[case(Used { named: 0.0, used: 0.1 })]
+fn an_endpoint_that_takes_next_to_nothing_is_asked_now_and_then(#[case] case: Used) {
+    let limit = limits::limit(Rate::try_from(case.named).unwrap());
+    assert_eq!(limit.rate, case.used);
+}
+
 #[rstest]
 fn those_who_are_refused_are_sent_to_the_end_of_the_queue() {
     let mut queues = Queues::default();
--- a/crates/coordination/tests/quota.rs
+++ b/crates/coordination/tests/quota.rs
@@ -288,3 +288,14 @@
     assert_eq!(quota.rule(ask, 0.49, Millis(0)), Verdict::Unsure);
     assert_eq!(quota.rule(ask, 0.5, Millis(0)), Verdict::Granted);
 }
+
+#[rstest]
+fn what_comes_first_after_a_while_under_a_limit_is_granted() {
+    let mut quota = Quota::new(Bound { window: 60_000, ..Bound::default() });
+    let limit = Limit { rate: 0.5, burst: 0.25 };
+    let ask = Ask { subject: ORGANISATION, limit, cost: 1, draw: 0.0 };
+    quota.begin(ORGANISATION, Millis(0));
+    assert_eq!(quota.rule(ask, 1.0, Millis(2_000)), Verdict::Granted);
+    quota.begin(ORGANISATION, Millis(2_000));
+    assert_eq!(quota.rule(ask, 1.0, Millis(3_000)), Verdict::Over { wait: 1_000 });
+}
--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -75,6 +75,9 @@
 }
 
 fn apply(node: &Node, endpoint: Tag, change: Change, source: impl Display) {
+    if change.rate.is_some() {
+        quota::begin(node, Subject::Endpoint(endpoint));
+    }
     let mut pool = node.pool();
     pool.let_in(endpoint, change.rate.is_none(), node.now());
     let to = pool.key(endpoint).and_then(|key| pool.get(key)).map(|it| it.id.as_str());
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -239,6 +239,13 @@
     (lock(&desk.alone).rule_alone(ask, share, node.now()), Source::Alone)
 }
 
+/// Begins to count against a limit that this node owns.
+pub fn begin(node: &Node, subject: Subject) {
+    if owners(node, subject).first() == Some(&node.settings.ip) {
+        lock(&node.desk(subject).owned).begin(subject.tag(), node.now());
+    }
+}
+
 /// Nodes that may rule on a limit, first choice first. Others no longer ask a node that is stopping, so it does not rule
 /// either.
 fn owners(node: &Node, subject: Subject) -> Vec<IpAddr> {
--- a/crates/soak/src/keys.rs
+++ b/crates/soak/src/keys.rs
@@ -4,13 +4,13 @@
 use crosslane_platform_standins::caller::{Caller, Ending};
 use crosslane_platform_standins::ledger::Kind;
 use crosslane_platform_standins::texts::{
-    self, MOVING_KEY, NARROW, NARROW_KEY, QUOTA_OVERAGE, QUOTA_SLACK, QUOTA_WINDOW_S,
+    self, DESK_KEY, MOVING_KEY, NARROW, NARROW_KEY, QUOTA_OVERAGE, QUOTA_SLACK, QUOTA_WINDOW_S,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::time::sleep;
 
 /// Versions for which a key that came with one stays.
@@ -19,6 +19,12 @@
 /// Pause between two requests, in milliseconds: several times what the limit allows.
 const PAUSE: std::ops::Range<u64> = 20..80;
 
+/// Time in which nodes learn that endpoints which took nothing take requests again: some probes, which come one in 10 s.
+const LIMITS_END: Duration = Duration::from_secs(60);
+
+/// Pause between two looks at whether they have.
+const LOOK: Duration = Duration::from_millis(100);
+
 /// Requests over the limit, and by keys that come and go, until told to end.
 pub async fn call(site: Arc<Site>, seed: u64, over: Arc<AtomicBool>) {
     let mut random = SmallRng::seed_from_u64(seed.rotate_left(31));
@@ -66,6 +72,7 @@
 /// Holds what each node does once all is calm, and all that the limited organisation got, against the promises.
 pub async fn check(site: &Site) {
     sleep(SETTLED).await;
+    until_served(site).await;
     let (newest, _) = site.configuration();
     for node in 0..site.nodes.len() {
         check_node(site, node, newest).await;
@@ -79,6 +86,25 @@
     }
 }
 
+/// Waits until all nodes have learnt from answers that no endpoint names a limit any more. Until then they refuse what is over
+/// it.
+async fn until_served(site: &Site) {
+    let end = Instant::now() + LIMITS_END;
+    for node in 0..site.nodes.len() {
+        for number in 0.. {
+            let id = format!("end-served-{node}-{number}");
+            if ask(site, node, DESK_KEY, &id).await == Ending::Answered {
+                break;
+            }
+            if Instant::now() > end {
+                site.ledger.broken("a limit that ended is forgotten", &id, String::new());
+                return;
+            }
+            sleep(LOOK).await;
+        }
+    }
+}
+
 async fn check_node(site: &Site, node: usize, newest: u64) {
     let id = |what: &str| format!("end-{what}-{node}");
     let ending = ask(site, node, &texts::passing_key(newest), &id("new")).await;
