A silent stream is kept if nothing is sure at the next engine yet

The engine that had granted memory was gone, the one that was to hand the prompt over did not answer for 1 s, and the retry budget was spent: '... failure=timeout', 'unreachable', 'cut: retry budget spent'. The search beside the silent run gave it up although its prompt had not been read.

A prompt that was asked for and not read now ends the search, and so does an engine that refuses connections by then.

--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -64,7 +64,7 @@
 }
 
 /// Whether no process listens at an address. One that is silent or cut off does not count.
-async fn refuses(address: SocketAddr) -> bool {
+pub async fn refuses(address: SocketAddr) -> bool {
     let connected = timeout(LOOK, TcpStream::connect(address)).await;
     matches!(connected, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
 }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -293,7 +293,12 @@
         }
         quarantine::check(&self.node, &self.call).ok()?;
         let hold = self.reserve(self.resume_by(), Some(silent)).await.ok()?;
-        let handle = self.prefill_again().await;
+        // Without an answer to that, nothing is sure at the other engine yet.
+        let handle = self.prefill_again().await.ok()?;
+        let engine = self.node.pool().get(hold.key).cloned()?;
+        if quarantine::refuses(engine.address).await {
+            return None;
+        }
         if !self.node.take_repeat(&self.service) {
             self.node.meter.retried(Retry::DeniedBudget);
             return None;
@@ -343,21 +348,21 @@
             Some(spare) => spare,
             None => {
                 let hold = self.reserve(self.resume_by(), None).await.map_err(|_| None)?;
-                Spare { hold, handle: self.prefill_again().await }
+                Spare { hold, handle: self.prefill_again().await.unwrap_or_default() }
             }
         };
         self.decode(&mut hold, handle.as_mut(), last_event).await.map_err(Some)
     }
 
     /// Fetches the prompt from the engine that read it, which usually keeps it: reading it again at
-    /// the next engine takes 0.2 s, and its streams pause meanwhile.
-    async fn prefill_again(&self) -> Option<Handle> {
-        let keeper = self.read_at.filter(|it| self.node.pool().usable(*it))?;
-        if !self.node.take_repeat(&self.service) {
-            return None;
-        }
-        let (_, handle) = self.prefill(Some(keeper)).await?;
-        Some(handle)
+    /// the next engine takes 0.2 s, and its streams pause meanwhile. Nothing where no engine may be asked.
+    async fn prefill_again(&self) -> Result<Option<Handle>, Failure> {
+        let keeper = self.read_at.filter(|it| self.node.pool().usable(*it));
+        let Some(keeper) = keeper.filter(|_| self.node.take_repeat(&self.service)) else {
+            return Ok(None);
+        };
+        let read = self.prefill(Some(keeper)).await;
+        read.map(|(_, handle)| Some(handle)).ok_or(Failure::Timeout)
     }
 
     /// Whether the next attempt has all that it needs.
