--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! `front` takes callers' requests; `plain` and `stream` carry them to endpoints by `exchange`, with
 //! memory from `reserve` and what engines keep from `cache`.
-//! `limit` takes the rate limits that endpoints name. `quarantine` keeps requests that make endpoints crash away from them, `rulings` keeps what was decided about these in the
+//! `limit` keeps to the rate limits that endpoints name, `quota` to those of organisations.
+//! `quarantine` keeps requests that make endpoints crash away from them, `rulings` keeps what was decided about these in the
 //! store, `pause` notices that the machine was suspended.
 //! `follower` reads the store into the `mirror`, `peers` and `pull` keep nodes at the same view, the
 //! `directory` reads endpoints from it, `duty` gives orders to engines. Decisions are made in the coordination layer.
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -1,6 +1,7 @@
 //! Asks a limit's owner whether a request may be sent, and answers as an owner.
 //!
-//! A limit is an organisation's, or one that an endpoint names (`limit`). What is decided stands in `coordination::quota`. The owner is the same at all nodes that hear of the same
+//! A limit is an organisation's, or one that an endpoint names (`limit`). What is decided stands in `coordination::quota`.
+//! The owner is the same at all nodes that hear of the same
 //! others, without agreement; one that does not answer is passed over for a while, and the next one asked.
 
 use crate::event;
