An endpoint in need that is gone or refuses its own reservation is still avoided

Refusals of an endpoint that names a limit are left out of its health, since they keep to the limit. That left out too much: a 421 says that another one answers at the address, and a refusal after granted memory that it can't run. Only a refusal for lack of room is left out now.

Found by reading, not seen in a run; no test brings it about yet. The tests of a node between callers and endpoints pass.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -293,7 +293,7 @@
             unsent();
         }
         // An endpoint in need that refuses keeps to its limit; it is not to be avoided for that.
-        if failure != Failure::Refused || node.limits().rate(endpoint.tag()).is_none() {
+        if outcome != Outcome::Refused || node.limits().rate(endpoint.tag()).is_none() {
             seat.note(outcome);
         }
         told(call, &endpoint, failure, &parts.status.to_string());
