Limits: no copy of the pool's tags, no second ranking for organisations

Four times a second all tags were copied into a set to forget limits of endpoints that are gone; the pool is asked instead. An organisation's owner ranked all nodes a second time for each question, only to find a part that organisations do not have. No change of behaviour.

--- a/crates/coordination/src/limits.rs
+++ b/crates/coordination/src/limits.rs
@@ -178,9 +178,9 @@
     }
 
     /// Forgets endpoints that are gone.
-    pub fn expire(&mut self, listed: &HashSet<Tag>, now: Millis) {
-        self.unreadable.retain(|it| listed.contains(it));
-        self.known.retain(|it, known| listed.contains(it) || now.since(known.since) < UNLISTED);
+    pub fn expire(&mut self, listed: impl Fn(Tag) -> bool, now: Millis) {
+        self.unreadable.retain(|it| listed(*it));
+        self.known.retain(|it, known| listed(*it) || now.since(known.since) < UNLISTED);
     }
 }
 
--- a/crates/coordination/src/pool.rs
+++ b/crates/coordination/src/pool.rs
@@ -307,11 +307,6 @@
         if all > ALL_LOOKED_AT { near } else { all }
     }
 
-    /// Endpoints known, by their names between nodes.
-    pub fn tags(&self) -> HashSet<Tag> {
-        self.tags.keys().copied().collect()
-    }
-
     /// Endpoints known.
     pub fn len(&self) -> usize {
         self.entries.len()
--- a/crates/coordination/tests/limits.rs
+++ b/crates/coordination/tests/limits.rs
@@ -113,11 +113,11 @@
 fn an_endpoint_that_is_gone_is_forgotten_but_not_one_whose_record_lags() {
     let mut limits = Limits::default();
     limits.note(ENDPOINT, rate(3.0), Millis(1), Millis(2));
-    limits.expire(&[].into(), Millis(5_000));
+    limits.expire(|_| false, Millis(5_000));
     assert_eq!(limits.rate(ENDPOINT), rate(3.0));
-    limits.expire(&[ENDPOINT].into(), Millis(60_000));
+    limits.expire(|it| it == ENDPOINT, Millis(60_000));
     assert_eq!(limits.rate(ENDPOINT), rate(3.0));
-    limits.expire(&[].into(), Millis(60_000));
+    limits.expire(|_| false, Millis(60_000));
     assert_eq!(limits.rate(ENDPOINT), None);
 }
 
--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -129,11 +129,11 @@
 
 /// Forgets endpoints that are gone.
 pub fn tidy(node: &Node) {
-    let listed = node.pool().tags();
     let now = node.now();
     node.throttle.tidy(now);
     lock(&node.queues).expire(now);
+    let pool = node.pool();
     let mut limits = node.limits();
-    limits.expire(&listed, now);
+    limits.expire(|it| pool.key(it).is_some(), now);
     node.meter.limited.set(limits.count() as i64);
 }
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -242,7 +242,7 @@
 
 /// Begins to count against a limit that this node owns.
 pub fn begin(node: &Node, subject: Subject) {
-    if owners(node, subject).first() == Some(&node.settings.ip) {
+    if owns(node, subject) {
         lock(&node.desk(subject).owned).begin(subject.tag(), node.now());
     }
 }
@@ -257,6 +257,11 @@
     owners
 }
 
+/// Whether this node is a limit's first owner.
+fn owns(node: &Node, subject: Subject) -> bool {
+    owners(node, subject).first() == Some(&node.settings.ip)
+}
+
 /// What is asked for in the place of a limit's first owner, which may rule at the same time. What organisations may use beyond
 /// their limits covers that.
 fn in_place(subject: Subject, ask: Ask) -> Ask {
@@ -269,8 +274,7 @@
 /// Rules on a request as the limit's owner, or in the owner's place.
 fn own(node: &Node, subject: Subject, mut ask: Ask) -> Verdict {
     let now = node.now();
-    let first = owners(node, subject).first() == Some(&node.settings.ip);
-    if !first {
+    if matches!(subject, Subject::Endpoint(_)) && !owns(node, subject) {
         ask = in_place(subject, ask);
     }
     let (seen, known) = lock(&node.members).seen(now);
