--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -5,9 +5,11 @@
 
 pub mod admission;
 pub mod allowance;
+pub mod choice;
 pub mod claims;
 pub mod connections;
 pub mod detector;
+pub mod entry;
 pub mod fold;
 pub mod health;
 pub mod heartbeat;
--- a/crates/coordination/src/pool.rs
+++ b/crates/coordination/src/pool.rs
@@ -3,47 +3,16 @@
 //! Load is what this node has at an endpoint plus what other nodes last told they have there.
 //! Health is judged by the outcomes of real requests, here and at other nodes, and fades back.
 
+use crate::choice::{self, ALL_LOOKED_AT, Query};
+use crate::entry::{Entry, Load};
 use crate::health::{Health, Outcome};
 use crate::usage::{Told, Usage};
 use crosslane_state::endpoint::{Endpoint, Key, Stage, Tag};
 use crosslane_state::time::Millis;
-use rand::Rng;
 use rand::rngs::SmallRng;
-use rand::seq::SliceRandom;
 use slotmap::SlotMap;
 use std::collections::{HashMap, HashSet};
 
-/// Engines up to which all are looked at. Among more, only those of the own failure domain: what
-/// nodes of other domains have is known late, and all would choose the same one.
-const ALL_LOOKED_AT: usize = 24;
-
-/// Engines drawn among those of other domains, for when the own domain's are full or gone.
-const DRAWN: usize = 8;
-
-/// Plain endpoints drawn: their requests are over before other nodes hear of them.
-const DRAWN_PLAIN: usize = 2;
-
-/// Failures that others have seen from which on this node tells them of its successes there.
-const DOUBTED: f32 = 0.5;
-
-/// Time that a load report is used, in milliseconds; plain calls last some 60 ms.
-const LOAD_LIFE: u64 = 400;
-
-/// Added to the load of endpoints in other failure domains, as a share of a full endpoint: traffic
-/// between domains is priced, but less than a late answer.
-const DOMAIN_PENALTY: f64 = 0.04;
-
-/// The same among more engines than are all looked at: about one draft or prompt, which usually came
-/// since the other domain was last heard.
-const FAR_PENALTY: f64 = 0.15;
-
-/// Load, as a share of a full engine, up to which its memory is given away by what requests are expected
-/// to need: those that run have not generated all of it yet, some half of a tenth (worked out).
-const OVERBOOKED: f64 = 1.05;
-
-/// Width of the random part of a score, which keeps nodes from choosing alike.
-const JITTER: f64 = 0.06;
-
 /// Time that an order to change its stage keeps an engine from new work, in milliseconds: its runs
 /// end first, some 3 s, and the change takes 6 s. Meanwhile it grants reservations, looks empty,
 /// and refuses what comes.
@@ -54,109 +23,6 @@
 /// after its record went, and a request may be on its way for some hundred milliseconds.
 const LAPSE_GRACE: u64 = 1_200;
 
-/// Time in which an endpoint that ceased to name a limit gets its full part again, in milliseconds, and the load of full
-/// endpoints that it is taken to have at first. It looks empty, and all nodes would send it what comes at once.
-const EASES: u64 = 3_000;
-const EASED: f64 = 0.5;
-
-/// A load report that came with an answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Load {
-    /// Requests running.
-    pub running: u32,
-    /// Requests waiting.
-    pub waiting: u32,
-    /// Requests it works on at once.
-    pub slots: u32,
-}
-
-/// What is known of one endpoint.
-#[derive(Debug)]
-struct Entry {
-    tag: Tag,
-    endpoint: Endpoint,
-    here: Usage,
-    elsewhere: Usage,
-    health: Health,
-    load: Option<(Load, Millis)>,
-    /// When its record went, if it may come back.
-    lapsed: Option<Millis>,
-    /// Until when its limit has no room for this node.
-    held: Millis,
-    /// When it ceased to name a limit.
-    eased: Option<Millis>,
-}
-
-impl Entry {
-    /// What this node has there, as it is told to others.
-    fn row(&self, now: Millis) -> (Tag, Usage) {
-        let outcomes = self.health.record(now);
-        (self.tag, Usage { outcomes, ..self.here })
-    }
-
-    /// How much it is to be avoided: what this node saw itself, or all nodes together.
-    fn penalty(&self, now: Millis) -> f64 {
-        let here = self.health.record(now);
-        here.penalty().max(here.plus(self.elsewhere.outcomes).penalty())
-    }
-
-    /// Load that it is taken to have beside its own, while it comes back from need.
-    fn easing(&self, now: Millis) -> f64 {
-        let since = self.eased.map_or(EASES, |at| now.since(at));
-        EASED * EASES.saturating_sub(since) as f64 / EASES as f64
-    }
-
-    /// Whether other nodes need to know what this one has there.
-    fn worth_telling(&self, now: Millis) -> bool {
-        let Usage { requests, tokens, .. } = self.here;
-        let outcomes = self.health.record(now);
-        let doubted = self.elsewhere.outcomes.failures > DOUBTED && outcomes.successes > DOUBTED;
-        requests > 0 || tokens > 0 || outcomes.failures > DOUBTED || doubted
-    }
-}
-
-/// Room that a request needs at an engine.
-#[derive(Clone, Copy, Debug)]
-pub struct Room {
-    /// Tokens of KV cache.
-    pub tokens: u32,
-    /// Load, as a share of a full engine, above which one is not asked.
-    pub below: f64,
-}
-
-impl Room {
-    /// Whether an engine that is so full has it.
-    fn fits(self, fullness: f64, capacity: u64) -> bool {
-        let after = fullness + f64::from(self.tokens) / capacity.max(1) as f64;
-        fullness <= self.below && (after <= OVERBOOKED || fullness == 0.0)
-    }
-}
-
-/// What a placement asks for.
-#[derive(Clone, Copy, Debug)]
-pub struct Query<'a> {
-    /// Service.
-    pub service: &'a str,
-    /// Stage.
-    pub stage: Stage,
-    /// Tokens of KV cache that one endpoint of this stage carries; zero for plain services.
-    pub capacity: u64,
-    /// Connections that this node may have at one endpoint.
-    pub connections: u32,
-    /// Room that the endpoint must have; without, the least loaded is taken however full it is.
-    pub room: Option<Room>,
-    /// Endpoints not to use.
-    pub except: &'a [Key],
-}
-
-/// An endpoint that may be chosen.
-struct Candidate<'a> {
-    key: Key,
-    entry: &'a Entry,
-    /// Load as a share of a full endpoint.
-    fullness: f64,
-}
-
 /// An order to an engine to take a stage.
 #[derive(Clone, Copy, Debug)]
 struct Ordered {
@@ -319,59 +185,14 @@
 
     /// The best endpoint for a query, and its load as a share of a full endpoint: one or more
     /// means that it is believed to be full. Failures count in the choice, but not as load.
-    ///
-    /// Load pattern: bursts that fill one failure domain's engines before another's. The room decides
-    /// before anything is weighed: an engine of the own domain that is a little over full would else be
-    /// preferred to one of another domain that has room, and the request refused.
     pub fn choose(&mut self, query: Query<'_>, now: Millis) -> Option<(Key, f64)> {
-        let random = &mut self.random;
         let changing = |it: &Entry| {
             let order = self.changing.get(&it.tag);
             order.is_some_and(|order| order.until > now && order.stage != it.endpoint.stage)
         };
-        let entries = self.entries.iter().filter(|(key, it)| {
-            !it.endpoint.draining
-                && it.held <= now
-                && it.here.requests < query.connections
-                && !changing(it)
-                && it.endpoint.stage == query.stage
-                && it.endpoint.service == query.service
-                && !query.except.contains(key)
-        });
-        let entries: Vec<(Key, &Entry)> = entries.collect();
-        let many = entries.len() > ALL_LOOKED_AT;
-        let loads = entries.into_iter().map(|(key, entry)| {
-            let fullness = fullness(entry, query.capacity, now);
-            Candidate { key, entry, fullness }
-        });
-        let roomy = |it: &Candidate<'_>| {
-            query.room.is_none_or(|room| room.fits(it.fullness, query.capacity))
-        };
-        let mut candidates: Vec<Candidate<'_>> = loads.filter(roomy).collect();
-        match query.stage {
-            Stage::Plain => draw(&mut candidates, DRAWN_PLAIN, random),
-            Stage::Prefill | Stage::Decode if many => {
-                let near = |it: &Candidate<'_>| it.entry.endpoint.domain == self.domain;
-                let (near, mut far): (Vec<_>, Vec<_>) = candidates.into_iter().partition(near);
-                draw(&mut far, DRAWN, random);
-                candidates = near;
-                candidates.extend(far);
-            }
-            Stage::Prefill | Stage::Decode => {}
-        }
-        let away = if many { FAR_PENALTY } else { DOMAIN_PENALTY };
-        let scored = candidates.into_iter().map(|Candidate { key, entry, fullness }| {
-            let mut score = fullness + entry.penalty(now) + entry.easing(now);
-            if entry.endpoint.domain != self.domain {
-                score += away;
-            }
-            if entry.lapsed.is_some() {
-                score += 0.5;
-            }
-            (key, fullness, score + random.random_range(0.0..JITTER))
-        });
-        let best = scored.min_by(|one, other| one.2.total_cmp(&other.2));
-        best.map(|(key, fullness, _)| (key, fullness))
+        let admitted = |(key, it): &(Key, &Entry)| query.admits(*key, it, now) && !changing(it);
+        let entries = self.entries.iter().filter(admitted).collect();
+        choice::best(query, entries, &self.domain, &mut self.random, now)
     }
 
     /// Share of the KV cache of a service's decoding engines that is believed to be taken.
@@ -516,25 +337,3 @@
         }
     }
 }
-
-/// Leaves so many, drawn at random.
-fn draw(candidates: &mut Vec<Candidate<'_>>, count: usize, random: &mut SmallRng) {
-    if candidates.len() > count {
-        candidates.partial_shuffle(random, count);
-        candidates.drain(..candidates.len() - count);
-    }
-}
-
-/// Load as a share of what the endpoint carries.
-fn fullness(entry: &Entry, capacity: u64, now: Millis) -> f64 {
-    if capacity > 0 {
-        return f64::from(entry.here.tokens + entry.elsewhere.tokens) / capacity as f64;
-    }
-    let slots = f64::from(entry.endpoint.slots.max(1));
-    let reported = match entry.load {
-        Some((load, at)) if now.since(at) < LOAD_LIFE => load.running + load.waiting,
-        _ => 0,
-    };
-    let counted = entry.here.requests + entry.elsewhere.requests;
-    f64::from(reported.max(counted)) / slots
-}
--- a/crates/coordination/tests/pool.rs
+++ b/crates/coordination/tests/pool.rs
@@ -1,8 +1,9 @@
 //! Pool: which endpoints may be used, and which is chosen.
 
+use crosslane_coordination::choice::{Query, Room};
 use crosslane_coordination::connections;
 use crosslane_coordination::health::{Outcome, Record};
-use crosslane_coordination::pool::{Pool, Query, Room};
+use crosslane_coordination::pool::Pool;
 use crosslane_coordination::usage::Usage;
 use crosslane_state::endpoint::{Endpoint, Stage, Tag};
 use crosslane_state::time::Millis;
