--- a/crates/coordination/tests/limits_fleet.rs
+++ b/crates/coordination/tests/limits_fleet.rs
@@ -26,6 +26,10 @@
 /// Time after the limit was named in which the first bucket fills, in milliseconds: not counted as unused.
 const BEGINS: u64 = 4_000;
 
+/// Time in which a node that starts learns of the limit, in milliseconds: by its first answer, or the first heartbeat of
+/// another one. Until then it sends what comes.
+const LEARNS: u64 = 150;
+
 /// Window in which requests count, in milliseconds.
 const WINDOW: u64 = 4_000;
 
@@ -42,6 +46,8 @@
     Cut,
     /// All nodes start again, one after the other.
     Rolling,
+    /// All nodes start again at the same moment.
+    Herd,
 }
 
 struct Node {
@@ -49,6 +55,8 @@
     alone: Quota,
     queues: Queues,
     held: u64,
+    /// Until when it does not know of the limit.
+    unaware: u64,
     silent: HashMap<usize, Misses>,
     /// Gone or cut off, from and until when.
     away: Option<(u64, u64)>,
@@ -58,7 +66,7 @@
     fn new() -> Self {
         let (owned, alone) = (Quota::new(BOUND), Quota::new(BOUND));
         let (queues, silent) = Default::default();
-        Self { owned, alone, queues, held: 0, silent, away: None }
+        Self { owned, alone, queues, held: 0, unaware: 0, silent, away: None }
     }
 }
 
@@ -183,6 +191,7 @@
                 Trouble::Freeze if place == 0 => Some((TROUBLE.start, TROUBLE.end)),
                 Trouble::Cut if place % 3 == 0 => Some((TROUBLE.start, TROUBLE.end)),
                 Trouble::Rolling => Some((at, at + 1_000)),
+                Trouble::Herd => Some((TROUBLE.start, TROUBLE.start + 1_000)),
                 _ => None,
             };
         }
@@ -191,13 +200,13 @@
 
     /// Nodes that were killed begin with nothing.
     fn restart(&mut self, now: u64) {
-        if !matches!(self.trouble, Trouble::Kill | Trouble::Rolling) {
+        if !matches!(self.trouble, Trouble::Kill | Trouble::Rolling | Trouble::Herd) {
             return;
         }
         let back =
             |it: &&mut Node| it.away.is_some_and(|(_, until)| until.div_ceil(STEP) * STEP == now);
         for node in self.nodes.iter_mut().filter(back) {
-            *node = Node { away: node.away, ..Node::new() };
+            *node = Node { away: node.away, unaware: now + LEARNS, ..Node::new() };
         }
     }
 }
@@ -228,6 +237,10 @@
                 if stands || fleet.nodes[at].held > now {
                     continue;
                 }
+                if fleet.nodes[at].unaware > now {
+                    came.push_back(now);
+                    continue;
+                }
                 match fleet.ask(at, now) {
                     Verdict::Granted => {
                         came.push_back(now);
@@ -271,6 +284,7 @@
 #[case(Case { trouble: Trouble::Freeze, used: 0.5 })]
 #[case(Case { trouble: Trouble::Cut, used: 0.4 })]
 #[case(Case { trouble: Trouble::Rolling, used: 0.5 })]
+#[case(Case { trouble: Trouble::Herd, used: 0.5 })]
 fn no_endpoint_gets_more_than_is_borne_over_all_nodes(#[case] case: Case) {
     let trouble = case.trouble;
     let mut failed = Vec::new();
