An innocent request is not shut out in place of the one that crashes engines

The node of the culprit looked at the ended engines first, while their port still took connections, and kept that answer; its next look came 150 ms later. The other stream had three strikes by then and was shut out at 2,052 ms. From that moment the culprit's strikes were taken for explained, and what was explained was forgotten after 2 s: at 8,165 ms its strikes began at 1 again. That the first look found the port open is inferred: the log has no line for it. New lines say why an end is not held against a request (`spared`) and what is forgotten (`forgotten`).

Change: - no request is ruled on while another suspect was at all endpoints that ended under it, struck there or known to be tried there; each is tried by itself until one runs well or ends an endpoint alone; - a suspect's run is announced 20 ms before it begins; of two at one endpoint one gives way; - an endpoint found alive is looked at again after 10 ms, and no such answer is kept; - what another request is shut out for is remembered for 60 s, and only rulings explain; - who is shut out is let in again once another one outdoes it; - a node that starts is told what is held against requests.

The soak now also fails if any other request than a crashing one is ever shut out.

--- a/crates/coordination/src/quarantine.rs
+++ b/crates/coordination/src/quarantine.rs
@@ -10,8 +10,11 @@
 //! - Only what began a moment before is struck; a run that went well or went on is forgotten.
 //! - A suspect is tried by one node at a time, and no two at one engine. So copies that come meanwhile
 //!   do not each end an engine, and what was resumed beside the culprit is not struck with it again.
+//! - No request is ruled on while another suspect was at all the endpoints that ended under it: where few engines
+//!   generate, what breaks off with the culprit may go on beside it. Each is tried by itself until one of them
+//!   runs well, or ends an endpoint alone.
 //! - What a request that is shut out has ended is held against no other, unless all of it and one endpoint more ended
-//!   under that one: where few engines generate, what is resumed beside the culprit may be struck thrice before it.
+//!   under that one. Then that one is shut out, and the first is let in again.
 //! - Of endpoints that end together with many others, as with a failure domain or a release, only a request is
 //!   suspected that was at two of them.
 //!
@@ -22,6 +25,7 @@
 use crosslane_state::endpoint::Tag;
 use crosslane_state::fingerprint::Fingerprint;
 use crosslane_state::time::Millis;
+use derive_more::Display;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -41,10 +45,22 @@
 /// heard from others. While any are kept, the fingerprint of each request is taken.
 const EXCUSED: u64 = 2_000;
 
+/// Time that ends count which another request is shut out for, in milliseconds: by then a culprit that was taken for its
+/// companion has come back.
+const SHARED: u64 = 60_000;
+
+/// Time between the announcement of a suspect's run and the run, in milliseconds: by then a node that announced one at
+/// the same endpoint is heard of.
+pub const ANNOUNCED: u64 = 20;
+
 /// Time that another node's trial keeps copies back, in milliseconds: memory, a prefill and the first
 /// tokens take some 2 s. It ends sooner when that node says so.
 const TRIAL: u64 = 3_000;
 
+/// Time after its last strike in which a request that is shut out may let others in again, in milliseconds: more than the
+/// time that nodes leave the decision to one another.
+const ACQUITS: u64 = 5_000;
+
 /// Endpoints that end together from which on something else has ended them: copies that are tried one at a time
 /// end two in that time.
 const MANY: usize = 3;
@@ -57,7 +73,7 @@
 /// What nodes tell each other about a request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Word {
-    /// These endpoints ended under it.
+    /// These endpoints ended under it, the last one just now.
     Struck(Vec<Tag>),
     /// The sender runs it at this endpoint, to see whether that ends too.
     Tried(Tag),
@@ -67,6 +83,28 @@
     Cleared,
     /// It was decided about.
     Ruled(Ruling),
+    /// These endpoints ended under it before the receiver started.
+    Known(Vec<Tag>),
+}
+
+/// What an endpoint's end says of a request that had just begun there.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Strike {
+    /// It is held against the request, as so many are by now.
+    #[display("held")]
+    Held(usize),
+    /// It is counted already.
+    #[display("known")]
+    Known,
+    /// A request that is shut out explains it.
+    #[display("another request is shut out for it")]
+    Explained,
+    /// Many endpoints ended together.
+    #[display("many endpoints ended together")]
+    Chance,
+    /// There is no room for another suspect.
+    #[display("too many suspects")]
+    Full,
 }
 
 /// How a request stands.
@@ -126,7 +164,7 @@
         };
         let elsewhere = suspect.trial.is_some_and(|it| it.until > now);
         let since = suspect.ruling.map_or(unix, |it| it.at);
-        match suspect.shut() {
+        match self.is_shut(request, suspect) {
             true => Standing::Shut((since + SHUT).saturating_sub(unix)),
             false if suspect.strikes.is_empty() => Standing::Free,
             false if elsewhere => Standing::OnTrial,
@@ -134,6 +172,20 @@
         }
     }
 
+    /// Whether a request is shut out, be it that the ruling is still on its way.
+    fn is_shut(&self, request: Fingerprint, suspect: &Suspect) -> bool {
+        match suspect.ruling {
+            Some(ruling) => ruling.verdict == Verdict::Shut,
+            None => suspect.guilty() && !self.is_explained(request, suspect),
+        }
+    }
+
+    /// Whether another suspect may have ended all that ended under a request.
+    fn is_explained(&self, request: Fingerprint, suspect: &Suspect) -> bool {
+        let mut others = self.suspects.iter().filter(|(it, _)| **it != request);
+        others.any(|(_, other)| suspect.explained_by(other))
+    }
+
     /// Begins a run of a suspect at an endpoint.
     pub fn begin(&mut self, request: Fingerprint, endpoint: Tag, now: Millis) {
         if let Some(suspect) = self.suspects.get_mut(&request) {
@@ -145,15 +197,26 @@
     }
 
     /// Ends this node's run of a suspect.
-    pub fn rest(&mut self, request: Fingerprint) {
+    pub fn rest(&mut self, request: Fingerprint, now: Millis) {
         let Some(suspect) = self.suspects.get_mut(&request) else {
             return;
         };
-        if suspect.trial.take_if(|it| it.by == self.me).is_some() && suspect.told {
+        if suspect.trial.is_none_or(|it| it.by != self.me) {
+            return;
+        }
+        suspect.rest(now);
+        if suspect.told {
             self.words.push((request, Word::Rested));
         }
     }
 
+    /// Whether a run of a suspect that was announced gives way to another suspect's at the same endpoint. Of two that
+    /// were announced at once one does.
+    pub fn gives_way(&self, request: Fingerprint, endpoint: Tag, now: Millis) -> bool {
+        let before = self.suspects.range(..request).filter_map(|(_, it)| it.trial);
+        before.filter(|it| it.until > now).any(|it| it.endpoint == endpoint)
+    }
+
     /// Endpoints at which other suspects run.
     pub fn trials(&self, request: Fingerprint, now: Millis) -> Vec<Tag> {
         let others = self.suspects.iter().filter(|(it, _)| **it != request);
@@ -161,51 +224,81 @@
         trials.filter(|it| it.until > now).map(|it| it.endpoint).collect()
     }
 
-    /// Counts an endpoint that ended under a request right after it had begun there. Returns how many did, if
-    /// this one is held against it.
-    pub fn strike(&mut self, request: Fingerprint, endpoint: Tag, now: Millis) -> Option<usize> {
+    /// Counts an endpoint that ended under a request right after it had begun there.
+    pub fn strike(&mut self, request: Fingerprint, endpoint: Tag, now: Millis) -> Strike {
         self.ended(endpoint, now);
-        let explained =
-            self.suspects.values().any(|it| it.shut() && it.strikes.contains(&endpoint));
+        let explained = self.is_explained_by_ruling(request, endpoint);
         let known = self.suspects.contains_key(&request);
-        if !known && (explained || !self.has_room()) {
-            return None;
+        if !known && !self.has_room() {
+            return Strike::Full;
         }
         let suspect = self.suspects.entry(request).or_default();
-        if explained && !suspect.shut() {
+        if explained && !suspect.ruled_out() {
             suspect.share_one(endpoint);
-            return None;
+            if !known {
+                suspect.at = now;
+            }
+            self.restore(request);
+            return Strike::Explained;
         }
         if !suspect.strike(endpoint) {
-            return None;
+            return Strike::Known;
         }
         (suspect.at, suspect.seen, suspect.last_seen) = (now, true, true);
         self.excuse_chance();
         self.restore(request);
-        let suspect = self.suspects.get_mut(&request)?;
+        let Some(suspect) = self.suspects.get_mut(&request) else {
+            return Strike::Chance;
+        };
         let strikes = suspect.strikes.len();
         if strikes == 0 {
-            return None;
+            return Strike::Chance;
         }
         if strikes > 1 || self.ended.len() <= MANY {
             suspect.told = true;
             self.words.push((request, Word::Struck(suspect.strikes.clone())));
         }
-        self.explain(request);
-        Some(strikes)
+        Strike::Held(strikes)
+    }
+
+    /// Whether another request is shut out under which an endpoint ended.
+    fn is_explained_by_ruling(&self, request: Fingerprint, endpoint: Tag) -> bool {
+        let mut others = self.suspects.iter().filter(|(it, _)| **it != request);
+        others.any(|(_, other)| other.ruled_out() && other.strikes.contains(&endpoint))
     }
 
     /// Rules on requests under which enough endpoints ended, once it is known that these did not end together
     /// with others. They are kept out meanwhile. Returns those that are shut out now.
     pub fn settle(&mut self, now: Millis, unix: u64) -> Vec<Fingerprint> {
+        if self.ruled >= MOST_RULINGS {
+            return Vec::new();
+        }
         let due = self.suspects.iter().filter(|(_, it)| it.due(now));
+        let due = due.filter(|(request, it)| !self.is_explained(**request, it));
         let due: Vec<Fingerprint> = due.map(|(request, _)| *request).collect();
         due.into_iter().filter(|it| self.shut(*it, now, unix)).collect()
     }
 
+    /// Lets requests in again that another one outdoes which is shut out by now. Returns them.
+    pub fn acquit(&mut self, now: Millis, unix: u64) -> Vec<Fingerprint> {
+        let ruled_out = || self.suspects.values().filter(|it| it.ruled_out());
+        let lately = |it: &&Suspect| (it.left_to_others()..ACQUITS).contains(&now.since(it.at));
+        let culprits: Vec<&Suspect> = ruled_out().filter(lately).collect();
+        let outdone = self.suspects.iter().filter(|(_, it)| it.ruled_out());
+        let outdone = outdone.filter(|(_, it)| culprits.iter().any(|culprit| culprit.outdoes(it)));
+        let outdone = outdone.filter_map(|(request, it)| Some((*request, it.ruling?)));
+        let outdone: Vec<(Fingerprint, Ruling)> = outdone.collect();
+        for (request, ruling) in &outdone {
+            let at = unix.max(ruling.at + 1);
+            self.decide(*request, Ruling { at, verdict: Verdict::Lifted }, now, unix);
+        }
+        outdone.into_iter().map(|(request, _)| request).collect()
+    }
+
     /// Notes that an endpoint ended, whatever ran there. Takes strikes back that chance explains: those at
     /// one of many endpoints that ended together.
     pub fn ended(&mut self, endpoint: Tag, now: Millis) {
+        self.suspects.values_mut().for_each(|it| it.witness(endpoint, now));
         self.ended.retain(|(_, at)| now.since(*at) < TOGETHER);
         if self.ended.iter().all(|it| it.0 != endpoint) {
             self.ended.push((endpoint, now));
@@ -228,7 +321,11 @@
 
     /// Shuts a request out; false if there is no room for a ruling.
     fn shut(&mut self, request: Fingerprint, now: Millis, unix: u64) -> bool {
-        let ruling = Ruling { at: unix, verdict: Verdict::Shut };
+        self.decide(request, Ruling { at: unix, verdict: Verdict::Shut }, now, unix)
+    }
+
+    /// Puts a ruling of this node in force, and has it told and written; false if there is no room for it.
+    fn decide(&mut self, request: Fingerprint, ruling: Ruling, now: Millis, unix: u64) -> bool {
         if !self.rule(request, ruling, now, unix) {
             return false;
         }
@@ -239,12 +336,12 @@
 
     /// Excuses all others from what a request ended that is shut out.
     fn explain(&mut self, request: Fingerprint) {
-        let Some(culprit) = self.suspects.get(&request).filter(|it| it.shut()) else {
+        let culprit = self.suspects.get(&request).filter(|it| it.ruled_out());
+        let Some(ended) = culprit.map(|it| it.strikes.clone()) else {
             return;
         };
-        let ended = culprit.strikes.clone();
-        let others =
-            self.suspects.iter_mut().filter(|(it, other)| **it != request && !other.shut());
+        let others = self.suspects.iter_mut().filter(|(it, _)| **it != request);
+        let others = others.filter(|(_, other)| !other.ruled_out());
         others.for_each(|(_, other)| other.share(&ended));
     }
 
@@ -254,8 +351,9 @@
         let Some(suspect) = self.suspects.get(&request) else {
             return;
         };
-        let others = self.suspects.iter().filter(|(it, other)| **it != request && other.shut());
-        let outdoes = others.into_iter().any(|(_, other)| suspect.outdoes(other));
+        let others = self.suspects.iter().filter(|(it, _)| **it != request);
+        let mut shut = others.filter(|(_, other)| other.ruled_out());
+        let outdoes = shut.any(|(_, other)| suspect.outdoes(other));
         if outdoes && let Some(suspect) = self.suspects.get_mut(&request) {
             suspect.restore();
         }
@@ -283,15 +381,24 @@
         unix: u64,
     ) -> bool {
         match word {
-            Word::Struck(endpoints) => self.hear_struck(request, &endpoints, now),
+            Word::Struck(endpoints) => {
+                self.hear_struck(request, &endpoints, now);
+                // The last one is new; those before were told when they ended.
+                if let Some(last) = endpoints.last() {
+                    self.ended(*last, now);
+                }
+            }
+            Word::Known(endpoints) => self.hear_struck(request, &endpoints, now),
             Word::Tried(endpoint) => {
                 if let Some(suspect) = self.suspects.get_mut(&request) {
                     suspect.trial = Some(Trial { by: from, endpoint, until: now + TRIAL });
                 }
             }
             Word::Rested => {
-                if let Some(suspect) = self.suspects.get_mut(&request) {
-                    suspect.trial.take_if(|it| it.by == from);
+                let suspect = self.suspects.get_mut(&request);
+                if let Some(suspect) = suspect.filter(|it| it.trial.is_some_and(|it| it.by == from))
+                {
+                    suspect.rest(now);
                 }
             }
             Word::Cleared => {
@@ -314,10 +421,6 @@
             suspect.strike(*it);
         });
         (suspect.told, suspect.at, suspect.last_seen) = (true, now, false);
-        // The last one is new; those before were told when they ended.
-        if let Some(last) = endpoints.last() {
-            self.ended(*last, now);
-        }
         self.restore(request);
         self.explain(request);
     }
@@ -331,7 +434,6 @@
         let new = self.rule(request, ruling, now, unix);
         if new {
             self.unsaved.insert(request, Unsaved { since: now, own: false });
-            self.explain(request);
         }
         new
     }
@@ -351,6 +453,7 @@
             suspect.excused.append(&mut suspect.strikes);
             suspect.excused.append(&mut suspect.shared);
         }
+        self.explain(request);
         self.count();
         true
     }
@@ -372,6 +475,13 @@
         rulings.collect()
     }
 
+    /// What a node that starts is to know of requests that are not ruled on.
+    pub fn known(&self) -> Vec<(Fingerprint, Word)> {
+        let suspects = self.suspects.iter().filter(|(_, it)| it.told && it.ruling.is_none());
+        let struck = suspects.filter(|(_, it)| !it.strikes.is_empty());
+        struck.map(|(request, it)| (*request, Word::Known(it.strikes.clone()))).collect()
+    }
+
     /// All rulings.
     pub fn rulings(&self) -> impl Iterator<Item = (Fingerprint, Ruling)> {
         self.suspects.iter().filter_map(|(request, it)| Some((*request, it.ruling?)))
@@ -400,22 +510,32 @@
 
     /// Requests that are shut out.
     pub fn shut_count(&self) -> usize {
-        self.suspects.values().filter(|it| it.shut()).count()
+        self.suspects.iter().filter(|(request, it)| self.is_shut(**request, it)).count()
     }
 
-    /// Forgets what is over. One that was shut out is on parole: its next crash shuts it out again.
-    pub fn expire(&mut self, now: Millis, unix: u64) {
+    /// Forgets what is over, and returns which requests. One that was shut out is on parole: its next crash shuts it out
+    /// again.
+    pub fn expire(&mut self, now: Millis, unix: u64) -> Vec<Fingerprint> {
         for suspect in self.suspects.values_mut() {
             if suspect.ruling.take_if(|it| it.over(unix)).is_some() {
                 suspect.strikes.truncate(SHUT_AT - 1);
                 suspect.at = now;
             }
         }
-        self.suspects.retain(|_, it| {
-            let kept = if it.strikes.is_empty() { EXCUSED } else { SUSPECTED };
-            it.ruling.is_some() || now.since(it.at) < kept
-        });
+        let over = |it: &Suspect| {
+            let kept = match (it.strikes.is_empty(), it.shared.is_empty()) {
+                (false, _) => SUSPECTED,
+                (true, false) => SHARED,
+                (true, true) => EXCUSED,
+            };
+            it.ruling.is_none() && now.since(it.at) >= kept
+        };
+        let forgotten =
+            self.suspects.iter().filter(|(_, it)| over(it)).map(|(request, _)| *request);
+        let forgotten: Vec<Fingerprint> = forgotten.collect();
+        self.suspects.retain(|_, it| !over(it));
         self.unsaved.retain(|request, _| self.suspects.contains_key(request));
         self.count();
+        forgotten
     }
 }
--- a/crates/coordination/src/suspect.rs
+++ b/crates/coordination/src/suspect.rs
@@ -19,6 +19,9 @@
 /// The same, before nodes rule that only heard of strikes: whoever saw them may have ended with them.
 const LEFT_TO_WITNESSES: u64 = 1_000;
 
+/// Time after a run's end in which its endpoint's end may still be found, in milliseconds.
+const AFTERWARDS: u64 = 500;
+
 /// Most endpoints remembered for each request, for what others are excused.
 const MOST_ENDPOINTS: usize = 16;
 
@@ -41,6 +44,10 @@
     pub excused: Vec<Tag>,
     /// Incarnations that ended under it and under one that is shut out.
     pub shared: Vec<Tag>,
+    /// Incarnations that ended while it was tried there.
+    pub beside: Vec<Tag>,
+    /// Its last run that is over, and when it ended.
+    pub rested: Option<(Tag, Millis)>,
     /// Last strike.
     pub at: Millis,
     pub trial: Option<Trial>,
@@ -53,12 +60,9 @@
 }
 
 impl Suspect {
-    /// Whether it is shut out, be it that the ruling is still on its way.
-    pub fn shut(&self) -> bool {
-        match self.ruling {
-            Some(ruling) => ruling.verdict == Verdict::Shut,
-            None => self.guilty(),
-        }
+    /// Whether a ruling shuts it out.
+    pub fn ruled_out(&self) -> bool {
+        self.ruling.is_some_and(|it| it.verdict == Verdict::Shut)
     }
 
     /// Whether enough endpoints ended under it.
@@ -66,6 +70,27 @@
         self.strikes.len() >= SHUT_AT
     }
 
+    /// Whether what ended under it may as well be another one's doing, which was there each time.
+    pub fn explained_by(&self, other: &Self) -> bool {
+        let there = |it: &Tag| other.strikes.contains(it) || other.beside.contains(it);
+        !other.ruled_out() && !other.strikes.is_empty() && self.strikes.iter().all(there)
+    }
+
+    /// Notes that an endpoint ended, if it was tried there a moment ago.
+    pub fn witness(&mut self, endpoint: Tag, now: Millis) {
+        let running = self.trial.is_some_and(|it| it.endpoint == endpoint && it.until > now);
+        let ran = |(at, since): (Tag, Millis)| at == endpoint && now.since(since) < AFTERWARDS;
+        let there = running || self.rested.is_some_and(ran);
+        if there && !self.beside.contains(&endpoint) && self.beside.len() < MOST_ENDPOINTS {
+            self.beside.push(endpoint);
+        }
+    }
+
+    /// Ends its run.
+    pub fn rest(&mut self, now: Millis) {
+        self.rested = self.trial.take().map(|it| (it.endpoint, now));
+    }
+
     /// Whether all that one ended which is shut out ended under this one too, and another endpoint besides.
     pub fn outdoes(&self, shut: &Self) -> bool {
         let here = |it: &Tag| self.strikes.contains(it) || self.shared.contains(it);
@@ -83,12 +108,16 @@
     /// Whether this node is to rule on it now: who saw the last strike, or if that node did not, who saw another,
     /// or at last anyone. What nobody rules on is forgotten as nodes restart, and ends three endpoints more.
     pub fn due(&self, now: Millis) -> bool {
-        let wait = match (self.last_seen, self.seen) {
+        self.ruling.is_none() && self.guilty() && now.since(self.at) >= self.left_to_others()
+    }
+
+    /// Time that this node leaves a decision on it to others which saw more, in milliseconds.
+    pub fn left_to_others(&self) -> u64 {
+        match (self.last_seen, self.seen) {
             (true, _) => TOGETHER,
             (false, true) => LEFT_TO_OTHERS,
             (false, false) => LEFT_TO_WITNESSES,
-        };
-        self.ruling.is_none() && self.guilty() && now.since(self.at) >= wait
+        }
     }
 
     /// Adds a strike; false if it was known or is excused.
--- a/crates/coordination/tests/quarantine.rs
+++ b/crates/coordination/tests/quarantine.rs
@@ -69,6 +69,107 @@
     assert!(matches!(standing(&quarantine, "culprit"), Standing::Shut(_)));
 }
 
+/// An innocent stream broke off with the culprit three times, and was ruled out since its node was the first to count.
+#[rstest]
+fn a_companion_is_not_shut_out_with_the_culprit() {
+    let mut quarantine = quarantine();
+    for (second, endpoint) in [11, 12, 13].into_iter().enumerate() {
+        let at = Millis(second as u64 * 1_000);
+        quarantine.strike(request("companion"), Tag(endpoint), at);
+        quarantine.strike(request("culprit"), Tag(endpoint), at + 9);
+        assert!(quarantine.settle(at + TOGETHER + 9, UNIX).is_empty());
+    }
+    assert_eq!(standing(&quarantine, "companion"), Standing::Suspect);
+    assert_eq!(standing(&quarantine, "culprit"), Standing::Suspect);
+    // One of them runs well by itself.
+    quarantine.clear(request("companion"));
+    assert_eq!(quarantine.settle(Millis(5_000), UNIX), [request("culprit")]);
+}
+
+/// The culprit's node looked too early and found the endpoints alive, so only its companion was counted at them.
+#[rstest]
+fn a_companion_is_not_shut_out_for_what_ended_while_the_culprit_was_tried_there() {
+    let mut quarantine = quarantine();
+    quarantine.strike(request("culprit"), Tag(11), Millis(0));
+    quarantine.strike(request("companion"), Tag(11), Millis(0));
+    for endpoint in [12, 13] {
+        let at = Millis(endpoint * 1_000);
+        quarantine.hear(THERE, request("culprit"), Word::Tried(Tag(endpoint)), at, UNIX);
+        quarantine.hear(THERE, request("culprit"), Word::Rested, at + 40, UNIX);
+        quarantine.strike(request("companion"), Tag(endpoint), at + 41);
+        quarantine.rest(request("companion"), at + 41);
+    }
+    assert!(quarantine.settle(Millis(14_000), UNIX).is_empty());
+    assert_eq!(standing(&quarantine, "companion"), Standing::Suspect);
+}
+
+/// What a companion was shut out for was forgotten of the culprit within 2 s, and it ended three endpoints more.
+#[rstest]
+fn what_ended_under_the_culprit_is_remembered_while_another_one_is_shut_out_for_it() {
+    let mut quarantine = quarantine();
+    struck(&mut quarantine, "companion", &[11, 12, 13]);
+    struck(&mut quarantine, "culprit", &[11, 12, 13]);
+    quarantine.expire(Millis(9_000), UNIX);
+    quarantine.strike(request("culprit"), Tag(14), Millis(9_000));
+    let standing = quarantine.standing(request("culprit"), Millis(9_000), UNIX);
+    assert!(matches!(standing, Standing::Shut(_)));
+}
+
+#[rstest]
+fn a_companion_is_let_in_again_once_the_culprit_is_shut_out() {
+    let mut quarantine = quarantine();
+    struck(&mut quarantine, "companion", &[11, 12, 13]);
+    assert!(matches!(standing(&quarantine, "companion"), Standing::Shut(_)));
+    for endpoint in [11, 12, 13, 14] {
+        quarantine.strike(request("culprit"), Tag(endpoint), Millis(4_000 + endpoint * 100));
+    }
+    let now = Millis(5_600);
+    assert_eq!(quarantine.settle(now, UNIX), [request("culprit")]);
+    assert_eq!(quarantine.acquit(now + TOGETHER, UNIX), [request("companion")]);
+    assert_eq!(standing(&quarantine, "companion"), Standing::Free);
+    assert!(matches!(standing(&quarantine, "culprit"), Standing::Shut(_)));
+    assert!(quarantine.acquit(now + 2 * TOGETHER, UNIX).is_empty());
+}
+
+#[rstest]
+fn of_two_suspects_announced_at_once_at_an_endpoint_one_gives_way() {
+    let (mut one, mut other) = (quarantine(), Quarantine::new(THERE));
+    let now = Millis(5_000);
+    for it in [&mut one, &mut other] {
+        for name in ["a", "b"] {
+            it.hear(Tag(3), request(name), Word::Struck(vec![Tag(11)]), Millis(0), UNIX);
+        }
+    }
+    one.begin(request("a"), Tag(12), now);
+    other.begin(request("b"), Tag(12), now);
+    let (from_one, from_other) = (one.words(), other.words());
+    from_other.into_iter().for_each(|(it, word)| {
+        one.hear(THERE, it, word, now + 5, UNIX);
+    });
+    from_one.into_iter().for_each(|(it, word)| {
+        other.hear(HERE, it, word, now + 5, UNIX);
+    });
+    let later = now + 20;
+    let gives_way = [
+        one.gives_way(request("a"), Tag(12), later),
+        other.gives_way(request("b"), Tag(12), later),
+    ];
+    assert_eq!(gives_way.iter().filter(|it| **it).count(), 1);
+    assert!(!one.gives_way(request("a"), Tag(13), later));
+}
+
+/// A node that had just started knew of no strike, and the culprit ended three endpoints more there.
+#[rstest]
+fn a_node_that_starts_hears_what_is_held_against_requests() {
+    let (mut old, mut new) = (quarantine(), Quarantine::new(THERE));
+    struck(&mut old, "a", &[11, 12]);
+    for (request, word) in old.known() {
+        new.hear(HERE, request, word, Millis(5_000), UNIX);
+    }
+    new.strike(request("a"), Tag(13), Millis(6_000));
+    assert!(matches!(standing(&new, "a"), Standing::Shut(_)));
+}
+
 struct Together {
     name: &'static str,
     /// Endpoints that end within a moment, and those at which the request was.
@@ -151,7 +252,7 @@
     assert_eq!(standing(&quarantine, "a"), Standing::OnTrial);
     assert_eq!(quarantine.trials(request("b"), now), [Tag(12)]);
     assert!(quarantine.trials(request("a"), now).is_empty());
-    quarantine.rest(request("a"));
+    quarantine.rest(request("a"), now);
     assert_eq!(standing(&quarantine, "a"), Standing::Suspect);
 }
 
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -38,6 +38,10 @@
 pub const BROKE: &str = "broke";
 /// An endpoint ended right after it had begun to run a request, which is held against the request.
 pub const STRUCK: &str = "struck";
+/// An endpoint ended so, and it is not held against the request.
+pub const SPARED: &str = "spared";
+/// What was held against a request is forgotten.
+pub const FORGOTTEN: &str = "forgotten";
 /// A request was shut out, or let in again.
 pub const RULED: &str = "ruled";
 /// A ruling could not be written to the store yet.
@@ -60,7 +64,7 @@
 pub const DROPPED: &str = "dropped";
 
 /// Every event.
-pub const EVENTS: [&str; 29] = [
+pub const EVENTS: [&str; 31] = [
     START,
     STOP,
     SUSPENDED,
@@ -80,6 +84,8 @@
     SILENT,
     BROKE,
     STRUCK,
+    SPARED,
+    FORGOTTEN,
     RULED,
     UNSAVED,
     BARRED,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -248,7 +248,7 @@
         return Err(Failure::Unsent);
     };
     seat.admit(&call.ask.id).await?;
-    let mut trial = quarantine::admit(&node, call, &endpoint, purpose)?;
+    let mut trial = quarantine::admit(&node, call, &endpoint, purpose).await?;
     placed(&node, call, &seat, &endpoint, purpose);
     let sent = node.now();
     let runs = !matches!(purpose, Purpose::Prefill);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -332,6 +332,15 @@
     }
 }
 
+/// Tells a node what is held against requests that are not ruled on, if this node is one of the few of its failure domain
+/// that read.
+async fn tell_suspects(node: &Node, socket: &UdpSocket, to: IpAddr) {
+    if lock(&node.members).reads(node.now()) {
+        let words = node.quarantine().known();
+        send_words(node, socket, words, &[to]).await;
+    }
+}
+
 /// Sends all rulings to a node that asks for them.
 async fn send_rulings(node: &Node, socket: &UdpSocket, to: IpAddr) {
     let rulings: Vec<_> = node.quarantine().rulings().collect();
@@ -421,7 +430,10 @@
             Ok(Message::GivenBack { subject, cost }) => {
                 node.desk(subject).hear_back(subject, cost);
             }
-            Ok(Message::RulingsWanted) => send_rulings(&node, &socket, from.ip()).await,
+            Ok(Message::RulingsWanted) => {
+                send_rulings(&node, &socket, from.ip()).await;
+                tell_suspects(&node, &socket, from.ip()).await;
+            }
             Err(error) => warn!(from:% = from, why:% = error; "{}", event::SKIPPED),
         }
     }
@@ -460,5 +472,8 @@
     if word.newcomer {
         send(node, socket, &Message::Heartbeat(heartbeat(node)), &[from]).await;
         tell_rulings(node, socket, &[from]).await;
+        // One that has just started, or this one, may lack what is held against requests.
+        tell_suspects(node, socket, from).await;
+        send(node, socket, &Message::RulingsWanted, &[from]).await;
     }
 }
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -10,8 +10,8 @@
 use crate::node::{Node, lock};
 use crate::refusal::{Reason, Refusal};
 use crate::stream;
-use crosslane_coordination::quarantine::{BLAMED, INNOCENT, Standing, Word};
-use crosslane_coordination::ruling::SHUT;
+use crosslane_coordination::quarantine::{ANNOUNCED, BLAMED, INNOCENT, Standing, Strike, Word};
+use crosslane_coordination::ruling::{SHUT, Verdict};
 use crosslane_coordination::suspect::{SHUT_AT, TOGETHER};
 use crosslane_platform::ask::Purpose;
 use crosslane_state::endpoint::{Endpoint, Key, Tag};
@@ -33,7 +33,11 @@
 /// round trip of some 3 ms. The request's next attempt waits for it.
 const LOOK: Duration = Duration::from_millis(100);
 
-/// Time after which an endpoint is looked at again that still took connections: it may just be ending.
+/// Time after which an endpoint is looked at again that still took connections: a process that ends closes its connections
+/// and its port one after the other.
+const AGAIN: Duration = Duration::from_millis(10);
+
+/// Time after which it is looked at for the last time.
 const LATER: Duration = Duration::from_millis(150);
 
 /// Looks that are remembered: those of some seconds in which hundreds of endpoints end.
@@ -44,23 +48,31 @@
 pub struct Checks(Mutex<HashMap<Tag, Arc<OnceCell<bool>>>>);
 
 impl Checks {
-    /// Whether an endpoint is gone, as the first look at it found.
+    /// Whether an endpoint is gone. Those who ask meanwhile share the look; one that is alive may be gone at the next.
     async fn gone(&self, endpoint: &Endpoint) -> bool {
+        let tag = endpoint.tag();
         let look = {
             let mut looks = lock(&self.0);
             if looks.len() >= LOOKS {
                 looks.clear();
             }
-            looks.entry(endpoint.tag()).or_default().clone()
+            looks.entry(tag).or_default().clone()
         };
-        *look.get_or_init(|| refuses(endpoint.address)).await
+        let gone = *look.get_or_init(|| gone(endpoint.address)).await;
+        if !gone {
+            lock(&self.0).remove(&tag);
+        }
+        gone
     }
+}
 
-    /// Whether it is gone by now.
-    async fn gone_by_now(&self, endpoint: &Endpoint) -> bool {
-        lock(&self.0).remove(&endpoint.tag());
-        self.gone(endpoint).await
+/// Whether a process has ended at an address, or just ends.
+async fn gone(address: SocketAddr) -> bool {
+    if refuses(address).await {
+        return true;
     }
+    sleep(AGAIN).await;
+    refuses(address).await
 }
 
 /// Whether no process listens at an address. One that is silent or cut off does not count.
@@ -85,12 +97,15 @@
         let ran = self.began.map_or(0, |it| self.node.now().since(it));
         let innocent = self.well || ran >= INNOCENT;
         let mut quarantine = self.node.quarantine();
-        if innocent {
-            quarantine.clear(self.request);
-        } else {
-            quarantine.rest(self.request);
+        let cleared = innocent && quarantine.clear(self.request);
+        if !innocent {
+            quarantine.rest(self.request, self.node.now());
         }
         drop(quarantine);
+        if cleared {
+            let why = if self.well { "it ran well" } else { "its run went on" };
+            info!(fingerprint:% = self.request, ran_ms = ran, why; "{}", event::FORGOTTEN);
+        }
         self.node.suspected.notify_one();
     }
 }
@@ -114,7 +129,7 @@
 
 /// Lets a request through to an endpoint. A run of a suspect keeps its copies back; to read its prompt
 /// does not.
-pub fn admit(
+pub async fn admit(
     node: &Arc<Node>,
     call: &Call,
     endpoint: &Endpoint,
@@ -124,23 +139,39 @@
     match standing(node, call) {
         Standing::Shut(_) => Err(barred(call, Failure::ShutOut)),
         Standing::OnTrial if runs => Err(barred(call, Failure::OnTrial)),
-        Standing::Suspect if runs => {
-            let request = call.fingerprint();
-            let mut quarantine = node.quarantine();
-            // Another suspect may have come there since its memory was reserved: if the endpoint ends, both are struck.
-            if quarantine.trials(request, node.now()).contains(&endpoint.tag()) {
-                told_barred(call, "beside another suspect");
-                return Err(Failure::Unsent);
-            }
-            quarantine.begin(request, endpoint.tag(), node.now());
-            drop(quarantine);
-            node.suspected.notify_one();
-            Ok(Some(Trial { node: node.clone(), request, began: None, well: false }))
-        }
+        Standing::Suspect if runs => try_suspect(node, call, endpoint).await.map(Some),
         Standing::Free | Standing::Suspect | Standing::OnTrial => Ok(None),
     }
 }
 
+/// Announces a run of a suspect, and lets it through if no other suspect runs there: if the endpoint ends, both are
+/// struck.
+async fn try_suspect(node: &Arc<Node>, call: &Call, endpoint: &Endpoint) -> Result<Trial, Failure> {
+    let (request, tag) = (call.fingerprint(), endpoint.tag());
+    {
+        let mut quarantine = node.quarantine();
+        if quarantine.trials(request, node.now()).contains(&tag) {
+            return Err(beside_another(call));
+        }
+        quarantine.begin(request, tag, node.now());
+    }
+    node.suspected.notify_one();
+    let trial = Trial { node: node.clone(), request, began: None, well: false };
+    sleep(Duration::from_millis(ANNOUNCED)).await;
+    if node.quarantine().gives_way(request, tag, node.now()) {
+        return Err(beside_another(call));
+    }
+    match standing(node, call) {
+        Standing::Shut(_) => Err(barred(call, Failure::ShutOut)),
+        Standing::Free | Standing::Suspect | Standing::OnTrial => Ok(trial),
+    }
+}
+
+fn beside_another(call: &Call) -> Failure {
+    told_barred(call, "beside another suspect");
+    Failure::Unsent
+}
+
 /// Engines at which other suspects run, for a suspect not to be placed beside them.
 pub fn others_on_trial(node: &Node, call: &Call) -> Vec<Key> {
     if standing(node, call) != Standing::Suspect {
@@ -194,7 +225,7 @@
     let (node, endpoint, request) = (node.clone(), endpoint.clone(), request.to_owned());
     tokio::spawn(async move {
         sleep(LATER).await;
-        if node.checks.gone_by_now(&endpoint).await {
+        if node.checks.gone(&endpoint).await {
             strike(&node, &request, fingerprint, &endpoint);
         }
     });
@@ -202,11 +233,12 @@
 
 fn strike(node: &Arc<Node>, request: &str, fingerprint: Fingerprint, endpoint: &Endpoint) {
     let struck = node.quarantine().strike(fingerprint, endpoint.tag(), node.now());
-    let Some(strikes) = struck else {
+    let to = endpoint.id.as_str();
+    let Strike::Held(strikes) = struck else {
+        info!(request, fingerprint:%, to, why:% = struck; "{}", event::SPARED);
         return;
     };
     node.meter.strikes.inc();
-    let to = endpoint.id.as_str();
     info!(request, fingerprint:%, to, strikes; "{}", event::STRUCK);
     node.suspected.notify_one();
     if strikes >= SHUT_AT {
@@ -218,12 +250,22 @@
     }
 }
 
-/// Rules on requests under which enough endpoints ended.
+/// Rules on requests under which enough endpoints ended, and lets those in again that these outdo.
 fn settle(node: &Node) {
-    let shut = node.quarantine().settle(node.now(), clock::unix());
-    for fingerprint in shut {
-        let for_s = SHUT / 1_000;
-        warn!(fingerprint:%, verdict = "shut", source = "here", for_s; "{}", event::RULED);
+    let (now, unix) = (node.now(), clock::unix());
+    let (shut, acquitted) = {
+        let mut quarantine = node.quarantine();
+        (quarantine.settle(now, unix), quarantine.acquit(now, unix))
+    };
+    let for_s = SHUT / 1_000;
+    for fingerprint in &shut {
+        warn!(fingerprint:%, verdict:% = Verdict::Shut, source = "here", for_s; "{}", event::RULED);
+    }
+    for fingerprint in &acquitted {
+        let why = "another request is shut out for it";
+        warn!(fingerprint:%, verdict:% = Verdict::Lifted, source = "here", why; "{}", event::RULED);
+    }
+    if !shut.is_empty() || !acquitted.is_empty() {
         node.ruled.notify_one();
         node.suspected.notify_one();
     }
@@ -250,6 +292,8 @@
     }
     settle(node);
     let mut quarantine = node.quarantine();
-    quarantine.expire(node.now(), clock::unix());
+    for fingerprint in quarantine.expire(node.now(), clock::unix()) {
+        info!(fingerprint:%, why = "its time is over"; "{}", event::FORGOTTEN);
+    }
     node.meter.shut_out.set(quarantine.shut_count() as i64);
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -6,6 +6,7 @@
 //! day for their decisions and have no storage, so neither is disturbed.
 
 pub mod fault;
+pub mod innocence;
 pub mod keys;
 pub mod node;
 pub mod proxy;
--- a/crates/soak/src/node.rs
+++ b/crates/soak/src/node.rs
@@ -136,14 +136,20 @@
         let says = |line: &str| line.contains(&named) && what.iter().any(|it| line.contains(it));
         let end = Instant::now() + LOGGED;
         loop {
-            let log = std::fs::read_to_string(&self.log).unwrap_or_default();
-            if log.lines().any(says) || Instant::now() > end {
-                return log.lines().any(says);
+            let told = self.lines().iter().any(|it| says(it));
+            if told || Instant::now() > end {
+                return told;
             }
             sleep(LOOK).await;
         }
     }
 
+    /// Lines of its log so far.
+    pub fn lines(&self) -> Vec<String> {
+        let log = std::fs::read_to_string(&self.log).unwrap_or_default();
+        log.lines().map(str::to_owned).collect()
+    }
+
     /// Resident memory at its peak, in megabytes; zero if it does not run.
     pub fn peak_megabytes(&self) -> u64 {
         let id = self.id.load(Ordering::Relaxed);
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,6 +1,7 @@
 //! One run of the soak, and its report.
 
 use crate::fault::{self, BESIDE, DRAWN, Fault, IN_NEED};
+use crate::innocence;
 use crate::keys;
 use crate::site::{Plan, Site};
 use crate::traffic::{self, Endings};
@@ -116,6 +117,7 @@
     keyed.await?;
     keys::check(&site).await;
     traffic::check_crashes(&site);
+    innocence::check(&site);
     let mut endings = Endings::new();
     while let Some(some) = callers.join_next().await {
         some?.into_iter().for_each(|(ending, count)| *endings.entry(ending).or_default() += count);
