A stopping node takes only what ends before the kill

Cause: within 2.8 s after the announcement everything was taken, on the assumption that a stream ends within the rest of the grace. In a burst, with engines short of memory, streams last longer: those that were cut were sent 0.4 to 2.5 s after the announcement.

After the announcement one that would not end before the kill by that measure gets 503 with Retry-After at once, which is true: it was not sent. Where nothing is known, it may last as long as its caller waits. The same holds for plain calls.

Two cases of `taken_while_stopping` asserted the fault itself, that a stream or call is taken whatever it may last; they now name how long such requests last, and a case beside each says that longer ones are refused.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod claims;
 pub mod connections;
 pub mod detector;
+pub mod durations;
 pub mod entry;
 pub mod fold;
 pub mod health;
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -2,7 +2,7 @@
 
 use crate::event;
 use crate::exchange::Call;
-use crate::node::{Node, Reply};
+use crate::node::{Node, Open, Reply};
 use crate::refusal::{COME_BACK, Reason, Refusal};
 use crate::{plain, quarantine, quota, stopping, stream};
 use bytes::Bytes;
@@ -152,9 +152,10 @@
     let held = Duration::from_millis(route.timeout);
     let deadline = node.clock.deadline(ask.patience.map_or(held, |it| it.min(held)));
     let body = read(body, table.limits, deadline.left()).await?;
-    stopping::check(node, route, deadline.left())?;
     let service = share(route, &ask.id);
+    stopping::check(node, route, service, deadline.left())?;
     node.count_request(service);
+    story.open = Some(node.begin(service));
     let mut parts = hyper::http::uri::Parts::default();
     parts.path_and_query = head.uri.path_and_query().cloned();
     let uri = hyper::Uri::from_parts(parts).map_err(|_| Reason::NoRoute)?;
@@ -216,6 +217,8 @@
     arrived: Instant,
     status: StatusCode,
     ending: &'static str,
+    /// What it counts for among the requests under way, once its service is known.
+    open: Option<Open>,
     /// When the last piece of the answer was passed on.
     piece: Option<Instant>,
     /// Time from the request's arrival to the first piece.
@@ -233,7 +236,7 @@
         let (status, ending) = (StatusCode::OK, CALLER_LEFT);
         let (piece, first, gap) = (None, Duration::ZERO, Duration::ZERO);
         let left = None;
-        let (organisation, version) = (None, 0);
+        let (organisation, version, open) = (None, 0, None);
         Self {
             node,
             id,
@@ -244,6 +247,7 @@
             arrived,
             status,
             ending,
+            open,
             piece,
             first,
             gap,
@@ -265,6 +269,9 @@
 impl Drop for Story {
     fn drop(&mut self) {
         self.node.meter.ending(self.ending);
+        if let Some(open) = self.open.take() {
+            self.node.end(open, self.ending == ANSWERED && self.status.is_success());
+        }
         let request = self.id.as_deref().unwrap_or_default();
         let status = self.status.as_u16();
         let took_ms = self.arrived.elapsed().as_millis() as u64;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -12,6 +12,7 @@
 use crosslane_coordination::admission::Patience;
 use crosslane_coordination::allowance::{Allowance, Budget};
 use crosslane_coordination::connections;
+use crosslane_coordination::durations::{Durations, Mark};
 use crosslane_coordination::limits::{self, Limits, Queues};
 use crosslane_coordination::pace::Pace;
 use crosslane_coordination::pool::Pool;
@@ -123,12 +124,21 @@
     /// How fast large things are handed to other nodes.
     pace: Mutex<Pace>,
     patience: Mutex<HashMap<String, Patience>>,
+    /// How long requests last, by service.
+    durations: Mutex<HashMap<String, Durations>>,
     quarantine: Mutex<Quarantine>,
     limits: Mutex<Limits>,
     /// Requests that wait for room under limits that this node owns.
     pub queues: Mutex<Queues>,
 }
 
+/// A request under way.
+#[derive(Debug)]
+pub struct Open {
+    service: String,
+    mark: Mark,
+}
+
 impl Node {
     /// A node that knows only its settings.
     pub fn new(settings: Settings) -> prometheus::Result<Self> {
@@ -168,6 +178,7 @@
             woken: Mutex::default(),
             pace: Mutex::new(Pace::new(settings.link / LINK_SHARE, BURST)),
             patience: Mutex::default(),
+            durations: Mutex::default(),
             quarantine: Mutex::new(Quarantine::new(Tag::of(&settings.vm))),
             limits: Mutex::default(),
             queues: Mutex::default(),
@@ -175,6 +186,25 @@
         })
     }
 
+    /// Counts a request of a service as under way.
+    pub fn begin(&self, service: &str) -> Open {
+        let mark = lock(&self.durations).entry(service.to_owned()).or_default().begin(self.now());
+        Open { service: service.to_owned(), mark }
+    }
+
+    /// Notes that a request ended, be it answered whole or not.
+    pub fn end(&self, open: Open, whole: bool) {
+        if let Some(durations) = lock(&self.durations).get_mut(&open.service) {
+            durations.end(open.mark, whole, self.now());
+        }
+    }
+
+    /// Time that requests of a service last at the longest, if any was answered lately.
+    pub fn longest(&self, service: &str) -> Option<Duration> {
+        let longest = lock(&self.durations).get_mut(service)?.longest(self.now());
+        longest.map(Duration::from_millis)
+    }
+
     /// This node's name between nodes.
     pub fn tag(&self) -> Tag {
         Tag::of(&self.settings.vm)
--- a/crates/gateway/src/site.rs
+++ b/crates/gateway/src/site.rs
@@ -2,7 +2,7 @@
 
 use crate::mirror::Topic;
 use crate::node::Node;
-use crate::stopping::TAKES_ALL;
+use crate::stopping::TAKES_STREAMS;
 use crate::{duty, event, follower, front, limit, pause, peers, quarantine, rulings};
 use crosslane_platform::settings::Settings;
 use derive_more::{Display, Error, From};
@@ -114,7 +114,7 @@
     node.stopping.send_replace(Some(node.now()));
     node.changed.notify_one();
     info!(open = connections.len(), phase = "begin"; "{}", event::STOP);
-    sleep(TAKES_ALL).await;
+    sleep(TAKES_STREAMS).await;
     connections.close();
     connections.wait().await;
     let took_ms = began.elapsed().as_millis() as u64;
--- a/crates/gateway/src/stopping.rs
+++ b/crates/gateway/src/stopping.rs
@@ -1,17 +1,17 @@
 //! What a node still takes once its stop was announced.
 //!
 //! The balancer needs two questions a second apart to see that a node is not ready, and where most of a
-//! failure domain's nodes stop at once it goes on using all of them. So plain calls are taken as long as
-//! they surely end before the kill; streams, which last seconds, only at first.
+//! failure domain's nodes stop at once it goes on using all of them. So what surely ends before the kill is taken; streams,
+//! which last seconds, only at first, and only if such streams end in time.
 
 use crate::node::Node;
 use crate::refusal::{COME_BACK, Reason, Refusal};
 use crosslane_state::route::{Kind, Route};
 use std::time::Duration;
 
-/// Time after the announcement in which everything is taken: a stream begun later may not end
-/// within the grace.
-pub const TAKES_ALL: Duration = Duration::from_millis(2_800);
+/// Time after the announcement in which streams are taken, and calls by how long such calls last; later ones by how long
+/// they may take.
+pub const TAKES_STREAMS: Duration = Duration::from_millis(2_800);
 
 /// Time before the kill by which a call taken late must have ended: covers a busy VM, and the answer's
 /// way.
@@ -26,6 +26,8 @@
     pub grace: Duration,
     /// Time that the request may take.
     pub left: Duration,
+    /// Time that such requests last at the longest.
+    pub lasts: Duration,
     /// Whether its answer is a stream.
     pub streams: bool,
 }
@@ -33,13 +35,16 @@
 impl Late {
     /// Whether it is taken.
     pub fn taken(self) -> bool {
-        let ends = self.since + self.left + MARGIN <= self.grace;
-        self.since <= TAKES_ALL || (!self.streams && ends)
+        let ends = |takes: Duration| self.since + takes + MARGIN <= self.grace;
+        match self.since <= TAKES_STREAMS {
+            true => ends(self.lasts),
+            false => !self.streams && ends(self.left),
+        }
     }
 }
 
 /// Refuses a request that may not begin any more, since a stop was announced.
-pub fn check(node: &Node, route: &Route, left: Duration) -> Result<(), Refusal> {
+pub fn check(node: &Node, route: &Route, service: &str, left: Duration) -> Result<(), Refusal> {
     let Some(at) = *node.stopping.borrow() else {
         return Ok(());
     };
@@ -47,6 +52,7 @@
         since: Duration::from_millis(node.now().since(at)),
         grace: Duration::from_millis(node.settings.grace),
         left,
+        lasts: node.longest(service).map_or(left, |it| it.min(left)),
         streams: matches!(route.kind, Kind::Stream { .. }),
     };
     if late.taken() { Ok(()) } else { Err(Refusal::later(Reason::Stopping, COME_BACK)) }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -103,7 +103,7 @@
         let keepers = self.keepers().await;
         let (mut hold, kept) = self.reserve_best(&keepers, until).await?;
         // It may have waited for memory until a stop leaves it too little time to end.
-        stopping::check(&self.node, &self.route, self.call.left())?;
+        stopping::check(&self.node, &self.route, &self.service, self.call.left())?;
         Meter::time(&self.node.meter.wait, self.call.arrived.elapsed());
         let mut handle = match self.reader(kept) {
             Reader::Decoding => None,
--- a/crates/gateway/tests/stopping.rs
+++ b/crates/gateway/tests/stopping.rs
@@ -8,23 +8,28 @@
     name: &'static str,
     since: u64,
     left: u64,
+    lasts: u64,
     streams: bool,
     taken: bool,
 }
 
 #[rstest]
-#[case(Case { name: "a stream, before the balancer knows", since: 2_000, left: 14_000, streams: true, taken: true })]
-#[case(Case { name: "a stream, later", since: 3_000, left: 14_000, streams: true, taken: false })]
-#[case(Case { name: "a short stream, later", since: 3_000, left: 1_000, streams: true, taken: false })]
-#[case(Case { name: "a call that ends in time", since: 5_000, left: 1_500, streams: false, taken: true })]
-#[case(Case { name: "a call that may not end in time", since: 6_000, left: 1_500, streams: false, taken: false })]
-#[case(Case { name: "a call that may take long", since: 3_000, left: 9_000, streams: false, taken: false })]
-#[case(Case { name: "a long call, before the balancer knows", since: 2_800, left: 9_000, streams: false, taken: true })]
+#[case(Case { name: "a stream, before the balancer knows", since: 2_000, left: 14_000, lasts: 3_000, streams: true, taken: true })]
+#[case(Case { name: "a stream that may outlast the grace", since: 2_000, left: 14_000, lasts: 14_000, streams: true, taken: false })]
+#[case(Case { name: "a stream where such streams outlast it", since: 100, left: 14_000, lasts: 7_400, streams: true, taken: false })]
+#[case(Case { name: "a stream, later", since: 3_000, left: 14_000, lasts: 3_000, streams: true, taken: false })]
+#[case(Case { name: "a short stream, later", since: 3_000, left: 1_000, lasts: 1_000, streams: true, taken: false })]
+#[case(Case { name: "a call that ends in time", since: 5_000, left: 1_500, lasts: 60, streams: false, taken: true })]
+#[case(Case { name: "a call that may not end in time", since: 6_000, left: 1_500, lasts: 60, streams: false, taken: false })]
+#[case(Case { name: "a call that may take long", since: 3_000, left: 9_000, lasts: 60, streams: false, taken: false })]
+#[case(Case { name: "a long call, before the balancer knows", since: 2_800, left: 9_000, lasts: 60, streams: false, taken: true })]
+#[case(Case { name: "a call where such calls outlast it", since: 2_800, left: 9_000, lasts: 9_000, streams: false, taken: false })]
 fn taken_while_stopping(#[case] case: Case) {
     let late = Late {
         since: Duration::from_millis(case.since),
         grace: Duration::from_secs(8),
         left: Duration::from_millis(case.left),
+        lasts: Duration::from_millis(case.lasts),
         streams: case.streams,
     };
     assert_eq!(late.taken(), case.taken, "{}", case.name);
