Plain calls use connections that endpoints have accepted before

Endpoints whose queue is long reset new connections, whatever the cap; resets came at every load from 0.5 to 7 times the slots, beside 503 for calls that were read. On a connection that is reset before its first answer nothing tells whether the call ran.

Change: after a whole answer, or a refusal that says not run, the connection to a plain endpoint rests for up to 0.7 s, three for each endpoint, and the next call uses it (`gateway::kept`, which the calls to engines use too). An endpoint that is full refuses there, which is true and may be tried elsewhere. What was closed meanwhile costs nothing: nothing was sent. A break on one closes the others to that endpoint. Streams keep a connection of their own.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -1,17 +1,14 @@
 //! Short calls to engines on kept connections: reservations, handles and orders.
 
+use crate::kept::Kept;
 use bytes::Bytes;
 use crosslane_transport::connection::{Connection, Error, Outgoing};
 use http_body_util::{BodyExt, Limited};
 use hyper::StatusCode;
-use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
-use crate::node::lock;
-
 /// Time to open a connection: two ways of a few milliseconds, with room for one lost packet.
 pub const CONNECT: Duration = Duration::from_millis(250);
 
@@ -34,9 +31,15 @@
 }
 
 /// Makes short calls.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Control {
-    kept: Arc<Mutex<HashMap<SocketAddr, Vec<Connection>>>>,
+    kept: Kept,
+}
+
+impl Default for Control {
+    fn default() -> Self {
+        Self { kept: Kept::new(REST, KEPT) }
+    }
 }
 
 impl Control {
@@ -48,7 +51,7 @@
         limit: Duration,
     ) -> Result<Answer, Error> {
         let until = Instant::now() + limit;
-        let mut connection = match self.take(to) {
+        let mut connection = match self.kept.take(to) {
             Some(connection) => connection,
             None => Connection::open(to, CONNECT.min(limit)).await?,
         };
@@ -60,33 +63,12 @@
             Ok(Err(error)) => return Err(Error::Broken { to, message: error.to_string() }),
             Ok(Ok(body)) => body.to_bytes(),
         };
-        let kept = self.clone();
-        tokio::spawn(async move { kept.keep(to, connection).await });
+        self.kept.keep(to, connection);
         Ok(Answer { status, body })
     }
 
-    fn take(&self, to: SocketAddr) -> Option<Connection> {
-        let mut kept = lock(&self.kept);
-        let connections = kept.get_mut(&to)?;
-        connections.retain(|it| it.fresh(REST));
-        connections.pop()
-    }
-
-    async fn keep(&self, to: SocketAddr, mut connection: Connection) {
-        if !connection.reusable().await {
-            return;
-        }
-        let mut kept = lock(&self.kept);
-        let connections = kept.entry(to).or_default();
-        if connections.len() < KEPT {
-            connections.push(connection);
-        }
-    }
-
     /// Closes connections that rested too long.
     pub fn tidy(&self) {
-        let mut kept = lock(&self.kept);
-        kept.values_mut().for_each(|it| it.retain(|one| one.fresh(REST)));
-        kept.retain(|_, it| !it.is_empty());
+        self.kept.tidy();
     }
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -183,7 +183,10 @@
     seat: Seat,
     /// What the run shows of a request under which endpoints ended.
     trial: Option<Trial>,
-    _connection: Connection,
+    /// Closed when dropped, unless the whole answer was read and it may rest.
+    connection: Option<Connection>,
+    /// Whether it may rest.
+    rests: bool,
 }
 
 impl Answer {
@@ -202,6 +205,11 @@
         if let Some(trial) = &mut self.trial {
             trial.well = true;
         }
+        if self.rests
+            && let Some(connection) = self.connection.take()
+        {
+            self.seat.node.idle.keep(self.endpoint.address, connection);
+        }
     }
 
     /// Place of the endpoint in the pool.
@@ -211,24 +219,24 @@
 
     /// Reads a whole body of limited length.
     pub async fn read(
-        self,
+        mut self,
         call: &Call,
         limit: usize,
         until: Instant,
     ) -> Result<(Parts, Bytes), Failure> {
-        let Self { parts, body, endpoint, began, seat, trial, _connection, .. } = self;
-        match timeout_at(until, Limited::new(body, limit).collect()).await {
+        match timeout_at(until, Limited::new(&mut self.body, limit).collect()).await {
             Err(_) => Err(Failure::Timeout),
             Ok(Ok(body)) => {
-                trial.into_iter().for_each(|mut it| it.well = true);
-                Ok((parts, body.to_bytes()))
+                self.ended_well();
+                Ok((self.parts, body.to_bytes()))
             }
             Ok(Err(error)) if error.downcast_ref::<LengthLimitError>().is_some() => {
-                seat.note(Outcome::Error);
+                self.note(Outcome::Error);
                 Err(Failure::Broken)
             }
             Ok(Err(_)) => {
-                seat.note(Outcome::Failed);
+                self.note(Outcome::Failed);
+                let Self { endpoint, began, seat, .. } = self;
                 quarantine::judge(&seat.node, call, &endpoint, began).await;
                 Err(Failure::Broken)
             }
@@ -262,7 +270,7 @@
     seat.permit.iter().for_each(|it| {
         it.sent();
     });
-    let attempt = attempt(call, &endpoint, purpose, until).await;
+    let attempt = attempt(&node, call, &endpoint, purpose, until).await;
     let (connection, parts, body) = match attempt {
         Ok(answered) => answered,
         Err(error) => {
@@ -297,6 +305,9 @@
             seat.note(outcome);
         }
         told(call, &endpoint, failure, &parts.status.to_string());
+        if failure == Failure::Refused && matches!(purpose, Purpose::Run) {
+            node.idle.keep_after(endpoint.address, connection, body);
+        }
         return Err(failure);
     }
     if parts.status.is_server_error() {
@@ -306,7 +317,8 @@
     }
     let began = node.now();
     trial.iter_mut().for_each(|it| it.began = Some(began));
-    Ok(Answer { parts, head, body, endpoint, began, seat, trial, _connection: connection })
+    let (connection, rests) = (Some(connection), matches!(purpose, Purpose::Run));
+    Ok(Answer { parts, head, body, endpoint, began, seat, trial, connection, rests })
 }
 
 /// Tells where a request goes, and what decided it.
@@ -326,14 +338,37 @@
 }
 
 async fn attempt(
+    node: &Node,
     call: &Call,
     endpoint: &Endpoint,
     purpose: &Purpose<'_>,
     until: Instant,
 ) -> Result<(Connection, Parts, Incoming), Error> {
+    let to = endpoint.address;
+    while matches!(purpose, Purpose::Run)
+        && let Some(connection) = node.idle.take(to)
+    {
+        match over(connection, request(call, endpoint, purpose), until).await {
+            // It was closed while it rested.
+            Err(error) if !error.sent() => continue,
+            Err(error) => {
+                node.idle.forget(to);
+                return Err(error);
+            }
+            answered => return answered,
+        }
+    }
     let connect = CONNECT.min(until.saturating_duration_since(Instant::now()));
-    let mut connection = Connection::open(endpoint.address, connect).await?;
-    let request = request(call, endpoint, purpose);
+    let connection = Connection::open(to, connect).await?;
+    over(connection, request(call, endpoint, purpose), until).await
+}
+
+/// Sends a request over a connection and waits for the answer's head.
+async fn over(
+    mut connection: Connection,
+    request: Outgoing,
+    until: Instant,
+) -> Result<(Connection, Parts, Incoming), Error> {
     let response = connection.send(request, until).await?;
     let (parts, body) = response.into_parts();
     Ok((connection, parts, body))
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod front;
 pub mod history;
 pub mod hold;
+pub mod kept;
 pub mod limit;
 pub mod members;
 pub mod meter;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -4,6 +4,7 @@
 use crate::control::Control;
 use crate::directory::Directory;
 use crate::event;
+use crate::kept::Kept;
 use crate::members::{Members, Subject};
 use crate::meter::Meter;
 use crate::mirror::{Change, Ends, Mirror, Topic};
@@ -78,6 +79,8 @@
     pub meter: Meter,
     /// Calls to engines besides requests.
     pub control: Control,
+    /// Connections to plain endpoints that rest between two requests.
+    pub idle: Kept,
     /// Other nodes.
     pub members: Mutex<Members>,
     /// What engines keep of prompts.
@@ -132,6 +135,13 @@
     pub queues: Mutex<Queues>,
 }
 
+/// Rest after which a connection to a plain endpoint is not used again: shorter than the shortest after which endpoints
+/// close them.
+const IDLE_REST: Duration = Duration::from_millis(700);
+
+/// Connections that are kept for each plain endpoint: those of all nodes together count against its cap.
+const IDLE_KEPT: usize = 3;
+
 /// A request under way.
 #[derive(Debug)]
 pub struct Open {
@@ -151,6 +161,7 @@
             clock: Clock::start(),
             meter: Meter::new()?,
             control: Control::default(),
+            idle: Kept::new(IDLE_REST, IDLE_KEPT),
             lists: Lists::default(),
             members: Mutex::new(Members::new(&settings)),
             changed: Notify::new(),
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -18,7 +18,7 @@
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::Response;
-use hyper::body::Frame;
+use hyper::body::{Body, Frame};
 use hyper::http::response::Parts;
 use log::info;
 use std::future::ready;
@@ -202,7 +202,13 @@
                     answer.ended_well();
                     return None;
                 }
-                Ok(Some(Ok(frame))) => return Some((Ok(frame), Some((node, answer, call)))),
+                Ok(Some(Ok(frame))) => {
+                    // Nobody asks for more once a known length is reached.
+                    if answer.body.is_end_stream() {
+                        answer.ended_well();
+                    }
+                    return Some((Ok(frame), Some((node, answer, call))));
+                }
                 Ok(Some(Err(error))) => error.into(),
                 Err(elapsed) => elapsed.into(),
             };
--- a/crates/gateway/src/site.rs
+++ b/crates/gateway/src/site.rs
@@ -93,6 +93,7 @@
     loop {
         sleep(TIDY).await;
         node.control.tidy();
+        node.idle.tidy();
         node.pool().expire(node.now());
         quarantine::tidy(&node);
         node.quota.tidy(node.now());
