--- a/crates/coordination/src/quarantine.rs
+++ b/crates/coordination/src/quarantine.rs
@@ -10,7 +10,7 @@
 //! - Only what began a moment before is struck; a run that went well or went on is forgotten.
 //! - A suspect is tried by one node at a time, and no two at one engine. So copies that come meanwhile
 //!   do not each end an engine, and what was resumed beside the culprit is not struck with it again.
-//! - No request is ruled on while another suspect was at all the endpoints that ended under it: where few engines
+//! - No request is ruled on while other suspects were at all the endpoints that ended under it: where few engines
 //!   generate, what breaks off with the culprit may go on beside it. Each is tried by itself until one of them
 //!   runs well, or ends an endpoint alone.
 //! - What a request that is shut out has ended is held against no other, unless all of it and one endpoint more ended
@@ -180,10 +180,12 @@
         }
     }
 
-    /// Whether another suspect may have ended all that ended under a request.
+    /// Whether other suspects may have ended all that ended under a request.
     fn is_explained(&self, request: Fingerprint, suspect: &Suspect) -> bool {
-        let mut others = self.suspects.iter().filter(|(it, _)| **it != request);
-        others.any(|(_, other)| suspect.explained_by(other))
+        let others = || self.suspects.iter().filter(|(it, _)| **it != request);
+        let explained =
+            |it: &Tag| others().any(|(_, other)| other.may_explain() && other.was_at(*it));
+        suspect.strikes.iter().all(explained)
     }
 
     /// Begins a run of a suspect at an endpoint.
--- a/crates/coordination/src/suspect.rs
+++ b/crates/coordination/src/suspect.rs
@@ -8,6 +8,10 @@
 /// three in a row hit one request in 150,000 (worked out).
 pub const SHUT_AT: usize = 3;
 
+/// Endpoints that ended with a request there, from which on it may explain what is held against another one: that it
+/// was at one is chance where many run.
+const EXPLAINS_AT: usize = 2;
+
 /// Time within which endpoints end together, in milliseconds. Where 40 % of the engines ended every
 /// 600 ms, 17 of 2,934 innocent requests were shut out at 7 nodes and 142 of 23,817 at 61 without the rule on them, 2 and none
 /// with it (simulated, blamed for 500 ms).
@@ -70,10 +74,16 @@
         self.strikes.len() >= SHUT_AT
     }
 
-    /// Whether what ended under it may as well be another one's doing, which was there each time.
-    pub fn explained_by(&self, other: &Self) -> bool {
-        let there = |it: &Tag| other.strikes.contains(it) || other.beside.contains(it);
-        !other.ruled_out() && !other.strikes.is_empty() && self.strikes.iter().all(there)
+    /// Whether it may have ended endpoints that ended under others too: it was at two at least.
+    pub fn may_explain(&self) -> bool {
+        !self.ruled_out()
+            && !self.strikes.is_empty()
+            && self.strikes.len() + self.beside.len() >= EXPLAINS_AT
+    }
+
+    /// Whether it was at an endpoint that ended.
+    pub fn was_at(&self, endpoint: Tag) -> bool {
+        self.strikes.contains(&endpoint) || self.beside.contains(&endpoint)
     }
 
     /// Notes that an endpoint ended, if it was tried there a moment ago.
