--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -36,4 +36,5 @@
 pub mod splice;
 pub mod stages;
 pub mod suspect;
+pub mod suspicion;
 pub mod usage;
--- a/crates/coordination/src/quarantine.rs
+++ b/crates/coordination/src/quarantine.rs
@@ -22,11 +22,10 @@
 
 use crate::ruling::{Ruling, SHUT, Verdict};
 use crate::suspect::{SHUT_AT, Suspect, TOGETHER, Trial};
+use crate::suspicion::{Standing, Strike, Word};
 use crosslane_state::endpoint::Tag;
 use crosslane_state::fingerprint::Fingerprint;
 use crosslane_state::time::Millis;
-use derive_more::Display;
-use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
 /// Time from the beginning of a run in which a crash is held against it, in milliseconds: such runs ended
@@ -70,56 +69,6 @@
 const MOST_SUSPECTS: usize = 4_096;
 const MOST_RULINGS: usize = 1_024;
 
-/// What nodes tell each other about a request.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Word {
-    /// These endpoints ended under it, the last one just now.
-    Struck(Vec<Tag>),
-    /// The sender runs it at this endpoint, to see whether that ends too.
-    Tried(Tag),
-    /// The sender runs it no longer.
-    Rested,
-    /// It ran well.
-    Cleared,
-    /// It was decided about.
-    Ruled(Ruling),
-    /// These endpoints ended under it before the receiver started.
-    Known(Vec<Tag>),
-}
-
-/// What an endpoint's end says of a request that had just begun there.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-pub enum Strike {
-    /// It is held against the request, as so many are by now.
-    #[display("held")]
-    Held(usize),
-    /// It is counted already.
-    #[display("known")]
-    Known,
-    /// A request that is shut out explains it.
-    #[display("another request is shut out for it")]
-    Explained,
-    /// Many endpoints ended together.
-    #[display("many endpoints ended together")]
-    Chance,
-    /// There is no room for another suspect.
-    #[display("too many suspects")]
-    Full,
-}
-
-/// How a request stands.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Standing {
-    /// Nothing is held against it.
-    Free,
-    /// Endpoints ended under it; it may be tried once at a time.
-    Suspect,
-    /// It is being tried by another copy.
-    OnTrial,
-    /// It is shut out, still so long in milliseconds.
-    Shut(u64),
-}
-
 /// Requests under which endpoints ended.
 #[derive(Debug)]
 pub struct Quarantine {
--- a/crates/coordination/tests/crashes/mod.rs
+++ b/crates/coordination/tests/crashes/mod.rs
@@ -5,7 +5,8 @@
 //! some get lost. Innocent requests run at the same engines, engines crash by themselves too, and each
 //! request that breaks off is tried once more.
 
-use crosslane_coordination::quarantine::{ANNOUNCED, BLAMED, INNOCENT, Quarantine, Standing, Word};
+use crosslane_coordination::quarantine::{ANNOUNCED, BLAMED, INNOCENT, Quarantine};
+use crosslane_coordination::suspicion::{Standing, Word};
 use crosslane_state::endpoint::Tag;
 use crosslane_state::fingerprint::Fingerprint;
 use crosslane_state::time::Millis;
--- a/crates/coordination/tests/quarantine.rs
+++ b/crates/coordination/tests/quarantine.rs
@@ -1,8 +1,9 @@
 //! What is held against requests under which endpoints ended, and who is told.
 
-use crosslane_coordination::quarantine::{Quarantine, Standing, Word};
+use crosslane_coordination::quarantine::Quarantine;
 use crosslane_coordination::ruling::{Ruling, SHUT, Verdict};
 use crosslane_coordination::suspect::{SHUT_AT, TOGETHER};
+use crosslane_coordination::suspicion::{Standing, Word};
 use crosslane_state::endpoint::Tag;
 use crosslane_state::fingerprint::Fingerprint;
 use crosslane_state::time::Millis;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,7 +1,8 @@
 //! The node that serves a site through the platform.
 //!
 //! `front` takes callers' requests; `plain` and `stream` carry them to endpoints by `exchange`, with
-//! memory from `reserve` and what engines keep from `cache`.
+//! memory from `reserve` and what engines keep from `cache`, over connections of their own or `kept` ones; `watch` looks
+//! after those whose endpoint is silent, `stopping` says what a node takes that stops.
 //! `limit` keeps to the rate limits that endpoints name, `quota` to those of organisations.
 //! `quarantine` keeps requests that make endpoints crash away from them, `rulings` keeps what was decided about these in the
 //! store, `pause` notices that the machine was suspended.
@@ -39,3 +40,4 @@
 pub mod site;
 pub mod stopping;
 pub mod stream;
+pub mod watch;
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -7,8 +7,8 @@
 use crate::mirror::Ends;
 use crosslane_coordination::heartbeat::{self, FEW, Interval};
 use crosslane_coordination::limits::Word as LimitWord;
-use crosslane_coordination::quarantine;
 use crosslane_coordination::quota;
+use crosslane_coordination::suspicion;
 use crosslane_coordination::usage::Usage;
 use crosslane_platform::settings::Settings;
 use crosslane_state::endpoint::{Stage, Tag};
@@ -92,7 +92,7 @@
         /// Tag of the sender's VM.
         vm: Tag,
         /// What, by request.
-        words: Vec<(Fingerprint, quarantine::Word)>,
+        words: Vec<(Fingerprint, suspicion::Word)>,
     },
     /// Which rulings the sender knows; after each heartbeat while there are any.
     Rulings {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -18,7 +18,7 @@
 use crate::{limit, pull, quarantine, quota};
 use crosslane_coordination::heartbeat::FAR_EVERY;
 use crosslane_coordination::limits;
-use crosslane_coordination::quarantine::Word;
+use crosslane_coordination::suspicion::Word;
 use crosslane_platform::store::Client;
 use crosslane_state::endpoint::Tag;
 use crosslane_state::fingerprint::Fingerprint;
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -1,12 +1,13 @@
 //! Calls to plain services.
 
 use crate::event;
-use crate::exchange::{self, Answer, Call, Failure, Seat, Watch};
+use crate::exchange::{self, Answer, Call, Failure, Seat};
 use crate::limit;
 use crate::meter::{Meter, Retry};
 use crate::node::{Node, Reply};
 use crate::quarantine;
 use crate::refusal::{Reason, Refusal};
+use crate::watch::{self, Watch};
 use bytes::Bytes;
 use crosslane_coordination::choice::Query;
 use crosslane_coordination::health::Outcome;
@@ -156,7 +157,7 @@
         let patience = self.route.target as f64 * PATIENCE;
         let pause = Duration::from_millis((patience / f64::from(PAUSES)) as u64);
         let watch = Watch { node: self.node, call: self.call, at, pauses: (PAUSES, pause) };
-        exchange::unless_silent(watch, attempt, || ready(self.choose(true))).await
+        watch::unless_silent(watch, attempt, || ready(self.choose(true))).await
     }
 }
 
--- a/crates/gateway/src/rulings.rs
+++ b/crates/gateway/src/rulings.rs
@@ -6,8 +6,8 @@
 
 use crate::event;
 use crate::node::{Node, lock};
-use crosslane_coordination::quarantine::Word;
 use crosslane_coordination::ruling::{Ruling, Verdict};
+use crosslane_coordination::suspicion::Word;
 use crosslane_platform::store::{Client, Error, Page, Record};
 use crosslane_state::fingerprint::Fingerprint;
 use crosslane_transport::clock;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -5,7 +5,7 @@
 //! nodes. A stream that breaks off is continued at another engine if its route allows.
 
 use crate::cache::{self, Keepers};
-use crate::exchange::{self, Answer, Call, Failure, Seat, Watch};
+use crate::exchange::{self, Answer, Call, Failure, Seat};
 use crate::hold::{Handle, Hold};
 use crate::meter::{Meter, Retry};
 use crate::node::{Node, Reply};
@@ -14,6 +14,7 @@
 use crate::refusal::{Reason, Refusal};
 use crate::relay::Relay;
 use crate::stopping;
+use crate::watch::{self, Watch};
 use crosslane_coordination::admission::{self, Caller, Standing};
 use crosslane_coordination::choice::{Query, Room};
 use crosslane_coordination::health::Outcome;
@@ -282,7 +283,7 @@
     ) -> Result<T, Spare> {
         let pause = Duration::from_millis(self.route.gap);
         let watch = Watch { node: &self.node, call: &self.call, at, pauses: (SILENT, pause) };
-        exchange::unless_silent(watch, attempt, || self.room_elsewhere(at, sent)).await
+        watch::unless_silent(watch, attempt, || self.room_elsewhere(at, sent)).await
     }
 
     /// Memory at another engine than a silent one, the prompt and a repeat for it, if the stream may go on there.
