Sight: one line tells who cut an answer, what was missing and what bound

`caller_left` stood for a caller who left, a connection that the kernel gave up, an error of the HTTP server and a panic; `engine broke off` for an engine's reset and for the node's own kernel; a move that was not made had no reason; descriptors at their limit and panics left no line. `cut` names by whom, what was missing and the bound; `move` and `panicked` say why; `lost` names the callers' port. The bound leaves `attempt`, so that it stands in one line; the soak reads it there.

--- a/crates/crosslane/src/bin/crosslaned.rs
+++ b/crates/crosslane/src/bin/crosslaned.rs
@@ -45,6 +45,7 @@
 /// Serves a site on one thread: its VMs have a fraction of a core.
 fn serve_site(metrics_port: u16) -> Result<ExitCode, Error> {
     logs::start_queued()?;
+    logs::log_panics();
     let path = std::env::var(FILE_VARIABLE)
         .map_err(|_| Error::failed(format!("{FILE_VARIABLE} is not set")))?;
     let settings = site_settings::Settings::read(&path)?;
--- a/crates/crosslane/src/explain.rs
+++ b/crates/crosslane/src/explain.rs
@@ -74,6 +74,7 @@
             event::ATTEMPT,
             event::HELD_BACK,
             event::SILENT,
+            event::CUT,
             event::RESERVE,
             event::STRUCK,
             event::BARRED,
--- a/crates/crosslane/src/logs.rs
+++ b/crates/crosslane/src/logs.rs
@@ -8,7 +8,7 @@
 use crosslane_gateway::event;
 use crosslane_gateway::metrics::LINES_DROPPED;
 use log::kv::{self, Key, Value, VisitSource};
-use log::{LevelFilter, Record};
+use log::{LevelFilter, Record, error};
 use log4rs::append::Append;
 use log4rs::append::console::{ConsoleAppender, Target};
 use log4rs::config::{Appender, Config, Logger, Root};
@@ -16,6 +16,7 @@
 use log4rs::encode::{Encode, Write, json::JsonEncoder};
 use serde_json::{Map, json};
 use std::io::Write as _;
+use std::panic;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 use std::thread;
@@ -144,6 +145,17 @@
     init(Box::new(Queue { lines, dropped: AtomicU64::new(0) }))
 }
 
+/// Logs panics as events, beside the message on standard error.
+pub fn log_panics() {
+    let print = panic::take_hook();
+    panic::set_hook(Box::new(move |info| {
+        let at = info.location().map(ToString::to_string).unwrap_or_default();
+        let why = info.payload_as_str().unwrap_or_default();
+        error!(why, at; "{}", event::PANICKED);
+        print(info);
+    }));
+}
+
 /// Waits a moment for queued lines to be written.
 pub fn flush() {
     for _ in 0..FLUSH_STEPS {
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -34,6 +34,8 @@
 pub const ATTEMPT: &str = "attempt";
 /// An endpoint sent nothing for a while during an attempt.
 pub const SILENT: &str = "silent";
+/// An answer ended early.
+pub const CUT: &str = "cut";
 /// An endpoint broke off an answer or a connection, which happens again and again with a poison
 /// request.
 pub const BROKE: &str = "broke";
@@ -64,9 +66,11 @@
 pub const SKIPPED: &str = "skipped";
 /// Log lines were dropped.
 pub const DROPPED: &str = "dropped";
+/// A task panicked; its connection was closed.
+pub const PANICKED: &str = "panicked";
 
 /// All events.
-pub const EVENTS: [&str; 31] = [
+pub const EVENTS: [&str; 33] = [
     START,
     STOP,
     SUSPENDED,
@@ -84,6 +88,7 @@
     PLACE,
     ATTEMPT,
     SILENT,
+    CUT,
     BROKE,
     STRUCK,
     SPARED,
@@ -98,4 +103,5 @@
     REQUEST,
     SKIPPED,
     DROPPED,
+    PANICKED,
 ];
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -1,6 +1,7 @@
 //! HTTP listeners: accept callers' connections, serve their requests and log how each request ended; others serve
 //! readiness and metrics.
 
+use crate::cut::{By, Cut};
 use crate::event;
 use crate::exchange::Call;
 use crate::node::{InFlight, Node, ResponseBody};
@@ -13,19 +14,21 @@
 use crosslane_state::hash;
 use crosslane_state::organisation::Organisation;
 use crosslane_state::route::{Kind, Limits, Route, Table};
-use crosslane_transport::connection;
+use crosslane_transport::clock::Deadline;
+use crosslane_transport::connection::{self, Closer};
 use crosslane_transport::http::{self, ReadError};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use log::{debug, info};
+use log::{debug, info, warn};
 use std::convert::Infallible;
 use std::net::IpAddr;
 use std::pin::{Pin, pin};
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::task::{Context, Poll, ready};
+use std::thread;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{Instant, sleep};
@@ -56,19 +59,27 @@
 
 /// Accepts callers' connections forever; `connections` tracks their tasks.
 pub async fn run(node: Arc<Node>, listener: TcpListener, connections: TaskTracker) {
+    let mut accepting = true;
     loop {
-        match listener.accept().await {
+        let accepted = listener.accept().await;
+        if let Err(error) = &accepted
+            && accepting
+        {
+            warn!(dependency = "callers", why:% = error; "{}", event::LOST);
+        }
+        accepting = accepted.is_ok();
+        match accepted {
             Ok((stream, from)) => {
                 connections.spawn(serve(node.clone(), stream, from.ip()));
             }
-            Err(error) => {
-                debug!("accept failed: {error}");
-                sleep(ACCEPT_PAUSE).await;
-            }
+            Err(_) => sleep(ACCEPT_PAUSE).await,
         }
     }
 }
 
+/// How a caller's connection failed, once it has.
+type ConnectionError = Arc<OnceLock<hyper::Error>>;
+
 async fn serve(node: Arc<Node>, stream: TcpStream, caller: IpAddr) {
     if let Err(error) = connection::set_socket_options(&stream) {
         debug!("can't set the options of a caller's connection: {error}");
@@ -76,11 +87,12 @@
     let limits = node.table().map_or(DEFAULT_LIMITS, |table| table.limits);
     let mut stop = node.stopping.subscribe();
     let stopping = stop.borrow_and_update().is_some();
+    let failed = ConnectionError::default();
     let service = service_fn({
-        let node = node.clone();
+        let (node, failed) = (node.clone(), failed.clone());
         move |request| {
-            let node = node.clone();
-            async move { Ok::<_, Infallible>(handle(node, request, caller).await) }
+            let (node, failed) = (node.clone(), failed.clone());
+            async move { Ok::<_, Infallible>(handle(node, request, caller, failed).await) }
         }
     });
     let connection = http1::Builder::new()
@@ -99,6 +111,8 @@
     };
     if let Err(error) = ended {
         debug!("caller's connection failed: {error}");
+        // Known before the connection drops its request, whose log entry tells it.
+        let _ = failed.set(error);
     }
 }
 
@@ -106,11 +120,12 @@
     node: Arc<Node>,
     request: Request<Incoming>,
     caller: IpAddr,
+    failed: ConnectionError,
 ) -> Response<ResponseBody> {
     let arrived = Instant::now();
     let parsed = Metadata::try_from(request.headers());
     let id = parsed.as_ref().ok().map(|ask| ask.id.clone());
-    let mut entry = LogEntry::new(node.clone(), id.clone(), caller, arrived);
+    let mut entry = LogEntry::new(node.clone(), id.clone(), caller, arrived, failed);
     let result = match parsed {
         Ok(ask) => serve_request(&node, request, ask, &mut entry).await,
         Err(_) => Err(Reason::NoId.into()),
@@ -161,6 +176,7 @@
     let timeout = Duration::from_millis(route.timeout_ms);
     let deadline =
         node.clock.deadline(ask.timeout.map_or(timeout, |patience| patience.min(timeout)));
+    entry.deadline = Some(deadline.clone());
     let body = read_body(body, table.limits, deadline.left()).await?;
     let service = choose_service(route, &ask.id);
     shutdown::check(node, route, service, deadline.left())?;
@@ -239,15 +255,24 @@
     gap: Duration,
     /// Bytes of the response still to be sent, if its length is known.
     bytes_left: Option<u64>,
+    /// Deadline of the request, once its route is known.
+    deadline: Option<Deadline>,
+    failed: ConnectionError,
 }
 
 impl LogEntry {
-    fn new(node: Arc<Node>, id: Option<String>, caller: IpAddr, arrived: Instant) -> Self {
+    fn new(
+        node: Arc<Node>,
+        id: Option<String>,
+        caller: IpAddr,
+        arrived: Instant,
+        failed: ConnectionError,
+    ) -> Self {
         let route = String::new();
         // If nothing else is recorded, the caller disconnected before there was a response or a refusal.
         let (status, ending) = (StatusCode::OK, CALLER_LEFT);
         let (last_frame, first, gap) = (None, Duration::ZERO, Duration::ZERO);
-        let bytes_left = None;
+        let (bytes_left, deadline) = (None, None);
         let (organisation, version, open) = (None, 0, None);
         Self {
             node,
@@ -264,7 +289,34 @@
             first,
             gap,
             bytes_left,
+            deadline,
+            failed,
+        }
+    }
+
+    /// Logs who ended the response before its end.
+    fn log_cut(&self) {
+        let (by, why) = match self.failed.get() {
+            _ if thread::panicking() => (By::Node, "panic".into()),
+            Some(error) => (By::new(Closer::of(error), By::Caller), connection::cause(error)),
+            None => (By::Node, "connection dropped".into()),
+        };
+        let missing = match (self.last_frame, self.bytes_left) {
+            (None, _) => "everything".into(),
+            (Some(_), Some(bytes)) => format!("{bytes} bytes"),
+            (Some(_), None) => "the end".into(),
+        };
+        let left = self.deadline.as_ref().map_or(Duration::ZERO, Deadline::left);
+        Cut {
+            request: self.id.as_deref().unwrap_or_default(),
+            by,
+            to: "",
+            missing: &missing,
+            bound: "caller's connection",
+            why: &why,
+            left_ms: left.as_millis() as u64,
         }
+        .log();
     }
 
     /// Records that a frame of the response was sent.
@@ -281,6 +333,9 @@
 impl Drop for LogEntry {
     fn drop(&mut self) {
         self.node.metrics.count_ending(self.ending);
+        if self.ending == CALLER_LEFT {
+            self.log_cut();
+        }
         if let Some(open) = self.open.take() {
             self.node.end_request(open, self.ending == ANSWERED && self.status.is_success());
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 
 pub mod cache;
 pub mod control;
+pub mod cut;
 pub mod directory;
 pub mod event;
 pub mod exchange;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -3,6 +3,7 @@
 //! Only whole events are relayed. If an engine is leaving, its run is moved to another engine together with its KV cache.
 //! If a run breaks off, the stream is resumed at another engine if its route allows, and is cut otherwise.
 
+use crate::cut::{By, Cut};
 use crate::event;
 use crate::exchange::{self, Answer, Slot};
 use crate::metrics::{Metrics, Retry};
@@ -17,6 +18,7 @@
 use crosslane_platform::request::Purpose;
 use crosslane_state::endpoint::Endpoint;
 use crosslane_state::route::Kind;
+use crosslane_transport::connection::{self, Closer};
 use crosslane_transport::http::BodyError;
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, StreamBody};
@@ -47,15 +49,30 @@
     move_at: Option<Instant>,
     /// Remaining attempts to move the run.
     moves_left: u32,
+    /// Endpoint of the last attempt.
+    last_endpoint: String,
     /// Error with which to cut the stream.
-    broken: Option<&'static str>,
+    broken: Option<Break>,
+}
+
+/// How an attempt broke off.
+#[derive(Clone, Debug)]
+struct Break {
+    by: By,
+    why: String,
+}
+
+impl Break {
+    fn new(by: By, why: impl Into<String>) -> Self {
+        Self { by, why: why.into() }
+    }
 }
 
 /// Next part of an engine's response.
 enum Chunk {
     Data(Bytes),
     End,
-    Broken(&'static str),
+    Broken(Break),
     /// The engine stalled, and the next attempt is prepared.
     Stalled(Box<Failover>),
 }
@@ -68,6 +85,7 @@
         let events = Splitter::default();
         Self {
             generation,
+            last_endpoint: answer.endpoint.id.clone(),
             answer: Some(answer),
             events,
             move_at: None,
@@ -83,8 +101,8 @@
 
     async fn next(mut self) -> Option<Item> {
         loop {
-            if let Some(why) = self.broken.take() {
-                return Some((Err(why.into()), self));
+            if let Some(broken) = self.broken.take() {
+                return Some((Err(broken.why.into()), self));
             }
             // A stream has no response only after it was cut by an error.
             self.answer.as_ref()?;
@@ -107,22 +125,40 @@
                 }
                 Chunk::Stalled(failover) => {
                     self.generation.set_failover(*failover);
-                    self.fail_over("engine silent").await;
+                    self.fail_over(Break::new(By::Node, "engine silent")).await;
                 }
-                Chunk::Broken(why) => {
+                Chunk::Broken(broken) => {
                     self.record_outcome(Outcome::Failed);
-                    self.fail_over(why).await;
+                    self.fail_over(broken).await;
                 }
             }
         }
     }
 
     /// Abandons an engine and resumes the stream at another one, or marks the stream to be cut.
-    async fn fail_over(&mut self, why: &'static str) {
+    async fn fail_over(&mut self, broken: Break) {
         self.drop_broken().await;
-        if !self.resume(why).await {
-            self.broken = Some(why);
+        if let Err(bound) = self.resume(&broken.why).await {
+            self.cut(broken, bound);
+        }
+    }
+
+    /// Marks the stream to be cut, and logs why.
+    fn cut(&mut self, broken: Break, bound: &str) {
+        let call = &self.generation.call;
+        Cut {
+            request: &call.metadata.id,
+            by: broken.by,
+            to: &self.last_endpoint,
+            missing: &self
+                .last_event()
+                .map_or("all events".into(), |id| format!("events after {id}")),
+            bound,
+            why: &broken.why,
+            left_ms: call.remaining().as_millis() as u64,
         }
+        .log();
+        self.broken = Some(broken);
     }
 
     fn record_outcome(&self, outcome: Outcome) {
@@ -141,7 +177,7 @@
 
     async fn next_chunk(&mut self) -> Chunk {
         let Some(answer) = &mut self.answer else {
-            return Chunk::Broken("no engine");
+            return Chunk::Broken(Break::new(By::Node, "no engine"));
         };
         let (at, attempts, started_at) = (answer.key(), self.generation.attempts, Instant::now());
         let until = self.generation.call.deadline.instant();
@@ -150,11 +186,14 @@
         Metrics::observe(&self.generation.node.metrics.event_gap, started_at.elapsed());
         match frame {
             Err(failover) => Chunk::Stalled(Box::new(failover)),
-            Ok(Err(_)) => Chunk::Broken("time ran out"),
+            Ok(Err(_)) => Chunk::Broken(Break::new(By::Node, "time ran out")),
             Ok(Ok(Some(Ok(frame)))) => Chunk::Data(frame.into_data().unwrap_or_default()),
-            Ok(Ok(Some(Err(_)))) => Chunk::Broken("engine broke off"),
+            Ok(Ok(Some(Err(error)))) => {
+                let by = By::new(Closer::of(&error), By::Endpoint);
+                Chunk::Broken(Break::new(by, connection::cause(&error)))
+            }
             Ok(Ok(None)) if self.events.has_partial() => {
-                Chunk::Broken("engine ended within an event")
+                Chunk::Broken(Break::new(By::Endpoint, "engine ended within an event"))
             }
             Ok(Ok(None)) => Chunk::End,
         }
@@ -190,11 +229,13 @@
         let request = engine::move_run(&source, &self.generation.call.metadata.id, target.address);
         let control = self.generation.node.control.clone();
         let answer = control.call(source.address, request, MOVE_TIMEOUT).await;
-        let outcome = match &answer {
-            Ok(answer) => engine::parse_move_outcome(answer.status, &answer.body),
-            Err(_) => MoveOutcome::Refused,
+        let (outcome, why) = match &answer {
+            Ok(answer) => {
+                (engine::parse_move_outcome(answer.status, &answer.body), answer.status.to_string())
+            }
+            Err(error) => (MoveOutcome::Refused, error.to_string()),
         };
-        self.log_move(&source, &target, &outcome);
+        self.log_move(&source, &target, &outcome, &why);
         // The source keeps the KV cache until the run continues, so a run that the target refuses is not lost.
         let mut stopped =
             Slot::acquire(&self.generation.node, (key, 0.0), self.generation.expected_tokens());
@@ -210,10 +251,10 @@
         drained
     }
 
-    fn log_move(&self, from: &Endpoint, to: &Endpoint, outcome: &MoveOutcome) {
+    fn log_move(&self, from: &Endpoint, to: &Endpoint, outcome: &MoveOutcome, why: &str) {
         let (request, from, to) =
             (self.generation.call.metadata.id.as_str(), from.id.as_str(), to.id.as_str());
-        info!(request, from, to, outcome:? = outcome; "{}", event::MOVE);
+        info!(request, from, to, outcome:? = outcome, why; "{}", event::MOVE);
     }
 
     /// Reads the events that a stopped run had already sent.
@@ -245,8 +286,10 @@
             break;
         }
         // Without a response, the stream is resumed or cut like one that broke off.
-        if self.answer.is_none() && !self.resume("move failed").await {
-            self.broken = Some("move failed");
+        if self.answer.is_none()
+            && let Err(bound) = self.resume("move failed").await
+        {
+            self.cut(Break::new(By::Node, "move failed"), bound);
         }
     }
 
@@ -255,33 +298,36 @@
         self.events.last_id().or(self.generation.call.metadata.last_event_id)
     }
 
-    /// Resumes the stream at other engines while attempts are left. Returns false if that is not allowed or failed.
-    async fn resume(&mut self, why: &str) -> bool {
+    /// Resumes the stream at other engines while attempts are left. The error says what prevents it.
+    async fn resume(&mut self, why: &str) -> Result<(), &'static str> {
         let last = self.last_event();
         self.events.discard();
-        let denied = loop {
-            if let Some(denied) = self.resume_denied() {
-                break denied;
+        loop {
+            if let Some(bound) = self.resume_denied() {
+                return Err(bound);
             }
             let resumed = self.generation.retry_elsewhere(last).await;
             self.generation.node.metrics.count_retry(Retry::Resumed);
-            let (outcome, retry) = match &resumed {
-                Ok(answer) if answer.parts.status.is_success() => ("resumed", false),
+            let resumed = match resumed {
+                Ok(answer) if answer.parts.status.is_success() => {
+                    self.log_resume(why, "resumed");
+                    self.last_endpoint.clone_from(&answer.endpoint.id);
+                    self.answer = Some(answer);
+                    return Ok(());
+                }
+                resumed => resumed,
+            };
+            self.log_resume(why, "not resumed");
+            match resumed {
                 Ok(answer) => {
                     answer.record_outcome(Outcome::Error);
                     // The response, and its trial with it, is dropped before the next try.
-                    ("not resumed", true)
                 }
-                Err(failure) => ("not resumed", failure.is_some_and(|known| !known.quarantined())),
-            };
-            self.log_resume(why, outcome);
-            if !retry {
-                self.answer = resumed.ok();
-                return self.answer.is_some();
+                Err(None) => return Err("no memory elsewhere"),
+                Err(Some(failure)) if failure.quarantined() => return Err("quarantined"),
+                Err(Some(_)) => {}
             }
-        };
-        self.log_resume(why, denied);
-        false
+        }
     }
 
     /// Why the stream may not be resumed, if so; otherwise takes a retry from the budget.
@@ -291,17 +337,17 @@
             return None;
         }
         if route.kind != (Kind::Stream { resumable: true }) {
-            return Some("cut: may not be resumed");
+            return Some("may not be resumed");
         }
         if call.remaining().is_zero() {
-            return Some("cut: time ran out");
+            return Some("time ran out");
         }
         if *attempts >= route.max_attempts {
-            return Some("cut: no attempt left");
+            return Some("no attempt left");
         }
         if !node.take_retry(service) {
             node.metrics.count_retry(Retry::DeniedBudget);
-            return Some("cut: retry budget spent");
+            return Some("retry budget spent");
         }
         None
     }
--- a/crates/soak/src/traffic.rs
+++ b/crates/soak/src/traffic.rs
@@ -42,7 +42,7 @@
 const LATE_SENDS: u32 = 3;
 
 /// What a node says of a stream that may not go on although an endpoint could make it.
-const BOUNDS: [&str; 2] = ["cut: no attempt left", "cut: retry budget spent"];
+const BOUNDS: [&str; 2] = ["\"no attempt left\"", "\"retry budget spent\""];
 
 /// Kinds of request, as often as they are drawn.
 const KINDS: [Kind; 10] = [
--- a/crates/transport/src/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -11,7 +11,8 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
-use std::error::Error as _;
+use std::error::Error as StdError;
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -65,6 +66,53 @@
     }
 }
 
+/// Who ended a connection.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Closer {
+    /// The other side, by a reset or an early end.
+    #[display("peer")]
+    Peer,
+    /// This machine's kernel, which had no acknowledgement in time.
+    #[display("kernel")]
+    Kernel,
+    /// This process.
+    #[display("node")]
+    Node,
+}
+
+impl Closer {
+    /// Who ended a connection that failed with an error.
+    pub fn of(error: &(dyn StdError + 'static)) -> Self {
+        let mut next = Some(error);
+        while let Some(error) = next {
+            if let Some(known) = error.downcast_ref::<io::Error>() {
+                return Self::from(known.kind());
+            }
+            if error.downcast_ref().is_some_and(hyper::Error::is_incomplete_message) {
+                return Self::Peer;
+            }
+            next = error.source();
+        }
+        Self::Node
+    }
+}
+
+impl From<ErrorKind> for Closer {
+    fn from(kind: ErrorKind) -> Self {
+        match kind {
+            ErrorKind::TimedOut | ErrorKind::HostUnreachable | ErrorKind::NetworkUnreachable => {
+                Self::Kernel
+            }
+            ErrorKind::BrokenPipe
+            | ErrorKind::ConnectionAborted
+            | ErrorKind::ConnectionReset
+            | ErrorKind::NotConnected
+            | ErrorKind::UnexpectedEof => Self::Peer,
+            _ => Self::Node,
+        }
+    }
+}
+
 /// Reads a whole body, with a timeout for each frame. The total time is not limited: a total limit would never let
 /// 0.9 MB arrive over a 250 KB/s link, however often the request is retried.
 pub async fn read_body(
@@ -150,7 +198,7 @@
 }
 
 /// Message of a hyper error, with its source: hyper's own message omits the operating system's error.
-fn cause(error: &hyper::Error) -> String {
+pub fn cause(error: &hyper::Error) -> String {
     error.source().map_or_else(|| error.to_string(), |source| format!("{error}: {source}"))
 }
 
