A silent stream is kept until its replacement runs

What callers saw: a stream that may be resumed ended without its end, status sent, while the engine that it was taken from would have gone on. Cause: the silent run was dropped once another engine had granted memory and had the prompt. A grant is no run: the other engine could refuse, fail, or be silent as well, and with no attempt or retry left the stream was cut. Why this holds: the replacement is sent beside the silent run, which is dropped only for a response of the replacement; a refusal, an error or a crash of it leaves the silent run where it was. Two engines have one request no longer than the platform allows: if the replacement has not answered by then, it is given up in favour of a silent engine that accepts connections, and goes on if that one can't be reached. Attempts are counted as they are sent, also those that are dropped.

--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -77,11 +77,16 @@
 }
 
 /// Whether an address refuses connections, so no process listens there. A timeout or another error does not count.
-pub async fn refuses_connections(address: SocketAddr) -> bool {
+async fn refuses_connections(address: SocketAddr) -> bool {
     let connected = timeout(CHECK_TIMEOUT, TcpStream::connect(address)).await;
     matches!(connected, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
 }
 
+/// Whether a process listens at an address and its machine can be reached.
+pub async fn accepts_connections(address: SocketAddr) -> bool {
+    matches!(timeout(CHECK_TIMEOUT, TcpStream::connect(address)).await, Ok(Ok(_)))
+}
+
 /// Trial of a suspect request; its result is recorded when it is dropped.
 #[derive(Debug)]
 pub struct Trial {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -10,7 +10,7 @@
 use crate::node::ResponseBody;
 use crate::quarantine;
 use crate::sse::Splitter;
-use crate::stream::{Failover, Generation};
+use crate::stream::Generation;
 use bytes::{Bytes, BytesMut};
 use crosslane_coordination::admission::FULL_UTILIZATION;
 use crosslane_coordination::health::Outcome;
@@ -73,8 +73,8 @@
     Data(Bytes),
     End,
     Broken(Break),
-    /// The engine stalled, and the next attempt is prepared.
-    Stalled(Box<Failover>),
+    /// The engine stalled, and another one runs the stream instead.
+    Replaced(Box<Answer>),
 }
 
 type Item = (Result<Frame<Bytes>, BodyError>, Relay);
@@ -123,10 +123,7 @@
                     self.answer.iter_mut().for_each(Answer::complete);
                     return None;
                 }
-                Chunk::Stalled(failover) => {
-                    self.generation.set_failover(*failover);
-                    self.fail_over(Break::new(By::Node, "engine silent")).await;
-                }
+                Chunk::Replaced(answer) => self.replace_answer(*answer).await,
                 Chunk::Broken(broken) => {
                     self.record_outcome(Outcome::Failed);
                     self.fail_over(broken).await;
@@ -161,6 +158,16 @@
         self.broken = Some(broken);
     }
 
+    /// Goes on with the response of another engine.
+    async fn replace_answer(&mut self, answer: Answer) {
+        self.drop_broken().await;
+        self.events.discard();
+        self.generation.node.metrics.count_retry(Retry::Resumed);
+        self.log_resume("engine silent", "resumed");
+        self.last_endpoint.clone_from(&answer.endpoint.id);
+        self.answer = Some(answer);
+    }
+
     fn record_outcome(&self, outcome: Outcome) {
         if let Some(answer) = &self.answer {
             answer.record_outcome(outcome);
@@ -169,8 +176,11 @@
 
     /// Drops a response that broke off, and checks whether its engine crashed while running the request.
     async fn drop_broken(&mut self) {
-        if let Some(Answer { endpoint, started_at, .. }) = self.answer.take() {
+        if let Some(answer) = self.answer.take() {
             let Generation { node, call, .. } = &self.generation;
+            let (endpoint, started_at) = (answer.endpoint.clone(), answer.started_at);
+            // Ends the run at its engine before the check, which takes a while.
+            drop(answer);
             quarantine::check_for_crash(node, call, &endpoint, started_at).await;
         }
     }
@@ -179,13 +189,14 @@
         let Some(answer) = &mut self.answer else {
             return Chunk::Broken(Break::new(By::Node, "no engine"));
         };
-        let (at, attempts, started_at) = (answer.key(), self.generation.attempts, Instant::now());
+        let last_event = self.events.last_id().or(self.generation.call.metadata.last_event_id);
+        let (at, started_at) = (answer.key(), Instant::now());
         let until = self.generation.call.deadline.instant();
         let frame = timeout_at(until, answer.body.frame());
-        let frame = self.generation.unless_stalled(at, attempts, frame).await;
+        let frame = self.generation.unless_stalled(&[at], last_event, frame).await;
         Metrics::observe(&self.generation.node.metrics.event_gap, started_at.elapsed());
         match frame {
-            Err(failover) => Chunk::Stalled(Box::new(failover)),
+            Err(answer) => Chunk::Replaced(Box::new(answer)),
             Ok(Err(_)) => Chunk::Broken(Break::new(By::Node, "time ran out")),
             Ok(Ok(Some(Ok(frame)))) => Chunk::Data(frame.into_data().unwrap_or_default()),
             Ok(Ok(Some(Err(error)))) => {
@@ -332,17 +343,14 @@
 
     /// Why the stream may not be resumed, if so; otherwise takes a retry from the budget.
     fn resume_denied(&self) -> Option<&'static str> {
-        let Generation { node, call, route, service, attempts, .. } = &self.generation;
-        if self.generation.has_failover() {
-            return None;
-        }
+        let Generation { node, call, route, service, .. } = &self.generation;
         if route.kind != (Kind::Stream { resumable: true }) {
             return Some("may not be resumed");
         }
         if call.remaining().is_zero() {
             return Some("time ran out");
         }
-        if *attempts >= route.max_attempts {
+        if self.generation.attempts() >= route.max_attempts {
             return Some("no attempt left");
         }
         if !node.take_retry(service) {
--- a/crates/gateway/src/reserve.rs
+++ b/crates/gateway/src/reserve.rs
@@ -49,12 +49,8 @@
         metadata.expected_output_tokens.unwrap_or(default).min(metadata.max_output_tokens)
     }
 
-    /// Reserves memory at a decode engine other than `except`, and waits for it until a time.
-    pub async fn reserve(
-        &self,
-        until: Instant,
-        except: Option<Key>,
-    ) -> Result<Reservation, Refusal> {
+    /// Reserves memory at a decode engine other than these, and waits for it until a time.
+    pub async fn reserve(&self, until: Instant, except: &[Key]) -> Result<Reservation, Refusal> {
         let mut rounds = 0_u32;
         loop {
             let bound = match self.round(except).await {
@@ -82,7 +78,7 @@
 
     /// Asks the best engines for memory once. The error says what is exhausted: `memory` if no engine seems to have
     /// room, `reservations` if engines refused.
-    async fn round(&self, except: Option<Key>) -> Result<Reservation, &'static str> {
+    async fn round(&self, except: &[Key]) -> Result<Reservation, &'static str> {
         let tokens = self.expected_tokens();
         let mut tried = quarantine::engines_with_trials(&self.node, &self.call);
         tried.extend(except);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -25,9 +25,11 @@
 use crosslane_state::route::{Engine, Kind, Route};
 use hyper::Response;
 use rand::Rng;
+use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
 /// Timeout of a prefill, queueing included: prefill of the longest prompts takes up to 200 ms. After it the
 /// decode engine prefills the prompt itself, while its reservation is still valid.
@@ -67,20 +69,10 @@
     pub caller: Caller,
     /// Whether the response can still be on time.
     pub timeliness: Timeliness,
-    /// Attempts that reached an endpoint.
-    pub attempts: u32,
+    /// Attempts that reached an endpoint, or are being sent to one.
+    attempts: AtomicU32,
     /// Prefill engine that prefilled the prompt and may still cache it.
     prefilled_at: Option<Key>,
-    /// Prepared next attempt, if the previous engine stalled.
-    failover: Option<Failover>,
-}
-
-/// Everything an attempt at another engine needs; its retry has been taken from the budget.
-#[derive(Debug)]
-pub struct Failover {
-    reservation: Reservation,
-    /// KV cache of the prompt, if it was prefilled at another engine.
-    handle: Option<Handle>,
 }
 
 impl Generation {
@@ -96,19 +88,8 @@
             resumes: call.metadata.last_event_id.is_some(),
         };
         let timeliness = Timeliness::from(&caller);
-        let (attempts, prefilled_at, failover) = (0, None, None);
-        Self {
-            node,
-            call,
-            route,
-            service,
-            engine,
-            caller,
-            timeliness,
-            attempts,
-            prefilled_at,
-            failover,
-        }
+        let (attempts, prefilled_at) = (AtomicU32::new(0), None);
+        Self { node, call, route, service, engine, caller, timeliness, attempts, prefilled_at }
     }
 
     /// Runs the request at engines and returns the event stream.
@@ -127,7 +108,7 @@
         if !self.node.pool().is_usable(reservation.key) {
             // The engine announced its departure during the prefill.
             let until = self.call.deadline.instant().min(Instant::now() + max_wait);
-            reservation = self.reserve(until, None).await?;
+            reservation = self.reserve(until, &[]).await?;
         }
         let answer =
             self.decode(&mut reservation, handle.as_mut(), self.call.metadata.last_event_id).await;
@@ -145,7 +126,7 @@
 
     /// Retries at another engine if the response is an error rather than a stream and the request may run
     /// again. Returns the error response if the retry is not allowed or fails.
-    async fn retry_error(&mut self, mut answer: Answer) -> Result<Answer, Answer> {
+    async fn retry_error(&self, mut answer: Answer) -> Result<Answer, Answer> {
         if answer.parts.status.is_success() {
             return Ok(answer);
         }
@@ -183,7 +164,7 @@
         {
             return Ok((reservation, KvCache::Decoding));
         }
-        let reservation = self.reserve(until, None).await?;
+        let reservation = self.reserve(until, &[]).await?;
         let kept = hits.prefill.map_or(KvCache::Absent, |_| KvCache::Prefilling);
         Ok((reservation, kept))
     }
@@ -273,11 +254,23 @@
         Ok(Some(Handle::new(&self.node, engine, id)))
     }
 
-    /// Sends the request to the engine that granted the reservation.
+    /// Sends the request to the engine that granted the reservation, and to another one if that stalls.
     async fn decode(
-        &mut self,
+        &self,
+        reservation: &mut Reservation,
+        handle: Option<&mut Handle>,
+        last_event: Option<u64>,
+    ) -> Result<Answer, Failure> {
+        let at = reservation.key;
+        let sending = self.send(reservation, handle, last_event);
+        self.unless_stalled(&[at], last_event, sending).await.unwrap_or_else(Ok)
+    }
+
+    /// Sends the request to the engine that granted the reservation.
+    async fn send(
+        &self,
         reservation: &mut Reservation,
-        mut handle: Option<&mut Handle>,
+        handle: Option<&mut Handle>,
         last_event: Option<u64>,
     ) -> Result<Answer, Failure> {
         let Some(slot) = reservation.slot.take() else {
@@ -286,59 +279,90 @@
         let source = handle.as_deref().and_then(Handle::source);
         let purpose =
             Purpose::Decode { reservation: reservation.id.as_deref(), source, last_event };
-        let (at, until) = (slot.key, self.call.deadline.instant());
-        let sending = exchange::send(&self.call, slot, &purpose, until);
-        let answer = match self.unless_stalled(at, self.attempts + 1, sending).await {
-            Ok(answer) => answer,
-            Err(failover) => {
-                self.failover = Some(failover);
-                Err(Failure::Timeout)
+        // Counted before, since the attempt may be dropped meanwhile.
+        self.attempts.fetch_add(1, Ordering::Relaxed);
+        let answer = exchange::send(&self.call, slot, &purpose, self.call.deadline.instant()).await;
+        match &answer {
+            Ok(_) => {
+                reservation.id = None;
+                handle.into_iter().for_each(|handle| handle.id = None);
             }
-        };
-        self.attempts +=
-            u32::from(answer.as_ref().map_or_else(|failure| failure.was_sent(), |_| true));
-        if answer.is_ok() {
-            reservation.id = None;
-            if let Some(handle) = &mut handle {
-                handle.id = None;
+            Err(failure) if failure.was_sent() => {}
+            Err(_) => {
+                self.attempts.fetch_sub(1, Ordering::Relaxed);
             }
         }
         answer
     }
 
-    /// Waits for an engine. A stalled engine is abandoned only once another one has granted memory and the prompt is
-    /// prefilled for it: the stalled run may only be delayed, and until then the stream depends on it.
+    /// Waits for the last of some engines, the others of which stalled. If it stalls too, it is abandoned only for a
+    /// response of another one, which is returned as the error.
     pub async fn unless_stalled<T>(
         &self,
-        at: Key,
-        attempts: u32,
+        engines: &[Key],
+        last_event: Option<u64>,
         attempt: impl Future<Output = T>,
-    ) -> Result<T, Failover> {
+    ) -> Result<T, Answer> {
+        let Some(at) = engines.last().copied() else {
+            return Ok(attempt.await);
+        };
         let gap = Duration::from_millis(self.route.target_gap_ms);
         let watch = Watch { node: &self.node, call: &self.call, at, intervals: (STALL_GAPS, gap) };
-        stall::unless_stalled(watch, attempt, || self.prepare_failover(at, attempts)).await
+        stall::unless_stalled(watch, attempt, || self.replace(engines, last_event)).await
     }
 
-    /// Prepares a failover away from a stalled engine: reserves memory, prefills the prompt and takes a retry from the
-    /// budget, if the stream may be resumed.
-    async fn prepare_failover(&self, stalled: Key, attempts: u32) -> Option<Failover> {
-        let resumable = self.route.kind == Kind::Stream { resumable: true };
-        if !resumable || attempts >= self.route.max_attempts {
-            return None;
-        }
-        quarantine::check(&self.node, &self.call).ok()?;
-        let reservation = self.reserve(self.resume_by(), Some(stalled)).await.ok()?;
-        // Without the prompt the failover is not safe: the other engine may be gone before it has prefilled it.
-        let handle = self.refetch_prompt().await.ok()?;
-        let engine = self.node.pool().get(reservation.key).cloned()?;
-        if quarantine::refuses_connections(engine.address).await {
-            return None;
-        }
-        if !self.node.take_retry(&self.service) {
-            self.node.metrics.count_retry(Retry::DeniedBudget);
-            return None;
+    /// Runs the stream at another engine beside stalled ones, if it may be resumed. `None` if that engine refuses or fails:
+    /// the stalled runs may only be delayed, so the stream still depends on them.
+    fn replace<'a>(
+        &'a self,
+        stalled: &'a [Key],
+        last_event: Option<u64>,
+    ) -> Pin<Box<dyn Future<Output = Option<Answer>> + Send + Sync + 'a>> {
+        Box::pin(async move {
+            let resumable = self.route.kind == Kind::Stream { resumable: true };
+            if !resumable || self.attempts() >= self.route.max_attempts {
+                return None;
+            }
+            quarantine::check(&self.node, &self.call).ok()?;
+            let mut reservation = self.reserve(self.resume_by(), stalled).await.ok()?;
+            let mut handle = self.refetch_prompt().await.ok()?;
+            if !self.node.take_retry(&self.service) {
+                self.node.metrics.count_retry(Retry::DeniedBudget);
+                return None;
+            }
+            let engines = [stalled, &[reservation.key]].concat();
+            let sending = self.send(&mut reservation, handle.as_mut(), last_event);
+            let sent = self.unless_stalled(&engines, last_event, sending);
+            let answer = tokio::select! {
+                answer = sent => answer.unwrap_or_else(Ok).ok()?,
+                () = self.overlap_ends(stalled) => return None,
+            };
+            if answer.parts.status.is_success() {
+                return Some(answer);
+            }
+            answer.record_outcome(Outcome::Error);
+            None
+        })
+    }
+
+    /// Waits until a replacement of stalled runs must be given up, since one of their engines can still be reached.
+    async fn overlap_ends(&self, stalled: &[Key]) {
+        loop {
+            sleep(engine::MAX_OVERLAP).await;
+            for key in stalled {
+                let engine = self.node.pool().get(*key).cloned();
+                if let Some(engine) = engine
+                    && quarantine::accepts_connections(engine.address).await
+                {
+                    return;
+                }
+            }
         }
-        Some(Failover { reservation, handle })
+    }
+
+    /// Attempts so far.
+    pub fn attempts(&self) -> u32 {
+        self.attempts.load(Ordering::Relaxed)
     }
 
     /// Latest time to wait for memory to resume a stream.
@@ -348,15 +372,15 @@
     }
 
     /// Retries at other engines after a failed attempt, while attempts and the retry budget allow.
-    async fn retry(&mut self, failure: Failure) -> Result<Answer, Refusal> {
+    async fn retry(&self, failure: Failure) -> Result<Answer, Refusal> {
         let kind = self.route.kind;
         if failure.may_have_run() && !kind.idempotent() {
             return Err(final_refusal(failure));
         }
         let mut failure = failure;
-        while !failure.quarantined() && self.attempts < self.route.max_attempts.max(1) {
-            let prepaid = self.attempts == 0 || self.failover.is_some();
-            if !prepaid && !self.node.take_retry(&self.service) {
+        while !failure.quarantined() && self.attempts() < self.route.max_attempts.max(1) {
+            let first = self.attempts() == 0;
+            if !first && !self.node.take_retry(&self.service) {
                 self.node.metrics.count_retry(Retry::DeniedBudget);
                 break;
             }
@@ -378,17 +402,12 @@
 
     /// Runs the request at another engine, from after the given event.
     pub async fn retry_elsewhere(
-        &mut self,
+        &self,
         last_event: Option<u64>,
     ) -> Result<Answer, Option<Failure>> {
         quarantine::check(&self.node, &self.call).map_err(Some)?;
-        let Failover { mut reservation, mut handle } = match self.failover.take() {
-            Some(failover) => failover,
-            None => {
-                let reservation = self.reserve(self.resume_by(), None).await.map_err(|_| None)?;
-                Failover { reservation, handle: self.refetch_prompt().await.unwrap_or_default() }
-            }
-        };
+        let mut reservation = self.reserve(self.resume_by(), &[]).await.map_err(|_| None)?;
+        let mut handle = self.refetch_prompt().await.unwrap_or_default();
         self.decode(&mut reservation, handle.as_mut(), last_event).await.map_err(Some)
     }
 
@@ -403,16 +422,6 @@
         prefilled.map(|(_, handle)| Some(handle)).ok_or(Failure::Timeout)
     }
 
-    /// Whether a next attempt is prepared.
-    pub fn has_failover(&self) -> bool {
-        self.failover.is_some()
-    }
-
-    /// Stores a prepared next attempt.
-    pub fn set_failover(&mut self, failover: Failover) {
-        self.failover = Some(failover);
-    }
-
     fn relay(self, answer: Answer) -> Response<ResponseBody> {
         let status = answer.parts.status;
         let headers = response::forwarded_headers(&answer.parts.headers);
