A run that a move stopped goes on although the response to the move was lost

What callers saw: a stream at a leaving engine ended without its end, status sent. Cause: a move stops the run first and answers later; a response that was lost, or that a call was still under way, counted as a refusal, so the node went on reading a stream that had been stopped, and one that may not be resumed was cut. Why this holds: only the engine knows whether it stopped the run, and a repeated call copies only what is new, so it is asked until it says so, is gone, or the deadline passes. The asking is a module of its own; moves log every answer.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod limit;
 pub mod members;
 pub mod metrics;
+pub mod migration;
 pub mod mirror;
 pub mod node;
 pub mod orders;
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -77,7 +77,7 @@
 }
 
 /// Whether an address refuses connections, so no process listens there. A timeout or another error does not count.
-async fn refuses_connections(address: SocketAddr) -> bool {
+pub async fn refuses_connections(address: SocketAddr) -> bool {
     let connected = timeout(CHECK_TIMEOUT, TcpStream::connect(address)).await;
     matches!(connected, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -7,6 +7,7 @@
 use crate::event;
 use crate::exchange::{self, Answer, Slot};
 use crate::metrics::{Metrics, Retry};
+use crate::migration;
 use crate::node::ResponseBody;
 use crate::quarantine;
 use crate::sse::Splitter;
@@ -14,7 +15,7 @@
 use bytes::{Bytes, BytesMut};
 use crosslane_coordination::admission::FULL_UTILIZATION;
 use crosslane_coordination::health::Outcome;
-use crosslane_platform::engine::{self, MoveOutcome};
+use crosslane_platform::engine::MoveOutcome;
 use crosslane_platform::request::Purpose;
 use crosslane_state::endpoint::Endpoint;
 use crosslane_state::route::Kind;
@@ -37,8 +38,8 @@
 /// Attempts to move a run: as many as fit into the time for which a leaving engine serves.
 const MAX_MOVES: u32 = 4;
 
-/// Timeout of a move: 100 MB over the engines' links take some 10 ms, queued behind other moves.
-const MOVE_TIMEOUT: Duration = Duration::from_millis(600);
+/// Timeout to read what a stopped run had already sent.
+const DRAIN_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Relays the events of one stream.
 pub struct Relay {
@@ -237,16 +238,8 @@
         if !self.generation.node.take_retry(&self.generation.service) {
             return None;
         }
-        let request = engine::move_run(&source, &self.generation.call.metadata.id, target.address);
-        let control = self.generation.node.control.clone();
-        let answer = control.call(source.address, request, MOVE_TIMEOUT).await;
-        let (outcome, why) = match &answer {
-            Ok(answer) => {
-                (engine::parse_move_outcome(answer.status, &answer.body), answer.status.to_string())
-            }
-            Err(error) => (MoveOutcome::Refused, error.to_string()),
-        };
-        self.log_move(&source, &target, &outcome, &why);
+        let Generation { node, call, .. } = &self.generation;
+        let outcome = migration::stop_and_copy(&node.control, call, &source, &target).await;
         // The source keeps the KV cache until the run continues, so a run that the target refuses is not lost.
         let mut stopped =
             Slot::acquire(&self.generation.node, (key, 0.0), self.generation.expected_tokens());
@@ -254,7 +247,7 @@
         let (handle, slots) = match outcome {
             MoveOutcome::Copied { handle } => (handle, vec![slot, stopped]),
             MoveOutcome::Stopped { handle } => (handle, vec![stopped]),
-            MoveOutcome::Ended | MoveOutcome::Refused => return None,
+            MoveOutcome::UnderWay | MoveOutcome::Ended | MoveOutcome::Refused => return None,
         };
         self.move_at = None;
         let drained = self.drain().await;
@@ -262,16 +255,10 @@
         drained
     }
 
-    fn log_move(&self, from: &Endpoint, to: &Endpoint, outcome: &MoveOutcome, why: &str) {
-        let (request, from, to) =
-            (self.generation.call.metadata.id.as_str(), from.id.as_str(), to.id.as_str());
-        info!(request, from, to, outcome:? = outcome, why; "{}", event::MOVE);
-    }
-
     /// Reads the events that a stopped run had already sent.
     async fn drain(&mut self) -> Option<Bytes> {
         let answer = self.answer.as_mut()?;
-        let until = Instant::now() + MOVE_TIMEOUT;
+        let until = Instant::now() + DRAIN_TIMEOUT;
         let mut drained = BytesMut::new();
         while let Ok(Some(Ok(frame))) = timeout_at(until, answer.body.frame()).await {
             let bytes = frame.into_data().unwrap_or_default();
