--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -143,7 +143,8 @@
     }
     entry.status = response.status();
     entry.bytes_left = response::content_length(response.headers());
-    if response.body().is_end_stream() && entry.ending == CALLER_LEFT {
+    let empty = response.body().is_end_stream() || entry.bytes_left == Some(0);
+    if empty && entry.ending == CALLER_LEFT {
         entry.ending = ANSWERED;
     }
     response.map(|body| ResponseBody::new(LoggedBody { body, entry }))
