SIGHUP during a node's start does not end it

What callers saw: nothing in a test of ours; a node that had just begun to take requests could be ended with all of them. Cause: the handler of SIGHUP was installed after the listeners, and until then the signal ends the process. Evidence: a_reload_signal_during_the_start_does_not_end_the_node failed before ("ended by the signal"), passes now; the signal is sent while the node waits for its settings. Why this holds: both handlers are installed before anything else is done, listeners included. Found in looking for what closes streams around a SIGHUP; that the users' cases are of this kind is not shown.

--- a/crates/crosslane/src/bin/crosslaned.rs
+++ b/crates/crosslane/src/bin/crosslaned.rs
@@ -44,17 +44,19 @@
 
 /// Serves a site on one thread: its VMs have a fraction of a core.
 fn serve_site(metrics_port: u16) -> Result<ExitCode, Error> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    // Until its handler is installed, a signal ends the process.
+    let (mut terminate, reload) = {
+        let _context = runtime.enter();
+        (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?)
+    };
     logs::start_queued()?;
     logs::log_panics();
     let path = std::env::var(FILE_VARIABLE)
         .map_err(|_| Error::failed(format!("{FILE_VARIABLE} is not set")))?;
     let settings = site_settings::Settings::read(&path)?;
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(async {
-        let mut terminate = signal(SignalKind::terminate())?;
-        let announced = async move { terminate.recv().await.unwrap_or_default() };
-        server::run(settings, &path, metrics_port, announced).await.map_err(Error::from)
-    })?;
+    let announced = async move { terminate.recv().await.unwrap_or_default() };
+    runtime.block_on(server::run(settings, &path, metrics_port, announced, reload))?;
     logs::flush();
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -13,7 +13,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::Signal;
 use tokio::time::{Instant, sleep};
 use tokio_util::task::TaskTracker;
 
@@ -29,7 +29,7 @@
 /// Why a node can't start.
 #[derive(Debug, Display, Error, From)]
 pub enum Error {
-    /// A socket or a signal handler failed.
+    /// A socket failed.
     #[display("site: {_0}")]
     Io(io::Error),
     /// The metrics can't be registered.
@@ -37,19 +37,19 @@
     Metrics(prometheus::Error),
 }
 
-/// Runs a node until its stop is announced and its last request has ended. SIGHUP makes it check the settings file
-/// again.
+/// Runs a node until its stop is announced and its last request has ended. Each reload signal makes it check the settings
+/// file again.
 pub async fn run(
     settings: Settings,
     path: &str,
     metrics_port: u16,
     announced: impl Future<Output = ()>,
+    mut reload: Signal,
 ) -> Result<(), Error> {
     let node = Arc::new(Node::new(settings)?);
     let connections = TaskTracker::new();
     start(&node, &connections, metrics_port).await?;
     let mut announced = pin!(announced);
-    let mut reload = signal(SignalKind::hangup())?;
     loop {
         tokio::select! {
             () = &mut announced => break,
