Connections to peers that pause are kept while the caller waits

What callers saw: a stream cut in its middle, status sent, while its engine ran on; a request whose engine had not read it was answered 502. Cause: the kernel closed every connection after 1.5 s without acknowledgement or with a closed window, and after one lost keep-alive probe within 2 s, though a peer that pauses lives on and callers wait longer. Why this holds: a connection that carries a caller's request is closed only after every caller has given up, which follows from the routes in force; until then several probes may be lost. Waiting holds nothing for callers who have gone: their leaving ends the run as before, and a caller whose machine says nothing is given up when it would have gone itself. Calls of the node itself to engines and store keep their limit.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -2,7 +2,7 @@
 
 use crate::idle::Connections;
 use bytes::Bytes;
-use crosslane_transport::connection::{Connection, Error, Outgoing};
+use crosslane_transport::connection::{ACK_TIMEOUT, Connection, Error, Outgoing};
 use http_body_util::{BodyExt, Limited};
 use hyper::StatusCode;
 use std::net::SocketAddr;
@@ -53,7 +53,7 @@
         let until = Instant::now() + timeout;
         let mut connection = match self.idle.take(to) {
             Some(connection) => connection,
-            None => Connection::open(to, CONNECT_TIMEOUT.min(timeout)).await?,
+            None => Connection::open(to, CONNECT_TIMEOUT.min(timeout), ACK_TIMEOUT).await?,
         };
         let response = connection.send(request, until).await?;
         let status = response.status();
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -364,7 +364,7 @@
         }
     }
     let connect = CONNECT_TIMEOUT.min(until.saturating_duration_since(Instant::now()));
-    let connection = Connection::open(to, connect).await?;
+    let connection = Connection::open(to, connect, node.ack_timeout()).await?;
     send_over(connection, build_request(call, endpoint, purpose), until).await
 }
 
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -81,7 +81,7 @@
 type ConnectionError = Arc<OnceLock<hyper::Error>>;
 
 async fn serve(node: Arc<Node>, stream: TcpStream, caller: IpAddr) {
-    if let Err(error) = connection::set_socket_options(&stream) {
+    if let Err(error) = connection::set_socket_options(&stream, node.ack_timeout()) {
         debug!("can't set the options of a caller's connection: {error}");
     }
     let limits = node.table().map_or(DEFAULT_LIMITS, |table| table.limits);
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -24,6 +24,7 @@
 use crosslane_state::route::Table;
 use crosslane_state::time::Millis;
 use crosslane_transport::clock::Clock;
+use crosslane_transport::connection::ACK_TIMEOUT;
 use log::{info, warn};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -236,6 +237,13 @@
         lock(&self.table).clone()
     }
 
+    /// Time without acknowledgement after which a connection that carries a caller's request is closed: not before the caller
+    /// gives up.
+    pub fn ack_timeout(&self) -> Duration {
+        let longest = self.table().map_or(0, |table| table.longest_patience_ms);
+        Duration::from_millis(longest).max(ACK_TIMEOUT)
+    }
+
     /// The configuration in force; if another node announced a newer one, waits for it for a
     /// limited time.
     pub async fn newer_table(&self, before: Arc<Table>) -> Arc<Table> {
--- a/crates/state/src/route.rs
+++ b/crates/state/src/route.rs
@@ -66,6 +66,14 @@
     pub fn caller_idle_timeout_ms(&self) -> u64 {
         MIN_CALLER_IDLE_TIMEOUT_MS.max(4 * self.target_latency_ms).max(8 * self.target_gap_ms)
     }
+
+    /// Time without data after which its callers give up, in milliseconds.
+    pub fn patience_ms(&self) -> u64 {
+        match self.kind {
+            Kind::Stream { .. } => self.caller_idle_timeout_ms(),
+            Kind::Safe | Kind::Unsafe => self.timeout_ms,
+        }
+    }
 }
 
 /// Properties of the engines of a service.
@@ -110,6 +118,8 @@
     pub services: HashMap<String, Service>,
     /// Limits on callers' requests and connections.
     pub limits: Limits,
+    /// Time without data after which the callers of every route have given up, in milliseconds.
+    pub longest_patience_ms: u64,
     /// Organisations that may send requests; without it, no API key is needed.
     pub organisations: Option<Organisations>,
 }
@@ -122,6 +132,7 @@
         services: HashMap<String, Service>,
         limits: Limits,
     ) -> Self {
+        let longest_patience_ms = routes.iter().map(Route::patience_ms).max().unwrap_or_default();
         let mut hosts: HashMap<String, Vec<Route>> = HashMap::new();
         for route in routes {
             hosts.entry(route.host.clone()).or_default().push(route);
@@ -129,7 +140,7 @@
         for routes in hosts.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
         }
-        Self { version, hosts, services, limits, organisations: None }
+        Self { version, hosts, services, limits, longest_patience_ms, organisations: None }
     }
 
     /// The route of a host with the longest prefix of a path; a port after the host is ignored.
--- a/crates/transport/src/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -19,9 +19,9 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout, timeout_at};
 
-/// Time without acknowledgement of sent data after which a connection is closed: short enough that
-/// after a network partition there is still time to retry the request at another endpoint.
-const ACK_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time without acknowledgement after which the kernel closes a connection on which no caller's response depends: such calls
+/// are short, and made again elsewhere.
+pub const ACK_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Idle time before the first TCP keep-alive probe and between probes: the minimum of the operating system.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
@@ -144,14 +144,19 @@
 }
 
 impl Connection {
-    /// Opens a connection.
-    pub async fn open(to: SocketAddr, connect_timeout: Duration) -> Result<Self, Error> {
+    /// Opens a connection, which the kernel closes after a time without acknowledgement.
+    pub async fn open(
+        to: SocketAddr,
+        connect_timeout: Duration,
+        ack_timeout: Duration,
+    ) -> Result<Self, Error> {
         let connect_error = |message: String| Error::Connect { to, message };
         let stream = match timeout(connect_timeout, TcpStream::connect(to)).await {
             Err(_) => return Err(connect_error("timed out".into())),
             Ok(connected) => connected.map_err(|error| connect_error(error.to_string()))?,
         };
-        set_socket_options(&stream).map_err(|error| connect_error(error.to_string()))?;
+        set_socket_options(&stream, ack_timeout)
+            .map_err(|error| connect_error(error.to_string()))?;
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
@@ -208,11 +213,12 @@
     }
 }
 
-/// Sets the socket options that detect a dead peer quickly.
-pub fn set_socket_options(stream: &TcpStream) -> std::io::Result<()> {
+/// Sets the socket options that detect a dead peer: the kernel closes the connection after a time without acknowledgement, or
+/// in which the peer takes no data.
+pub fn set_socket_options(stream: &TcpStream, ack_timeout: Duration) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(ACK_TIMEOUT))?;
+    socket.set_tcp_user_timeout(Some(ack_timeout))?;
     socket.set_tcp_keepalive(
         &TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL).with_interval(KEEPALIVE_INTERVAL),
     )
