Soak: a run that the node closed excuses no cut

The check passed over a stream whose first run the node itself had closed, if the last one failed: it took a silent engine that was given up for one that broke off. Now a closed run must have been replaced by one that ran by then.

--- a/crates/soak/src/traffic.rs
+++ b/crates/soak/src/traffic.rs
@@ -1,5 +1,6 @@
 //! Callers, and what their answers say of the promises.
 
+use crate::excuse;
 use crate::node::{Life, Node};
 use crate::site::{SETTLED, Site};
 use crosslane_platform_standins::caller::{Caller, Ending, POISON_ID_PREFIX};
@@ -172,17 +173,10 @@
         }
     }
 
-    /// Whether a stream that had begun met an error where it was to go on, or broke off there by a fault, and the node
-    /// says that it had no attempt or no repeat left: an error can't be passed on within a stream.
+    /// Whether its endpoints failed, and the node says that it had no attempt or no retry left: an error can't be passed on
+    /// within a stream.
     async fn had_to_be_cut(&self, runs: &[Run]) -> bool {
-        let broke = runs.first().is_some_and(|it| it.disturbed || it.ended != Some(Ended::Erred));
-        let failed =
-            |it: &Run| it.disturbed || matches!(it.ended, Some(Ended::Erred | Ended::Faulty));
-        let whole = runs.iter().any(|it| it.ended == Some(Ended::Whole) && !it.disturbed);
-        if !broke || whole || runs.len() < 2 || !runs.last().is_some_and(failed) {
-            return false;
-        }
-        self.node.told(self.id, &BOUNDS).await
+        excuse::endpoints_failed(runs) && self.node.told(self.id, &BOUNDS).await
     }
 }
 
