Quarantine: a withdrawn trial explains no crash

What callers saw: an ordinary request shut out everywhere, while the one that crashes engines went on. Cause: a suspect that yielded its place to another one had announced a trial there; when the engine then crashed under the other one, the suspect counted as present, and the ruling on the culprit waited for it. Why this holds: a trial that ends before a run could have crashed anything was withdrawn, on every node, without a new message.

--- a/crates/coordination/src/quarantine.rs
+++ b/crates/coordination/src/quarantine.rs
@@ -60,11 +60,6 @@
 /// announcement for the same endpoint arrive from another node first.
 pub const ANNOUNCE_DELAY_MS: u64 = 20;
 
-/// Time for which another node's trial holds back copies of the request, in milliseconds. Reserving
-/// memory, prefill and the first tokens take up to 2 s. The trial ends sooner if that node reports
-/// its end.
-const TRIAL_MS: u64 = 3_000;
-
 /// Time after its last strike in which a request that is shut out may get other rulings lifted, in
 /// milliseconds. It is longer than the time for which nodes leave the decision to others.
 const LIFT_WINDOW_MS: u64 = 5_000;
@@ -152,7 +147,7 @@
     /// Begins a trial of a suspect at an endpoint, if the request is one.
     pub fn begin_trial(&mut self, request: Fingerprint, endpoint: Tag, now: Millis) {
         if let Some(suspect) = self.suspects.get_mut(&request) {
-            suspect.trial = Some(Trial { by: self.node, endpoint, until: now + TRIAL_MS });
+            suspect.trial = Some(Trial::new(self.node, endpoint, now));
             if suspect.announced {
                 self.outbox.push((request, Update::TrialStarted(endpoint)));
             }
@@ -373,7 +368,7 @@
             Update::KnownStrikes(endpoints) => self.apply_strikes(request, &endpoints, now),
             Update::TrialStarted(endpoint) => {
                 if let Some(suspect) = self.suspects.get_mut(&request) {
-                    suspect.trial = Some(Trial { by: from, endpoint, until: now + TRIAL_MS });
+                    suspect.trial = Some(Trial::new(from, endpoint, now));
                 }
             }
             Update::TrialEnded => {
--- a/crates/coordination/src/suspect.rs
+++ b/crates/coordination/src/suspect.rs
@@ -1,5 +1,6 @@
 //! Crashes that are known of one request.
 
+use crate::quarantine::ANNOUNCE_DELAY_MS;
 use crate::ruling::{Ruling, Verdict};
 use crosslane_state::endpoint::Tag;
 use crosslane_state::time::Millis;
@@ -24,10 +25,18 @@
 /// may have gone down themselves.
 const BYSTANDER_DELAY_MS: u64 = 1_000;
 
+/// Time for which another node's trial holds back copies of the request, in milliseconds. Reserving
+/// memory, prefill and the first tokens take up to 2 s. The trial ends sooner if that node reports
+/// its end.
+const TRIAL_MS: u64 = 3_000;
+
 /// Time after the end of a trial in which a crash of its endpoint still counts as one it was
 /// present at, in milliseconds.
 const AFTER_TRIAL_MS: u64 = 500;
 
+/// Time after its announcement before which a trial that ends was withdrawn before its run, in milliseconds.
+const WITHDRAWN_MS: u64 = 2 * ANNOUNCE_DELAY_MS;
+
 /// Maximum number of endpoints that are remembered per request and list.
 const MAX_ENDPOINTS: usize = 16;
 
@@ -37,6 +46,7 @@
     /// Node that runs it.
     pub by: Tag,
     pub endpoint: Tag,
+    pub announced_at: Millis,
     /// When it stops holding back copies of the request.
     pub until: Millis,
 }
@@ -65,6 +75,13 @@
     pub saw_last_strike: bool,
 }
 
+impl Trial {
+    /// A trial that is announced now.
+    pub fn new(by: Tag, endpoint: Tag, now: Millis) -> Self {
+        Self { by, endpoint, announced_at: now, until: now + TRIAL_MS }
+    }
+}
+
 impl Suspect {
     /// Whether a ruling shuts it out.
     pub fn is_ruled_out(&self) -> bool {
@@ -105,7 +122,8 @@
 
     /// Ends its trial.
     pub fn end_trial(&mut self, now: Millis) {
-        self.last_trial = self.trial.take().map(|trial| (trial.endpoint, now));
+        let ran = |trial: &Trial| now.since(trial.announced_at) >= WITHDRAWN_MS;
+        self.last_trial = self.trial.take().filter(ran).map(|trial| (trial.endpoint, now));
     }
 
     /// Whether it was present at all the crashes that another request is shut out for, and at one
--- a/crates/coordination/tests/quarantine.rs
+++ b/crates/coordination/tests/quarantine.rs
@@ -1,7 +1,7 @@
 //! Strikes against requests under which endpoints crashed, the rulings on them, and what other
 //! nodes are sent.
 
-use crosslane_coordination::quarantine::Quarantine;
+use crosslane_coordination::quarantine::{ANNOUNCE_DELAY_MS, Quarantine};
 use crosslane_coordination::ruling::{Ruling, SHUT_OUT_MS, Verdict};
 use crosslane_coordination::suspect::{JOINT_CRASH_WINDOW_MS, STRIKES_TO_SHUT_OUT};
 use crosslane_coordination::suspicion::{Status, Update};
@@ -89,6 +89,23 @@
     assert_eq!(quarantine.shut_out_due(Millis(5_000), UNIX_MS), [request("culprit")]);
 }
 
+/// A trial that yields to another one never ran at its endpoint. If that endpoint then crashes under the other request, the
+/// ruling on the culprit must not wait for the one that yielded.
+#[rstest]
+fn a_withdrawn_trial_does_not_explain_a_crash() {
+    let mut quarantine = quarantine();
+    for (second, endpoint) in [11, 12].into_iter().enumerate() {
+        let at = Millis(second as u64 * 1_000);
+        quarantine.record_strike(request("companion"), Tag(endpoint), at);
+        quarantine.record_strike(request("culprit"), Tag(endpoint), at);
+    }
+    let (at, companion) = (Millis(2_000), request("companion"));
+    quarantine.apply(THERE, companion, Update::TrialStarted(Tag(13)), at, UNIX_MS);
+    quarantine.apply(THERE, companion, Update::TrialEnded, at + ANNOUNCE_DELAY_MS + 1, UNIX_MS);
+    quarantine.record_strike(request("culprit"), Tag(13), at + 100);
+    assert_eq!(quarantine.shut_out_due(Millis(3_000), UNIX_MS), [request("culprit")]);
+}
+
 /// If the culprit's node checks the endpoints too early and finds them alive, only its companion
 /// gets strikes there.
 #[rstest]
