Quarantine: a companion of two culprits is not shut out

What callers saw: an ordinary request shut out everywhere for an hour. Cause: interrupted twice with one culprit and once with another, it has three strikes before either of them, and the second culprit, present at one crash, explained nothing. Why this holds: a ruling waits while all crashes but one are explained by suspects that were present at as many, since these are as likely; a culprit soon has more crashes than its companions and is ruled on.

--- a/crates/coordination/src/quarantine.rs
+++ b/crates/coordination/src/quarantine.rs
@@ -135,13 +135,19 @@
         }
     }
 
-    /// Whether other suspects may have caused all crashes under a request.
+    /// Whether other suspects may have caused the crashes under a request: all of them, or all but one if only suspects count
+    /// that were present at as many crashes. With several culprits, each causes a part.
     fn is_explained_by_suspects(&self, request: Fingerprint, suspect: &Suspect) -> bool {
-        let others = || self.suspects.iter().filter(|(fingerprint, _)| **fingerprint != request);
-        let explained = |endpoint: &Tag| {
-            others().any(|(_, other)| other.may_cause_crashes() && other.was_present_at(*endpoint))
+        let unexplained = |least: usize| {
+            let others = || self.suspects.iter().filter(|(other, _)| **other != request);
+            let may_cause =
+                |other: &Suspect| other.may_cause_crashes() && other.crash_count() >= least;
+            let explained = |endpoint: &Tag| {
+                others().any(|(_, other)| may_cause(other) && other.was_present_at(*endpoint))
+            };
+            suspect.strikes.iter().filter(|endpoint| !explained(endpoint)).count()
         };
-        suspect.strikes.iter().all(explained)
+        unexplained(0) == 0 || unexplained(suspect.strikes.len()) <= 1
     }
 
     /// Begins a trial of a suspect at an endpoint, if the request is one.
--- a/crates/coordination/src/suspect.rs
+++ b/crates/coordination/src/suspect.rs
@@ -101,6 +101,12 @@
             && self.strikes.len() + self.present_at.len() >= CRASHES_TO_EXPLAIN
     }
 
+    /// Number of crashes at which it was present.
+    pub fn crash_count(&self) -> usize {
+        let beside = self.present_at.iter().filter(|endpoint| !self.strikes.contains(endpoint));
+        self.strikes.len() + beside.count()
+    }
+
     /// Whether it was present at a crash.
     pub fn was_present_at(&self, endpoint: Tag) -> bool {
         self.strikes.contains(&endpoint) || self.present_at.contains(&endpoint)
--- a/crates/coordination/tests/quarantine.rs
+++ b/crates/coordination/tests/quarantine.rs
@@ -106,6 +106,22 @@
     assert_eq!(quarantine.shut_out_due(Millis(3_000), UNIX_MS), [request("culprit")]);
 }
 
+/// A companion of two culprits in turn has three strikes before either of them has: each explains a part of these.
+#[rstest]
+fn a_companion_of_two_culprits_is_not_shut_out() {
+    let mut quarantine = quarantine();
+    let crashes = [("first", 11), ("first", 12), ("second", 13)];
+    for (second, (culprit, endpoint)) in crashes.into_iter().enumerate() {
+        let at = Millis(second as u64 * 1_000);
+        quarantine.record_strike(request("companion"), Tag(endpoint), at);
+        quarantine.record_strike(request(culprit), Tag(endpoint), at);
+    }
+    quarantine.record_strike(request("first"), Tag(14), Millis(3_000));
+    assert!(quarantine.shut_out_due(Millis(4_000), UNIX_MS).is_empty());
+    quarantine.record_strike(request("first"), Tag(15), Millis(4_000));
+    assert_eq!(quarantine.shut_out_due(Millis(5_000), UNIX_MS), [request("first")]);
+}
+
 /// If the culprit's node checks the endpoints too early and finds them alive, only its companion
 /// gets strikes there.
 #[rstest]
