Quarantine: two of three joint crashes under one request count

What operators saw: one more engine ended under a request, as its second crash was taken for a coincidence. Cause: the first strike was excused as the only one of three joint crashes before the new one was added. two_joint_crashes_count_as_strikes failed before.

--- a/crates/coordination/src/quarantine.rs
+++ b/crates/coordination/src/quarantine.rs
@@ -190,7 +190,7 @@
 
     /// Records that an endpoint crashed right after a request had started there.
     pub fn record_strike(&mut self, request: Fingerprint, endpoint: Tag, now: Millis) -> Strike {
-        self.record_crash(endpoint, now);
+        self.add_crash(endpoint, now);
         let attributed = self.is_attributed_elsewhere(request, endpoint);
         let known = self.suspects.contains_key(&request);
         if !known && !self.has_room() {
@@ -270,12 +270,16 @@
     /// Records that an endpoint went down, whatever ran there. Excuses requests with a strike from
     /// just one of many endpoints that went down together.
     pub fn record_crash(&mut self, endpoint: Tag, now: Millis) {
+        self.add_crash(endpoint, now);
+        self.excuse_coincidences();
+    }
+
+    fn add_crash(&mut self, endpoint: Tag, now: Millis) {
         self.suspects.values_mut().for_each(|suspect| suspect.record_crash_nearby(endpoint, now));
         self.recent_crashes.retain(|(_, at)| now.since(*at) < JOINT_CRASH_WINDOW_MS);
         if self.recent_crashes.iter().all(|crash| crash.0 != endpoint) {
             self.recent_crashes.push((endpoint, now));
         }
-        self.excuse_coincidences();
     }
 
     fn excuse_coincidences(&mut self) {
--- a/crates/coordination/tests/quarantine.rs
+++ b/crates/coordination/tests/quarantine.rs
@@ -4,7 +4,7 @@
 use crosslane_coordination::quarantine::{ANNOUNCE_DELAY_MS, Quarantine};
 use crosslane_coordination::ruling::{Ruling, SHUT_OUT_MS, Verdict};
 use crosslane_coordination::suspect::{JOINT_CRASH_WINDOW_MS, STRIKES_TO_SHUT_OUT};
-use crosslane_coordination::suspicion::{Status, Update};
+use crosslane_coordination::suspicion::{Status, Strike, Update};
 use crosslane_state::endpoint::Tag;
 use crosslane_state::fingerprint::Fingerprint;
 use crosslane_state::time::Millis;
@@ -122,6 +122,15 @@
     assert_eq!(quarantine.shut_out_due(Millis(5_000), UNIX_MS), [request("first")]);
 }
 
+/// Two crashes under a request are no coincidence, though a third endpoint goes down at the same time.
+#[rstest]
+fn two_joint_crashes_count_as_strikes() {
+    let mut quarantine = quarantine();
+    quarantine.record_strike(request("a"), Tag(11), Millis(0));
+    quarantine.record_crash(Tag(12), Millis(10));
+    assert_eq!(quarantine.record_strike(request("a"), Tag(13), Millis(20)), Strike::Counted(2));
+}
+
 /// If the culprit's node checks the endpoints too early and finds them alive, only its companion
 /// gets strikes there.
 #[rstest]
