A broken stream waits for memory as long as its caller does

Cause: the search for memory had half of the caller's silence timeout, counted anew from each break, and was the end of the stream. a_broken_stream_waits_for_memory_while_its_caller_does failed before: the node asked for memory no longer than that. Why this holds: a caller who no longer waits disconnects, which ends the search at once; so it lasts until the deadline. A request of which the caller has nothing yet is refused as before.

--- a/crates/coordination/src/admission.rs
+++ b/crates/coordination/src/admission.rs
@@ -106,8 +106,9 @@
     }
 }
 
-/// Longest wait for memory to resume a broken stream, in milliseconds: half of the caller's silence
-/// timeout. A silent engine is detected within the other half.
+/// Longest wait for memory to run a stream again of which its caller has nothing yet, or beside a
+/// silent engine, in milliseconds: half of the caller's silence timeout. A silent engine is detected
+/// within the other half.
 pub fn resume_wait_ms(caller: &Caller) -> u64 {
     caller.max_silence_ms / 2
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -304,7 +304,9 @@
             if let Some(bound) = self.resume_denied() {
                 return Err(bound);
             }
-            let resumed = self.generation.retry_elsewhere(last).await;
+            // A caller that waits no longer disconnects.
+            let until = self.generation.call.deadline.instant();
+            let resumed = self.generation.retry_elsewhere(last, until).await;
             self.generation.node.metrics.count_retry(Retry::Resumed);
             let resumed = match resumed {
                 Ok(answer) if answer.parts.status.is_success() => {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -385,7 +385,8 @@
                 break;
             }
             self.node.metrics.count_retry(failure.into());
-            match self.retry_elsewhere(self.call.metadata.last_event_id).await {
+            let last_event = self.call.metadata.last_event_id;
+            match self.retry_elsewhere(last_event, self.resume_by()).await {
                 Ok(answer) => return Ok(answer),
                 Err(None) => break,
                 Err(Some(next)) if next.quarantined() && failure.may_have_run() => break,
@@ -400,13 +401,14 @@
         Err(final_refusal(failure))
     }
 
-    /// Runs the request at another engine, from after the given event.
+    /// Runs the request at another engine, from after the given event. Waits for memory until a time.
     pub async fn retry_elsewhere(
         &self,
         last_event: Option<u64>,
+        until: Instant,
     ) -> Result<Answer, Option<Failure>> {
         quarantine::check(&self.node, &self.call).map_err(Some)?;
-        let mut reservation = self.reserve(self.resume_by(), &[]).await.map_err(|_| None)?;
+        let mut reservation = self.reserve(until, &[]).await.map_err(|_| None)?;
         let mut handle = self.refetch_prompt().await.unwrap_or_default();
         self.decode(&mut reservation, handle.as_mut(), last_event).await.map_err(Some)
     }
