A stopping node goes by the tokens that a stream expects

Why this holds: the estimate is the slowest of the last minute per expected token, those in progress included, times the tokens that the request expects (or at most makes); it is refused as not run if that lies beyond the kill. Not covered: streams that began before the announcement.

--- a/crates/coordination/src/durations.rs
+++ b/crates/coordination/src/durations.rs
@@ -2,7 +2,9 @@
 //!
 //! A node that stops accepts a request only if it ends before the node is killed. Under load
 //! streams last several times as long as at other times, so the estimate is the longest of the last
-//! minute and the age of the oldest in progress.
+//! minute and the age of the oldest in progress. If a request says how many tokens it expects, the
+//! estimate is the slowest of these per expected token, which covers both the load and how far such
+//! expectations are off.
 
 use crosslane_state::time::Millis;
 use std::collections::BTreeSet;
@@ -15,6 +17,20 @@
 pub struct Timer {
     started_at: Millis,
     number: u64,
+    /// Tokens that the request expects; zero if unknown.
+    tokens: u32,
+}
+
+impl Timer {
+    /// Duration until a time, in milliseconds; not zero, as it is a measure for longer requests.
+    fn elapsed(&self, now: Millis) -> u64 {
+        now.since(self.started_at).max(1)
+    }
+
+    /// Duration until a time per expected token, in milliseconds.
+    fn per_token(&self, now: Millis) -> Option<f64> {
+        (self.tokens > 0).then(|| self.elapsed(now) as f64 / f64::from(self.tokens))
+    }
 }
 
 /// Durations of the requests of one service.
@@ -24,15 +40,17 @@
     counter: u64,
     /// Longest duration in this window and in the one before, in milliseconds.
     longest: [Option<u64>; 2],
+    /// The same per expected token.
+    longest_per_token: [Option<f64>; 2],
     /// Start of this window.
     window_start: Millis,
 }
 
 impl Durations {
-    /// Records the start of a request.
-    pub fn begin(&mut self, now: Millis) -> Timer {
+    /// Records the start of a request that expects some tokens; zero if unknown.
+    pub fn begin(&mut self, now: Millis, tokens: u32) -> Timer {
         self.counter += 1;
-        let timer = Timer { started_at: now, number: self.counter };
+        let timer = Timer { started_at: now, number: self.counter, tokens };
         self.in_progress.insert(timer);
         timer
     }
@@ -43,14 +61,22 @@
         self.in_progress.remove(&timer);
         self.rotate(now);
         if complete || self.longest_ended().is_some() {
-            let duration = now.since(timer.started_at);
-            self.longest[0] = self.longest[0].max(Some(duration));
+            self.longest[0] = self.longest[0].max(Some(timer.elapsed(now)));
+            let per_token = self.longest_per_token[0].into_iter().chain(timer.per_token(now));
+            self.longest_per_token[0] = per_token.reduce(f64::max);
         }
     }
 
-    /// Longest duration to expect, in milliseconds; `None` if no request was answered recently.
-    pub fn longest(&mut self, now: Millis) -> Option<u64> {
+    /// Longest duration to expect of a request that expects some tokens, in milliseconds; `None` if no request was
+    /// answered recently.
+    pub fn longest(&mut self, now: Millis, tokens: u32) -> Option<u64> {
         self.rotate(now);
+        if tokens > 0
+            && let Some(ended) = self.longest_per_token.into_iter().flatten().reduce(f64::max)
+        {
+            let running = self.in_progress.iter().filter_map(|timer| timer.per_token(now));
+            return Some((running.fold(ended, f64::max) * f64::from(tokens)) as u64);
+        }
         let oldest = self.in_progress.first().map_or(0, |timer| now.since(timer.started_at));
         self.longest_ended().map(|longest| longest.max(oldest))
     }
@@ -62,7 +88,9 @@
     fn rotate(&mut self, now: Millis) {
         let elapsed_windows = now.since(self.window_start) / WINDOW_MS;
         if elapsed_windows > 0 {
-            self.longest = [None, if elapsed_windows == 1 { self.longest[0] } else { None }];
+            let keep = elapsed_windows == 1;
+            self.longest = [None, self.longest[0].filter(|_| keep)];
+            self.longest_per_token = [None, self.longest_per_token[0].filter(|_| keep)];
             self.window_start = now;
         }
     }
--- a/crates/coordination/tests/durations.rs
+++ b/crates/coordination/tests/durations.rs
@@ -26,11 +26,40 @@
 fn the_longest_recent_duration_is_expected(#[case] case: Case) {
     let mut durations = Durations::default();
     for (began, ended, complete) in case.ended {
-        let timer = durations.begin(Millis(*began));
+        let timer = durations.begin(Millis(*began), 0);
         durations.end(timer, *complete, Millis(*ended));
     }
     case.in_progress.iter().for_each(|began| {
-        durations.begin(Millis(*began));
+        durations.begin(Millis(*began), 0);
     });
-    assert_eq!(durations.longest(Millis(case.now)), case.longest, "{}", case.name);
+    assert_eq!(durations.longest(Millis(case.now), 0), case.longest, "{}", case.name);
+}
+
+struct Estimate {
+    name: &'static str,
+    /// Duration and expected tokens of requests that were answered.
+    ended: &'static [(u64, u32)],
+    /// Age and expected tokens of one in progress.
+    in_progress: Option<(u64, u32)>,
+    tokens: u32,
+    longest: Option<u64>,
+}
+
+#[rstest]
+#[case(Estimate { name: "nothing known", ended: &[], in_progress: None, tokens: 100, longest: None })]
+#[case(Estimate { name: "the slowest per token", ended: &[(1_000, 100), (3_000, 100), (4_000, 1_000)], in_progress: None, tokens: 50, longest: Some(1_500) })]
+#[case(Estimate { name: "longer than any before", ended: &[(1_000, 100)], in_progress: None, tokens: 900, longest: Some(9_000) })]
+#[case(Estimate { name: "one in progress is slower", ended: &[(1_000, 100)], in_progress: Some((4_000, 100)), tokens: 200, longest: Some(8_000) })]
+#[case(Estimate { name: "no expectation: the longest", ended: &[(1_000, 100), (3_000, 900)], in_progress: None, tokens: 0, longest: Some(3_000) })]
+#[case(Estimate { name: "no expectations before: the longest", ended: &[(1_000, 0)], in_progress: None, tokens: 900, longest: Some(1_000) })]
+fn the_slowest_recent_request_per_token_is_expected(#[case] case: Estimate) {
+    let (mut durations, now) = (Durations::default(), Millis(20_000));
+    for (duration, tokens) in case.ended {
+        let timer = durations.begin(Millis(now.0 - duration), *tokens);
+        durations.end(timer, true, now);
+    }
+    case.in_progress.iter().for_each(|(age, tokens)| {
+        durations.begin(Millis(now.0 - age), *tokens);
+    });
+    assert_eq!(durations.longest(now, case.tokens), case.longest, "{}", case.name);
 }
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -180,9 +180,10 @@
     entry.deadline = Some(deadline.clone());
     let body = read_body(body, table.limits, deadline.left()).await?;
     let service = choose_service(route, &ask.id);
-    shutdown::check(node, route, service, deadline.left())?;
+    let tokens = ask.estimated_output_tokens();
+    shutdown::check(node, route, service, tokens, deadline.left())?;
     node.count_request(service);
-    entry.open = Some(node.begin_request(service));
+    entry.open = Some(node.begin_request(service, tokens));
     let mut parts = hyper::http::uri::Parts::default();
     parts.path_and_query = head.uri.path_and_query().cloned();
     let uri = hyper::Uri::from_parts(parts).map_err(|_| Reason::NoRoute)?;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -203,9 +203,10 @@
         })
     }
 
-    /// Records the start of a request for a service.
-    pub fn begin_request(&self, service: &str) -> InFlight {
-        let mark = lock(&self.durations).entry(service.to_owned()).or_default().begin(self.now());
+    /// Records the start of a request for a service that expects some tokens; zero if unknown.
+    pub fn begin_request(&self, service: &str, tokens: u32) -> InFlight {
+        let mut durations = lock(&self.durations);
+        let mark = durations.entry(service.to_owned()).or_default().begin(self.now(), tokens);
         InFlight { service: service.to_owned(), mark }
     }
 
@@ -216,9 +217,9 @@
         }
     }
 
-    /// Longest duration of recent requests for a service, if any was answered lately.
-    pub fn longest_duration(&self, service: &str) -> Option<Duration> {
-        let longest = lock(&self.durations).get_mut(service)?.longest(self.now());
+    /// Longest duration to expect of a request for a service that expects some tokens, if any was answered lately.
+    pub fn longest_duration(&self, service: &str, tokens: u32) -> Option<Duration> {
+        let longest = lock(&self.durations).get_mut(service)?.longest(self.now(), tokens);
         longest.map(Duration::from_millis)
     }
 
--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -26,7 +26,7 @@
     pub grace: Duration,
     /// Time until the deadline of the request.
     pub remaining: Duration,
-    /// Longest recent duration of requests to the same service.
+    /// Longest duration to expect, by recent requests to the same service.
     pub longest: Duration,
     /// Whether the response is a stream.
     pub is_stream: bool,
@@ -49,6 +49,7 @@
     node: &Node,
     route: &Route,
     service: &str,
+    tokens: u32,
     remaining: Duration,
 ) -> Result<(), Refusal> {
     let Some(announced_at) = *node.stopping.borrow() else {
@@ -58,7 +59,9 @@
         since_announcement: Duration::from_millis(node.now().since(announced_at)),
         grace: Duration::from_millis(node.settings.grace_ms),
         remaining,
-        longest: node.longest_duration(service).map_or(remaining, |longest| longest.min(remaining)),
+        longest: node
+            .longest_duration(service, tokens)
+            .map_or(remaining, |longest| longest.min(remaining)),
         is_stream: matches!(route.kind, Kind::Stream { .. }),
     };
     if arrival.is_accepted() {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -99,7 +99,8 @@
         let hits = self.cache_hits().await;
         let (mut reservation, kept) = self.reserve_near_cache(&hits, until).await?;
         // The wait for memory may have used up the time that a shutdown leaves it to end.
-        shutdown::check(&self.node, &self.route, &self.service, self.call.remaining())?;
+        let tokens = self.call.metadata.estimated_output_tokens();
+        shutdown::check(&self.node, &self.route, &self.service, tokens, self.call.remaining())?;
         Metrics::observe(&self.node.metrics.reservation_wait, self.call.arrived.elapsed());
         let mut handle = match self.choose_reader(kept) {
             Prefiller::Decoding => None,
