A stream goes on if a newer configuration gives its route more time

What callers saw: a stream cut around a new version, or later, with time left by the configuration in force, while its engine ran. Cause: the deadline was taken from the version at the request's arrival, and the engine was told to stop then too. Why this holds: at its deadline a stream asks the configuration in force, and is cut only if that gives it no more; the engine gets the caller's own deadline.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -53,6 +53,12 @@
 }
 
 impl Call {
+    /// Time left until the caller's own deadline, if it named one.
+    pub fn patience_left(&self) -> Duration {
+        let patience = self.metadata.timeout;
+        patience.map_or(self.remaining(), |total| total.saturating_sub(self.arrived.elapsed()))
+    }
+
     /// Time left until the deadline.
     pub fn remaining(&self) -> Duration {
         self.deadline.left()
@@ -383,7 +389,12 @@
     let mut request = Request::new(Full::new(call.body.clone()));
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = call.uri.clone();
-    *request.headers_mut() = call.metadata.headers(&endpoint.id, call.remaining(), purpose);
+    // The timeout of a stream's route may be raised while it runs; then its engine must not stop before.
+    let remaining = match purpose {
+        Purpose::Run => call.remaining(),
+        Purpose::Prefill | Purpose::Decode { .. } => call.patience_left(),
+    };
+    *request.headers_mut() = call.metadata.headers(&endpoint.id, remaining, purpose);
     request
 }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -198,6 +198,7 @@
         Metrics::observe(&self.generation.node.metrics.event_gap, started_at.elapsed());
         match frame {
             Err(answer) => Chunk::Replaced(Box::new(answer)),
+            Ok(Err(_)) if self.generation.extend_deadline() => Chunk::Data(Bytes::new()),
             Ok(Err(_)) => Chunk::Broken(Break::new(By::Node, "time ran out")),
             Ok(Ok(Some(Ok(frame)))) => Chunk::Data(frame.into_data().unwrap_or_default()),
             Ok(Ok(Some(Err(error)))) => {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -361,6 +361,21 @@
         }
     }
 
+    /// Moves the deadline if the configuration in force gives the route more time than the one on the request's arrival.
+    /// Returns whether there is time left.
+    pub fn extend_deadline(&mut self) -> bool {
+        let Call { metadata, uri, arrived, .. } = &self.call;
+        let table = self.node.table();
+        let route = table.as_ref().and_then(|table| table.find(&metadata.host, uri.path()));
+        let timeout = Duration::from_millis(route.map_or(0, |route| route.timeout_ms));
+        let total = metadata.timeout.map_or(timeout, |patience| patience.min(timeout));
+        let left = total.saturating_sub(arrived.elapsed());
+        if !left.is_zero() {
+            self.call.deadline = self.node.clock.deadline(left);
+        }
+        !left.is_zero()
+    }
+
     /// Attempts so far.
     pub fn attempts(&self) -> u32 {
         self.attempts.load(Ordering::Relaxed)
