--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -1,6 +1,6 @@
 //! Calls to plain services: ordinary requests and responses, without prefill and decode.
 
-use crate::event;
+use crate::cut::{By, Cut};
 use crate::exchange::{self, Answer, Call, Failure, Slot};
 use crate::limit;
 use crate::metrics::{Metrics, Retry};
@@ -15,13 +15,13 @@
 use crosslane_platform::response;
 use crosslane_state::endpoint::{Key, Stage};
 use crosslane_state::route::{Kind, Route};
+use crosslane_transport::connection::{self, Closer};
 use crosslane_transport::http;
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::Response;
 use hyper::body::{Body, Frame};
 use hyper::http::response::Parts;
-use log::info;
 use std::future::ready;
 use std::sync::Arc;
 use std::time::Duration;
@@ -208,7 +208,7 @@
     let initial = Some((node.clone(), answer, call.clone()));
     let frames = futures::stream::unfold(initial, move |state| async move {
         let (node, mut answer, call) = state?;
-        let error: http::BodyError =
+        let (by, bound, error): (By, _, http::BodyError) =
             match timeout_at(call.deadline.instant(), answer.body.frame()).await {
                 Ok(None) => {
                     answer.complete();
@@ -221,12 +221,23 @@
                     }
                     return Some((Ok(frame), Some((node, answer, call))));
                 }
-                Ok(Some(Err(error))) => error.into(),
-                Err(elapsed) => elapsed.into(),
+                Ok(Some(Err(error))) => {
+                    let by = By::new(Closer::of(&error), By::Endpoint);
+                    (by, "may not be resumed", connection::cause(&error).into())
+                }
+                Err(elapsed) => (By::Node, "time ran out", elapsed.into()),
             };
         answer.record_outcome(Outcome::Failed);
-        let (request, to) = (call.metadata.id.as_str(), answer.endpoint.id.as_str());
-        info!(request, to, why:% = error, outcome = "cut"; "{}", event::ATTEMPT);
+        Cut {
+            request: &call.metadata.id,
+            by,
+            to: &answer.endpoint.id,
+            missing: "the end",
+            bound,
+            why: &error.to_string(),
+            left_ms: call.remaining().as_millis() as u64,
+        }
+        .log();
         let Answer { endpoint, started_at, .. } = answer;
         quarantine::check_for_crash(&node, &call, &endpoint, started_at).await;
         Some((Err::<Frame<Bytes>, _>(error), None))
