--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -46,6 +46,8 @@
     pub arrived: Instant,
     /// Deadline: the earlier of the caller's deadline and the route's timeout.
     pub deadline: Deadline,
+    /// The caller's deadline, or the same if it named none.
+    pub caller_deadline: Deadline,
     /// Fingerprint, computed on first use.
     pub fingerprint: Arc<OnceLock<Fingerprint>>,
     /// Grant from its organisation's rate limit.
@@ -53,12 +55,6 @@
 }
 
 impl Call {
-    /// Time left until the caller's own deadline, if it named one.
-    pub fn patience_left(&self) -> Duration {
-        let patience = self.metadata.timeout;
-        patience.map_or(self.remaining(), |total| total.saturating_sub(self.arrived.elapsed()))
-    }
-
     /// Time left until the deadline.
     pub fn remaining(&self) -> Duration {
         self.deadline.left()
@@ -392,7 +388,7 @@
     // The timeout of a stream's route may be raised while it runs; then its engine must not stop before.
     let remaining = match purpose {
         Purpose::Run => call.remaining(),
-        Purpose::Prefill | Purpose::Decode { .. } => call.patience_left(),
+        Purpose::Prefill | Purpose::Decode { .. } => call.caller_deadline.left(),
     };
     *request.headers_mut() = call.metadata.headers(&endpoint.id, remaining, purpose);
     request
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -174,9 +174,9 @@
         ask.set_organisation(organisation.map(|known| known.name.as_str()));
         entry.organisation.clone_from(&ask.organisation);
     }
-    let timeout = Duration::from_millis(route.timeout_ms);
-    let deadline =
-        node.clock.deadline(ask.timeout.map_or(timeout, |patience| patience.min(timeout)));
+    let deadline = node.clock.deadline(ask.time_limit(route.timeout_ms));
+    let caller_deadline =
+        ask.timeout.map_or_else(|| deadline.clone(), |patience| node.clock.deadline(patience));
     entry.deadline = Some(deadline.clone());
     let body = read_body(body, table.limits, deadline.left()).await?;
     let service = choose_service(route, &ask.id);
@@ -191,7 +191,17 @@
     let grant =
         quota::acquire_for_organisation(node, organisation, ask.total_tokens(), &ask.id).await?;
     let (metadata, fingerprint, grant) = (Arc::new(ask), Arc::default(), Arc::new(grant));
-    let call = Call { metadata, method, uri, body, arrived, deadline, fingerprint, grant };
+    let call = Call {
+        metadata,
+        method,
+        uri,
+        body,
+        arrived,
+        deadline,
+        caller_deadline,
+        fingerprint,
+        grant,
+    };
     quarantine::check(node, &call).map_err(|failure| quarantine::refusal(node, &call, failure))?;
     let engine = table.services.get(service).and_then(|config| config.engine);
     match (route.kind, engine) {
@@ -259,6 +269,7 @@
     bytes_left: Option<u64>,
     /// Deadline of the request, once its route is known.
     deadline: Option<Deadline>,
+    /// Error of the caller's connection, once it failed.
     failed: ConnectionError,
 }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -161,12 +161,17 @@
 
     /// Goes on with the response of another engine.
     async fn replace_answer(&mut self, answer: Answer) {
-        self.drop_broken().await;
         self.events.discard();
         self.generation.node.metrics.count_retry(Retry::Resumed);
         self.log_resume("engine silent", "resumed");
         self.last_endpoint.clone_from(&answer.endpoint.id);
-        self.answer = Some(answer);
+        if let Some(silent) = self.answer.replace(answer) {
+            let Generation { node, call, .. } = &self.generation;
+            let (endpoint, started_at) = (silent.endpoint.clone(), silent.started_at);
+            // Ends the silent run before the check, which takes a while.
+            drop(silent);
+            quarantine::check_for_crash(node, call, &endpoint, started_at).await;
+        }
     }
 
     fn record_outcome(&self, outcome: Outcome) {
@@ -177,11 +182,8 @@
 
     /// Drops a response that broke off, and checks whether its engine crashed while running the request.
     async fn drop_broken(&mut self) {
-        if let Some(answer) = self.answer.take() {
+        if let Some(Answer { endpoint, started_at, .. }) = self.answer.take() {
             let Generation { node, call, .. } = &self.generation;
-            let (endpoint, started_at) = (answer.endpoint.clone(), answer.started_at);
-            // Ends the run at its engine before the check, which takes a while.
-            drop(answer);
             quarantine::check_for_crash(node, call, &endpoint, started_at).await;
         }
     }
@@ -334,12 +336,12 @@
     /// Why the stream may not be resumed, if so; otherwise takes a retry from the budget.
     fn resume_denied(&self) -> Option<&'static str> {
         let Generation { node, call, route, service, .. } = &self.generation;
-        if route.kind != (Kind::Stream { resumable: true }) {
-            return Some("may not be resumed");
-        }
         if call.remaining().is_zero() {
             return Some("time ran out");
         }
+        if route.kind != (Kind::Stream { resumable: true }) {
+            return Some("may not be resumed");
+        }
         if self.generation.attempts() >= route.max_attempts {
             return Some("no attempt left");
         }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -364,16 +364,15 @@
     /// Moves the deadline if the configuration in force gives the route more time than the one on the request's arrival.
     /// Returns whether there is time left.
     pub fn extend_deadline(&mut self) -> bool {
-        let Call { metadata, uri, arrived, .. } = &self.call;
+        let Call { metadata, uri, deadline, .. } = &self.call;
         let table = self.node.table();
         let route = table.as_ref().and_then(|table| table.find(&metadata.host, uri.path()));
-        let timeout = Duration::from_millis(route.map_or(0, |route| route.timeout_ms));
-        let total = metadata.timeout.map_or(timeout, |patience| patience.min(timeout));
-        let left = total.saturating_sub(arrived.elapsed());
-        if !left.is_zero() {
-            self.call.deadline = self.node.clock.deadline(left);
-        }
-        !left.is_zero()
+        let timeout_ms = route.map_or(0, |route| route.timeout_ms);
+        let before = metadata.time_limit(self.route.timeout_ms);
+        let more = metadata.time_limit(timeout_ms).saturating_sub(before);
+        self.call.deadline = deadline.later(more);
+        self.route.timeout_ms = self.route.timeout_ms.max(timeout_ms);
+        !self.call.remaining().is_zero()
     }
 
     /// Attempts so far.
--- a/crates/gateway/tests/suspension.rs
+++ b/crates/gateway/tests/suspension.rs
@@ -10,6 +10,7 @@
 use crosslane_gateway::node::{Node, lock};
 use crosslane_gateway::suspension;
 use crosslane_state::endpoint::Tag;
+use crosslane_transport::clock::Clock;
 use rstest::rstest;
 use std::sync::Arc;
 use std::time::Duration;
@@ -106,3 +107,14 @@
     };
     timeout(TIMEOUT, detected).await.expect("the suspension was never detected");
 }
+
+/// A deadline that a newer configuration moves still counts the time of a suspension.
+#[rstest]
+fn a_moved_deadline_passes_during_a_suspension() {
+    let clock = Clock::start();
+    let moved = clock.deadline(Duration::from_secs(60)).later(Duration::from_secs(60));
+    clock.skip(90_000);
+    assert!(!moved.left().is_zero());
+    clock.skip(30_000);
+    assert!(moved.left().is_zero());
+}
--- a/crates/transport/src/clock.rs
+++ b/crates/transport/src/clock.rs
@@ -64,6 +64,12 @@
         Duration::from_millis(self.at.since(self.clock.now()))
     }
 
+    /// This deadline, moved by some time.
+    pub fn later(&self, by: Duration) -> Self {
+        let millis = u64::try_from(by.as_millis()).unwrap_or(u64::MAX);
+        Self { clock: self.clock.clone(), at: self.at + millis }
+    }
+
     /// Deadline as an instant for timers; too late if the machine is suspended before.
     pub fn instant(&self) -> Instant {
         Instant::now() + self.left()
