A replacement goes on if the silent run breaks off meanwhile

The search beside an attempt that broke goes on to its end now, and the limit on overlapping runs holds only while the silent one lives.

--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -167,7 +167,7 @@
         let interval = Duration::from_millis((stall_ms / f64::from(STALL_INTERVALS)) as u64);
         let watch =
             Watch { node: self.node, call: self.call, at, intervals: (STALL_INTERVALS, interval) };
-        stall::unless_stalled(watch, attempt, || ready(self.choose(true))).await
+        stall::unless_stalled(watch, attempt, |_| false, || ready(self.choose(true))).await
     }
 }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -196,7 +196,8 @@
         let (at, started_at) = (answer.key(), Instant::now());
         let until = self.generation.call.deadline.instant();
         let frame = timeout_at(until, answer.body.frame());
-        let frame = self.generation.unless_stalled(&[at], last_event, frame).await;
+        let broke = |frame: &Result<Option<Result<_, _>>, _>| matches!(frame, Ok(Some(Err(_))));
+        let frame = self.generation.unless_stalled(&[at], last_event, frame, broke).await;
         Metrics::observe(&self.generation.node.metrics.event_gap, started_at.elapsed());
         match frame {
             Err(answer) => Chunk::Replaced(Box::new(answer)),
--- a/crates/gateway/src/stall.rs
+++ b/crates/gateway/src/stall.rs
@@ -25,10 +25,11 @@
 }
 
 /// Waits for an attempt. While its endpoint is stalled, `search` looks for a failover concurrently; the attempt is abandoned
-/// only once one is found, which is returned as the error.
+/// only once one is found, which is returned as the error. An attempt that `broke` meanwhile leaves the search to its end.
 pub async fn unless_stalled<T, S, F: Future<Output = Option<S>>>(
     watch: Watch<'_>,
     attempt: impl Future<Output = T>,
+    broke: impl Fn(&T) -> bool,
     search: impl Fn() -> F,
 ) -> Result<T, S> {
     let Watch { node, call, at, intervals: (count, interval) } = watch;
@@ -41,10 +42,14 @@
             Err(_) if !stall.record_timeout() => continue,
             Err(_) => record_stall(node, call, at, started_at),
         }
+        let mut search = pin!(search());
         let found = tokio::select! {
             biased;
-            done = attempt.as_mut() => return Ok(done),
-            found = search() => found,
+            done = attempt.as_mut() => {
+                let found = if broke(&done) { search.await } else { None };
+                return found.map_or(Ok(done), Err);
+            }
+            found = search.as_mut() => found,
         };
         if let Some(found) = found {
             return Err(found);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -25,9 +25,10 @@
 use crosslane_state::route::{Engine, Kind, Route};
 use hyper::Response;
 use rand::Rng;
+use std::future::pending;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
@@ -71,6 +72,8 @@
     pub timeliness: Timeliness,
     /// Attempts that reached an endpoint, or are being sent to one.
     attempts: AtomicU32,
+    /// Whether the stalled run that is being replaced has broken off.
+    stalled_run_broke: AtomicBool,
     /// Prefill engine that prefilled the prompt and may still cache it.
     prefilled_at: Option<Key>,
 }
@@ -88,8 +91,18 @@
             resumes: call.metadata.last_event_id.is_some(),
         };
         let timeliness = Timeliness::from(&caller);
-        let (attempts, prefilled_at) = (AtomicU32::new(0), None);
-        Self { node, call, route, service, engine, caller, timeliness, attempts, prefilled_at }
+        Self {
+            node,
+            call,
+            route,
+            service,
+            engine,
+            caller,
+            timeliness,
+            attempts: AtomicU32::new(0),
+            stalled_run_broke: AtomicBool::new(false),
+            prefilled_at: None,
+        }
     }
 
     /// Runs the request at engines and returns the event stream.
@@ -264,7 +277,7 @@
     ) -> Result<Answer, Failure> {
         let at = reservation.key;
         let sending = self.send(reservation, handle, last_event);
-        self.unless_stalled(&[at], last_event, sending).await.unwrap_or_else(Ok)
+        self.unless_stalled(&[at], last_event, sending, Result::is_err).await.unwrap_or_else(Ok)
     }
 
     /// Sends the request to the engine that granted the reservation.
@@ -303,13 +316,24 @@
         engines: &[Key],
         last_event: Option<u64>,
         attempt: impl Future<Output = T>,
+        broke: impl Fn(&T) -> bool,
     ) -> Result<T, Answer> {
         let Some(at) = engines.last().copied() else {
             return Ok(attempt.await);
         };
+        // Those behind the first one are replacements themselves.
+        let is_first = engines.len() == 1;
+        if is_first {
+            self.stalled_run_broke.store(false, Ordering::Relaxed);
+        }
+        let broke = |done: &T| {
+            let broke = broke(done);
+            self.stalled_run_broke.fetch_or(broke && is_first, Ordering::Relaxed);
+            broke
+        };
         let gap = Duration::from_millis(self.route.target_gap_ms);
         let watch = Watch { node: &self.node, call: &self.call, at, intervals: (STALL_GAPS, gap) };
-        stall::unless_stalled(watch, attempt, || self.replace(engines, last_event)).await
+        stall::unless_stalled(watch, attempt, broke, || self.replace(engines, last_event)).await
     }
 
     /// Runs the stream at another engine beside stalled ones, if it may be resumed. `None` if that engine refuses or fails:
@@ -333,7 +357,7 @@
             }
             let engines = [stalled, &[reservation.key]].concat();
             let sending = self.send(&mut reservation, handle.as_mut(), last_event);
-            let sent = self.unless_stalled(&engines, last_event, sending);
+            let sent = self.unless_stalled(&engines, last_event, sending, Result::is_err);
             let answer = tokio::select! {
                 answer = sent => answer.unwrap_or_else(Ok).ok()?,
                 () = self.overlap_ends(stalled) => return None,
@@ -350,6 +374,9 @@
     async fn overlap_ends(&self, stalled: &[Key]) {
         loop {
             sleep(engine::MAX_OVERLAP).await;
+            if self.stalled_run_broke.load(Ordering::Relaxed) {
+                return pending().await;
+            }
             for key in stalled {
                 let engine = self.node.pool().get(*key).cloned();
                 if let Some(engine) = engine
