--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod record;
 pub mod retry;
 pub mod ruling;
+mod rulings;
 pub mod slots;
 pub mod splice;
 pub mod stages;
--- a/crates/coordination/src/quarantine.rs
+++ b/crates/coordination/src/quarantine.rs
@@ -27,7 +27,8 @@
 //!
 //! Strikes are sets of incarnations, so nodes can merge updates in any order.
 
-use crate::ruling::{Ruling, SHUT_OUT_MS, Verdict};
+use crate::ruling::{SHUT_OUT_MS, Verdict};
+use crate::rulings::Unsaved;
 use crate::suspect::{JOINT_CRASH_WINDOW_MS, STRIKES_TO_SHUT_OUT, Suspect, Trial};
 use crate::suspicion::{Status, Strike, Update};
 use crosslane_state::endpoint::Tag;
@@ -60,41 +61,29 @@
 /// announcement for the same endpoint arrive from another node first.
 pub const ANNOUNCE_DELAY_MS: u64 = 20;
 
-/// Time after its last strike in which a request that is shut out may get other rulings lifted, in
-/// milliseconds. It is longer than the time for which nodes leave the decision to others.
-const LIFT_WINDOW_MS: u64 = 5_000;
-
 /// Number of endpoints going down together from which on they have another cause than a request:
 /// copies that are tried one at a time crash at most two in that time.
 const JOINT_CRASHES: usize = 3;
 
-/// Maximum numbers of suspects and of rulings, some 200 bytes each. Known ones are kept at the
-/// maximum, so that a flood of new ones can't evict them.
+/// Maximum number of suspects, some 200 bytes each. Known ones are kept at the maximum, so that a
+/// flood of new ones can't evict them.
 const MAX_SUSPECTS: usize = 4_096;
-const MAX_RULINGS: usize = 1_024;
 
 /// Requests under which endpoints crashed.
 #[derive(Debug)]
 pub struct Quarantine {
     /// Tag of this node.
     node: Tag,
-    suspects: BTreeMap<Fingerprint, Suspect>,
+    pub(crate) suspects: BTreeMap<Fingerprint, Suspect>,
     /// Endpoints that went down a moment ago, as seen or reported, and when.
     recent_crashes: Vec<(Tag, Millis)>,
     /// Updates that are still to be sent to other nodes.
-    outbox: Vec<(Fingerprint, Update)>,
+    pub(crate) outbox: Vec<(Fingerprint, Update)>,
     /// Rulings that the store may lack.
-    unsaved_rulings: BTreeMap<Fingerprint, Unsaved>,
+    pub(crate) unsaved_rulings: BTreeMap<Fingerprint, Unsaved>,
     /// Combined digest of all rulings.
-    digest: u64,
-    ruling_count: usize,
-}
-
-/// A ruling that the store may lack: since when it is known, and whether this node made it.
-#[derive(Clone, Copy, Debug)]
-struct Unsaved {
-    since: Millis,
-    own: bool,
+    pub(crate) digest: u64,
+    pub(crate) ruling_count: usize,
 }
 
 impl Quarantine {
@@ -137,7 +126,7 @@
 
     /// Whether other suspects may have caused the crashes under a request: all of them, or all but one if only suspects count
     /// that were present at as many crashes. With several culprits, each causes a part.
-    fn is_explained_by_suspects(&self, request: Fingerprint, suspect: &Suspect) -> bool {
+    pub(crate) fn is_explained_by_suspects(&self, request: Fingerprint, suspect: &Suspect) -> bool {
         let unexplained = |least: usize| {
             let others = || self.suspects.iter().filter(|(other, _)| **other != request);
             let may_cause =
@@ -231,42 +220,6 @@
         others.any(|(_, other)| other.is_ruled_out() && other.strikes.contains(&endpoint))
     }
 
-    /// Shuts out requests with enough strikes, after the time in which joint crashes may still
-    /// become known. Until then they are refused without a ruling. Returns those that are newly
-    /// shut out.
-    pub fn shut_out_due(&mut self, now: Millis, unix_ms: u64) -> Vec<Fingerprint> {
-        if self.ruling_count >= MAX_RULINGS {
-            return Vec::new();
-        }
-        let due = self.suspects.iter().filter(|(_, suspect)| suspect.is_due(now));
-        let due =
-            due.filter(|(request, suspect)| !self.is_explained_by_suspects(**request, suspect));
-        let due: Vec<Fingerprint> = due.map(|(request, _)| *request).collect();
-        due.into_iter().filter(|request| self.shut_out(*request, now, unix_ms)).collect()
-    }
-
-    /// Lifts rulings on requests that are superseded by another one that is shut out by now.
-    /// Returns these requests.
-    pub fn lift_superseded(&mut self, now: Millis, unix_ms: u64) -> Vec<Fingerprint> {
-        let ruled_out = || self.suspects.values().filter(|suspect| suspect.is_ruled_out());
-        let recent = |suspect: &&Suspect| {
-            (suspect.decision_delay_ms()..LIFT_WINDOW_MS)
-                .contains(&now.since(suspect.last_strike_at))
-        };
-        let culprits: Vec<&Suspect> = ruled_out().filter(recent).collect();
-        let superseded = self.suspects.iter().filter(|(_, suspect)| suspect.is_ruled_out());
-        let superseded = superseded
-            .filter(|(_, suspect)| culprits.iter().any(|culprit| culprit.supersedes(suspect)));
-        let superseded =
-            superseded.filter_map(|(request, suspect)| Some((*request, suspect.ruling?)));
-        let superseded: Vec<(Fingerprint, Ruling)> = superseded.collect();
-        for (request, ruling) in &superseded {
-            let at = unix_ms.max(ruling.at + 1);
-            self.put_in_force(*request, Ruling { at, verdict: Verdict::Lifted }, now, unix_ms);
-        }
-        superseded.into_iter().map(|(request, _)| request).collect()
-    }
-
     /// Records that an endpoint went down, whatever ran there. Excuses requests with a strike from
     /// just one of many endpoints that went down together.
     pub fn record_crash(&mut self, endpoint: Tag, now: Millis) {
@@ -296,31 +249,9 @@
         }
     }
 
-    /// Shuts a request out; false if there is no room for a ruling.
-    fn shut_out(&mut self, request: Fingerprint, now: Millis, unix_ms: u64) -> bool {
-        self.put_in_force(request, Ruling { at: unix_ms, verdict: Verdict::Shut }, now, unix_ms)
-    }
-
-    /// Puts a ruling of this node into force and queues it for other nodes and the store; false if
-    /// there is no room for it.
-    fn put_in_force(
-        &mut self,
-        request: Fingerprint,
-        ruling: Ruling,
-        now: Millis,
-        unix_ms: u64,
-    ) -> bool {
-        if !self.merge(request, ruling, now, unix_ms) {
-            return false;
-        }
-        self.unsaved_rulings.insert(request, Unsaved { since: now, own: true });
-        self.outbox.push((request, Update::Ruled(ruling)));
-        true
-    }
-
     /// Attributes crashes under a request that is shut out to that request, and so takes them back
     /// from all others.
-    fn attribute_crashes(&mut self, request: Fingerprint) {
+    pub(crate) fn attribute_crashes(&mut self, request: Fingerprint) {
         let culprit = self.suspects.get(&request).filter(|suspect| suspect.is_ruled_out());
         let Some(crashed) = culprit.map(|suspect| suspect.strikes.clone()) else {
             return;
@@ -418,61 +349,6 @@
         self.suspects.len() < MAX_SUSPECTS
     }
 
-    /// Applies a ruling of another node or of the store; true if it is new.
-    pub fn merge_ruling(
-        &mut self,
-        request: Fingerprint,
-        ruling: Ruling,
-        now: Millis,
-        unix_ms: u64,
-    ) -> bool {
-        let new = self.merge(request, ruling, now, unix_ms);
-        if new {
-            self.unsaved_rulings.insert(request, Unsaved { since: now, own: false });
-        }
-        new
-    }
-
-    /// Puts a ruling into force, unless a later one is known or there are too many.
-    fn merge(&mut self, request: Fingerprint, ruling: Ruling, now: Millis, unix_ms: u64) -> bool {
-        let known = self.suspects.get(&request).and_then(|suspect| suspect.ruling);
-        let full = known.is_none() && self.ruling_count >= MAX_RULINGS;
-        if full || ruling.is_expired(unix_ms) || known.is_some_and(|known| known >= ruling) {
-            return false;
-        }
-        let suspect = self.suspects.entry(request).or_default();
-        suspect.ruling = Some(ruling);
-        suspect.last_strike_at = now;
-        suspect.trial = None;
-        if ruling.verdict == Verdict::Lifted {
-            suspect.excused.append(&mut suspect.strikes);
-            suspect.excused.append(&mut suspect.attributed);
-        }
-        self.attribute_crashes(request);
-        self.update_digest();
-        true
-    }
-
-    /// Records that the store has a ruling.
-    pub fn mark_saved(&mut self, request: Fingerprint, ruling: Ruling) {
-        let known = self.suspects.get(&request).and_then(|suspect| suspect.ruling);
-        if known.is_none_or(|known| known <= ruling) {
-            self.unsaved_rulings.remove(&request);
-        }
-    }
-
-    /// Rulings to write to the store: this node's own at once, those of other nodes `after` a time
-    /// in milliseconds if this node is responsible for them.
-    pub fn rulings_to_save(&self, now: Millis, after: Option<u64>) -> Vec<(Fingerprint, Ruling)> {
-        let due = |entry: &Unsaved| {
-            entry.own || after.is_some_and(|after| now.since(entry.since) >= after)
-        };
-        let unsaved = self.unsaved_rulings.iter().filter(|(_, entry)| due(entry));
-        let rulings = unsaved
-            .filter_map(|(request, _)| Some((*request, self.suspects.get(request)?.ruling?)));
-        rulings.collect()
-    }
-
     /// Strikes of requests without a ruling, for a node that starts.
     pub fn known_strikes(&self) -> Vec<(Fingerprint, Update)> {
         let suspects = self
@@ -485,23 +361,6 @@
             .collect()
     }
 
-    /// All rulings.
-    pub fn rulings(&self) -> impl Iterator<Item = (Fingerprint, Ruling)> {
-        self.suspects.iter().filter_map(|(request, suspect)| Some((*request, suspect.ruling?)))
-    }
-
-    /// Digest of all rulings, by which nodes detect that theirs differ; zero without any.
-    pub fn digest(&self) -> u64 {
-        self.digest
-    }
-
-    fn update_digest(&mut self) {
-        let hashes = self.rulings().map(|(request, ruling)| ruling.hash(request));
-        let (digest, ruling_count) =
-            hashes.fold((0, 0), |(digest, count), hash| (digest ^ hash, count + 1));
-        (self.digest, self.ruling_count) = (digest, ruling_count);
-    }
-
     /// Queues an update for other nodes.
     pub fn queue_update(&mut self, request: Fingerprint, update: Update) {
         self.outbox.push((request, update));
