--- a/crates/gateway/src/cut.rs
+++ b/crates/gateway/src/cut.rs
@@ -5,9 +5,9 @@
 use derive_more::Display;
 use log::info;
 
-/// Who ended an answer early.
+/// Side that ended an answer early.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-pub enum By {
+pub enum Side {
     /// The caller.
     #[display("caller")]
     Caller,
@@ -22,8 +22,8 @@
     Node,
 }
 
-impl By {
-    /// Who ended an answer early, if a connection to `peer` ended it.
+impl Side {
+    /// Side that ended an answer early, if a connection to `peer` ended it.
     pub fn new(closer: Closer, peer: Self) -> Self {
         match closer {
             Closer::Peer => peer,
@@ -39,7 +39,7 @@
     /// Request id.
     pub request: &'a str,
     /// Who ended it.
-    pub by: By,
+    pub by: Side,
     /// Endpoint whose run broke off last, or empty.
     pub to: &'a str,
     /// What was still to be sent.
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -1,7 +1,7 @@
 //! HTTP listeners: accept callers' connections, serve their requests and log how each request ended; others serve
 //! readiness and metrics.
 
-use crate::cut::{By, Cut};
+use crate::cut::{Cut, Side};
 use crate::event;
 use crate::exchange::Call;
 use crate::node::{InFlight, Node, ResponseBody};
@@ -310,9 +310,9 @@
     /// Logs who ended the response before its end.
     fn log_cut(&self) {
         let (by, why) = match self.failed.get() {
-            _ if thread::panicking() => (By::Node, "panic".into()),
-            Some(error) => (By::new(Closer::of(error), By::Caller), connection::cause(error)),
-            None => (By::Node, "connection dropped".into()),
+            _ if thread::panicking() => (Side::Node, "panic".into()),
+            Some(error) => (Side::new(Closer::of(error), Side::Caller), connection::cause(error)),
+            None => (Side::Node, "connection dropped".into()),
         };
         let missing = match (self.last_frame, self.bytes_left) {
             (None, _) => "everything".into(),
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -1,6 +1,6 @@
 //! Calls to plain services: ordinary requests and responses, without prefill and decode.
 
-use crate::cut::{By, Cut};
+use crate::cut::{Cut, Side};
 use crate::exchange::{self, Answer, Call, Failure, Slot};
 use crate::limit;
 use crate::metrics::{Metrics, Retry};
@@ -208,7 +208,7 @@
     let initial = Some((node.clone(), answer, call.clone()));
     let frames = futures::stream::unfold(initial, move |state| async move {
         let (node, mut answer, call) = state?;
-        let (by, bound, error): (By, _, http::BodyError) =
+        let (by, bound, error): (Side, _, http::BodyError) =
             match timeout_at(call.deadline.instant(), answer.body.frame()).await {
                 Ok(None) => {
                     answer.complete();
@@ -222,10 +222,10 @@
                     return Some((Ok(frame), Some((node, answer, call))));
                 }
                 Ok(Some(Err(error))) => {
-                    let by = By::new(Closer::of(&error), By::Endpoint);
+                    let by = Side::new(Closer::of(&error), Side::Endpoint);
                     (by, "may not be resumed", connection::cause(&error).into())
                 }
-                Err(elapsed) => (By::Node, "time ran out", elapsed.into()),
+                Err(elapsed) => (Side::Node, "time ran out", elapsed.into()),
             };
         answer.record_outcome(Outcome::Failed);
         Cut {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -3,7 +3,7 @@
 //! Only whole events are relayed. If an engine is leaving, its run is moved to another engine together with its KV cache.
 //! If a run breaks off, the stream is resumed at another engine if its route allows, and is cut otherwise.
 
-use crate::cut::{By, Cut};
+use crate::cut::{Cut, Side};
 use crate::event;
 use crate::exchange::{self, Answer, Slot};
 use crate::metrics::{Metrics, Retry};
@@ -59,12 +59,12 @@
 /// How an attempt broke off.
 #[derive(Clone, Debug)]
 struct Break {
-    by: By,
+    by: Side,
     why: String,
 }
 
 impl Break {
-    fn new(by: By, why: impl Into<String>) -> Self {
+    fn new(by: Side, why: impl Into<String>) -> Self {
         Self { by, why: why.into() }
     }
 }
@@ -190,7 +190,7 @@
 
     async fn next_chunk(&mut self) -> Chunk {
         let Some(answer) = &mut self.answer else {
-            return Chunk::Broken(Break::new(By::Node, "no engine"));
+            return Chunk::Broken(Break::new(Side::Node, "no engine"));
         };
         let last_event = self.events.last_id().or(self.generation.call.metadata.last_event_id);
         let (at, started_at) = (answer.key(), Instant::now());
@@ -202,14 +202,14 @@
         match frame {
             Err(answer) => Chunk::Replaced(Box::new(answer)),
             Ok(Err(_)) if self.generation.extend_deadline() => Chunk::Data(Bytes::new()),
-            Ok(Err(_)) => Chunk::Broken(Break::new(By::Node, "time ran out")),
+            Ok(Err(_)) => Chunk::Broken(Break::new(Side::Node, "time ran out")),
             Ok(Ok(Some(Ok(frame)))) => Chunk::Data(frame.into_data().unwrap_or_default()),
             Ok(Ok(Some(Err(error)))) => {
-                let by = By::new(Closer::of(&error), By::Endpoint);
+                let by = Side::new(Closer::of(&error), Side::Endpoint);
                 Chunk::Broken(Break::new(by, connection::cause(&error)))
             }
             Ok(Ok(None)) if self.events.has_partial() => {
-                Chunk::Broken(Break::new(By::Endpoint, "engine ended within an event"))
+                Chunk::Broken(Break::new(Side::Endpoint, "engine ended within an event"))
             }
             Ok(Ok(None)) => Chunk::End,
         }
@@ -291,7 +291,7 @@
         if self.answer.is_none()
             && let Err(bound) = self.resume("move failed").await
         {
-            self.cut(Break::new(By::Node, "move failed"), bound);
+            self.cut(Break::new(Side::Node, "move failed"), bound);
         }
     }
 
