Log the software version of a chosen endpoint, and which request a caller resumes

The logs could not tell the hypotheses apart: `place` names an endpoint, whose version only its record in the store gave, and nothing showed that a caller comes back with a stream that another request began. `place` now has `software`, `request` has `resumes`.

--- a/crates/coordination/tests/pool.rs
+++ b/crates/coordination/tests/pool.rs
@@ -45,6 +45,7 @@
         service: SERVICE.into(),
         address: ([10, 0, 0, 1], 80).into(),
         domain: "aarau".into(),
+        software: "v1".into(),
         slots: 128,
         stage: Stage::Decode,
         draining,
--- a/crates/coordination/tests/stages.rs
+++ b/crates/coordination/tests/stages.rs
@@ -17,6 +17,7 @@
         service: SERVICE.into(),
         address: ([10, 0, 0, 1], 80).into(),
         domain: "aarau".into(),
+        software: "v1".into(),
         slots: 128,
         stage,
         draining: false,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -365,7 +365,7 @@
     purpose: &Purpose<'_>,
 ) {
     let request = call.metadata.id.as_str();
-    let to = endpoint.id.as_str();
+    let (to, software) = (endpoint.id.as_str(), endpoint.software.as_str());
     let purpose = match purpose {
         Purpose::Run => "run",
         Purpose::Prefill => "prefill",
@@ -375,7 +375,7 @@
     let (load, offset) = (slot.load, node.mirror().offsets().endpoints);
     let left_ms = call.remaining().as_millis() as u64;
     let prompt = call.metadata.last_segment_id.as_deref().unwrap_or_default();
-    info!(request, prompt, to, purpose, load, offset, left_ms; "{}", event::PLACE);
+    info!(request, prompt, to, software, purpose, load, offset, left_ms; "{}", event::PLACE);
 }
 
 async fn connect_and_send(
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -184,6 +184,7 @@
         ask.set_organisation(organisation.map(|known| known.name.as_str()));
         entry.organisation.clone_from(&ask.organisation);
     }
+    entry.resumes.clone_from(&ask.resumes);
     let deadline = node.clock.deadline(ask.time_limit(route.timeout_ms));
     let caller_deadline =
         ask.timeout.map_or_else(|| deadline.clone(), |patience| node.clock.deadline(patience));
@@ -318,6 +319,8 @@
     id: Option<String>,
     route: String,
     organisation: Option<String>,
+    /// Request that began the stream, if this one resumes it.
+    resumes: Option<String>,
     version: u64,
     caller: IpAddr,
     arrived: Instant,
@@ -352,12 +355,13 @@
         let (status, ending) = (StatusCode::OK, CALLER_LEFT);
         let (last_frame, first, gap) = (None, Duration::ZERO, Duration::ZERO);
         let (bytes_left, deadline) = (None, None);
-        let (organisation, version, open) = (None, 0, None);
+        let (organisation, resumes, version, open) = (None, None, 0, None);
         Self {
             node,
             id,
             route,
             organisation,
+            resumes,
             version,
             caller,
             arrived,
@@ -429,7 +433,8 @@
         let (route, ending, version) = (self.route.as_str(), self.ending, self.version);
         let (caller, organisation) =
             (self.caller, self.organisation.as_deref().unwrap_or_default());
-        info!(request, caller:%, organisation, route, version, status, ending, took_ms, first_ms, gap_ms; "{}", event::REQUEST);
+        let resumes = self.resumes.as_deref().unwrap_or_default();
+        info!(request, caller:%, organisation, resumes, route, version, status, ending, took_ms, first_ms, gap_ms; "{}", event::REQUEST);
     }
 }
 
--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -64,6 +64,7 @@
         service: SERVICE.into(),
         address: ([10, 0, 0, 1], 80).into(),
         domain: domain(index, domains),
+        software: "v1".into(),
         slots: 12,
         stage: Stage::Decode,
         draining: false,
--- a/crates/gateway/tests/reach.rs
+++ b/crates/gateway/tests/reach.rs
@@ -28,6 +28,7 @@
         service: "pages".into(),
         address,
         domain: "z".into(),
+        software: "v1".into(),
         slots: 6,
         stage: Stage::Plain,
         draining: false,
--- a/crates/state/src/endpoint.rs
+++ b/crates/state/src/endpoint.rs
@@ -48,6 +48,8 @@
     pub address: SocketAddr,
     /// Failure domain.
     pub domain: String,
+    /// Version of its software.
+    pub software: String,
     /// Maximum number of concurrent requests.
     pub slots: u32,
     /// Work that it does.
