--- a/crates/crosslane/examples/soak.rs
+++ b/crates/crosslane/examples/soak.rs
@@ -16,7 +16,7 @@
 use std::time::Duration;
 
 /// Numbers that may be set, with what they are and the usual value.
-const NUMBERS: [(&str, &str, &str); 7] = [
+const NUMBERS: [(&str, &str, &str); 8] = [
     ("seed", "First seed", "1"),
     ("seeds", "How many seeds, one after the other", "1"),
     ("seconds", "Time in which faults begin", "15"),
@@ -24,6 +24,7 @@
     ("engines", "Engines", "7"),
     ("pages", "Plain endpoints", "3"),
     ("callers", "Callers", "24"),
+    ("versions", "Software versions side by side", "2"),
 ];
 
 fn main() -> io::Result<ExitCode> {
@@ -74,6 +75,7 @@
         callers: get(matches, "callers") as usize,
         time: Duration::from_secs(get(matches, "seconds")),
         partitions: true,
+        versions: get(matches, "versions").max(1) as usize,
         program: Binaries::beside(&std::env::current_exe()?).node,
     })
 }
--- a/crates/crosslane/tests/crashing.rs
+++ b/crates/crosslane/tests/crashing.rs
@@ -84,7 +84,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn few_endpoints_end_under_a_request_that_crashes_them() {
     for Case { kind, path, name } in CASES {
-        let fixture = Fixture::start().await;
+        let fixture = Fixture::start(1).await;
         let path = format!("{}{path}", kind.prefix());
         for copy in 0..COPIES {
             fixture.until_served(kind).await;
--- a/crates/crosslane/tests/early_signal.rs
+++ b/crates/crosslane/tests/early_signal.rs
@@ -35,7 +35,7 @@
     let store = Store::default();
     let server = store.serve().await.unwrap();
     store.put(OPERATORS, CONFIGURATION, Some(texts::configuration(1, 0)));
-    let record = texts::record(free_address().await, Stage::Plain, "z", false, 1);
+    let record = texts::record(free_address().await, Stage::Plain, "z", texts::SOFTWARE, false, 1);
     store.put(ENDPOINTS, "p1", Some(record));
     let [callers, ready, peers, metrics] = ports::for_node().unwrap();
     let folder = tempfile::tempdir().unwrap();
--- a/crates/crosslane/tests/limit.rs
+++ b/crates/crosslane/tests/limit.rs
@@ -72,7 +72,7 @@
 #[case(Case { kind: Kind::Read, requests: 10, stage: Stage::Prefill })]
 #[tokio::test(flavor = "multi_thread")]
 async fn an_endpoint_gets_no_more_than_the_rate_it_names(#[case] case: Case) {
-    let fixture = Fixture::start().await;
+    let fixture = Fixture::start(1).await;
     fixture.until_served(case.kind).await;
     fixture.need(case.stage, Some(RATE));
     let endings = fixture.ask_much(0, case.kind, case.requests).await;
@@ -83,7 +83,7 @@
 #[rstest]
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_over_the_limits_of_all_endpoints_are_refused_at_once_and_served_when_they_end() {
-    let fixture = Fixture::start().await;
+    let fixture = Fixture::start(1).await;
     fixture.until_served(Kind::Page).await;
     fixture.need_all(Stage::Plain, Some(RATE));
     let endings = fixture.ask_much(0, Kind::Page, 200).await;
@@ -105,7 +105,7 @@
 #[rstest]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_limit_that_is_lowered_holds_at_once_also_at_nodes_that_start_again() {
-    let fixture = Fixture::start().await;
+    let fixture = Fixture::start(1).await;
     fixture.until_served(Kind::Page).await;
     fixture.need(Stage::Plain, Some(40.0));
     fixture.ask_much(0, Kind::Page, 60).await;
--- a/crates/crosslane/tests/logs_unread.rs
+++ b/crates/crosslane/tests/logs_unread.rs
@@ -40,11 +40,17 @@
 async fn start() -> Site {
     let (store, ledger) = (Store::default(), Ledger::default());
     let (crashes, _) = tokio::sync::mpsc::unbounded_channel();
-    let page =
-        Endpoint::new("p1".into(), Stage::Plain, ledger.clone(), Engines::default(), crashes);
+    let page = Endpoint::new(
+        "p1".into(),
+        Stage::Plain,
+        texts::SOFTWARE.into(),
+        ledger.clone(),
+        Engines::default(),
+        crashes,
+    );
     let servers = [store.serve().await.unwrap(), page.serve().await.unwrap()];
     store.put(OPERATORS, CONFIGURATION, Some(texts::configuration(1, 0)));
-    let record = texts::record(servers[1].address, Stage::Plain, "z", false, 1);
+    let record = texts::record(servers[1].address, Stage::Plain, "z", texts::SOFTWARE, false, 1);
     store.put(ENDPOINTS, "p1", Some(record));
     let [callers, ready, peers, metrics] = ports::for_node().unwrap();
     let place = Place::alone([callers, ready, peers], servers[0].address);
--- a/crates/crosslane/tests/partition.rs
+++ b/crates/crosslane/tests/partition.rs
@@ -58,7 +58,7 @@
 #[case(Case { mode: Mode::Unanswered, cut_off: &[0, 1, 2] })]
 #[tokio::test(flavor = "multi_thread")]
 async fn callers_of_a_node_without_a_way_to_endpoints_are_served(#[case] case: Case) {
-    let fixture = Fixture::start().await;
+    let fixture = Fixture::start(1).await;
     for kind in KINDS {
         fixture.until_served(kind).await;
     }
@@ -83,7 +83,7 @@
 #[case(Mode::Refused)]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_node_that_starts_without_a_way_to_endpoints_serves(#[case] mode: Mode) {
-    let fixture = Fixture::start().await;
+    let fixture = Fixture::start(1).await;
     fixture.until_served(Kind::Read).await;
     fixture.partition(&Case { mode, cut_off: &[0] });
     let node = &fixture.site.nodes[0];
@@ -98,7 +98,7 @@
 #[rstest]
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_are_refused_while_no_node_has_a_way_to_endpoints() {
-    let fixture = Fixture::start().await;
+    let fixture = Fixture::start(1).await;
     fixture.until_served(Kind::Read).await;
     let all = Case { mode: Mode::Refused, cut_off: &[0, 1, 2, 3] };
     fixture.partition(&all);
@@ -114,7 +114,7 @@
 #[rstest]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_run_behind_two_nodes_ends_when_its_caller_leaves() {
-    let fixture = Fixture::start().await;
+    let fixture = Fixture::start(1).await;
     fixture.until_served(Kind::Read).await;
     fixture.partition(&Case { mode: Mode::Refused, cut_off: &[0] });
     fixture.until_node_serves(0, Kind::Page).await;
--- a/crates/crosslane/tests/soak.rs
+++ b/crates/crosslane/tests/soak.rs
@@ -49,6 +49,7 @@
             time: Duration::from_secs(*seconds),
             // Those have tests of their own, in `partition.rs`; the seeds are kept as they were.
             partitions: false,
+            versions: 1,
             program: PathBuf::from(env!("CARGO_BIN_EXE_crosslaned")),
         };
         let folder = tempfile::tempdir().unwrap();
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -240,7 +240,7 @@
     site.forget(&id);
     sleep(Duration::from_millis(random.random_range(RESTARTS))).await;
     match (place, gone) {
-        (Some(place), Some(gone)) => site.add(place, gone.stage()).await,
+        (Some(place), Some(gone)) => site.add(place, gone.stage(), gone.software).await,
         _ => Ok(()),
     }
 }
@@ -254,7 +254,10 @@
     let ended = site.remove(&id);
     sleep(Duration::from_millis(random.random_range(RESTARTS))).await;
     match (place, ended) {
-        (Some(place), Some(ended)) => site.start_endpoint(id, place, ended.stage()).await,
+        (Some(place), Some(ended)) => {
+            let software = site.software(random.random_range(0..usize::MAX));
+            site.start_endpoint(id, place, ended.stage(), software).await
+        }
         _ => Ok(()),
     }
 }
@@ -266,7 +269,7 @@
     let Some((place, stage)) = site.with(&id, |it| (it.place, it.endpoint.stage())) else {
         return Ok(());
     };
-    site.add(place, stage).await?;
+    site.add(place, stage, site.software(random.random_range(0..usize::MAX))).await?;
     site.leave(&id);
     sleep(LEAVES).await;
     site.remove(&id);
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -60,6 +60,8 @@
     pub time: Duration,
     /// Whether nodes are partitioned from all endpoints.
     pub partitions: bool,
+    /// Software versions that endpoints run side by side.
+    pub versions: usize,
     /// `crosslaned`.
     pub program: PathBuf,
 }
@@ -109,6 +111,8 @@
     started: AtomicU64,
     /// Told of endpoints that crashed under a request.
     crashes: UnboundedSender<String>,
+    /// Number of software versions.
+    versions: usize,
     _store_server: Server,
 }
 
@@ -142,6 +146,7 @@
             disturbed: Mutex::new(Instant::now()),
             started: AtomicU64::new(0),
             crashes,
+            versions: plan.versions,
             _store_server: store_server,
         };
         site.configure();
@@ -152,7 +157,7 @@
                 place if place * 2 < plan.engines => Stage::Prefill,
                 _ => Stage::Decode,
             };
-            site.add(place, stage).await?;
+            site.add(place, stage, site.software(place)).await?;
         }
         for node in &site.nodes {
             node.start().await?;
@@ -186,18 +191,30 @@
         (self.version.load(Ordering::Relaxed), *lock(&self.accepted))
     }
 
-    /// Adds an endpoint in a place.
-    pub async fn add(&self, place: usize, stage: Stage) -> io::Result<()> {
+    /// A software version, by any number.
+    pub fn software(&self, number: usize) -> String {
+        format!("v{}", 1 + number % self.versions)
+    }
+
+    /// Adds an endpoint of a software version in a place.
+    pub async fn add(&self, place: usize, stage: Stage, software: String) -> io::Result<()> {
         let number = self.started.load(Ordering::Relaxed);
-        self.start_endpoint(format!("e{place}-{number}"), place, stage).await
+        self.start_endpoint(format!("e{place}-{number}"), place, stage, software).await
     }
 
     /// Starts an endpoint under an id, which one that ended may have had.
-    pub async fn start_endpoint(&self, id: String, place: usize, stage: Stage) -> io::Result<()> {
+    pub async fn start_endpoint(
+        &self,
+        id: String,
+        place: usize,
+        stage: Stage,
+        software: String,
+    ) -> io::Result<()> {
         let born = self.started.fetch_add(1, Ordering::Relaxed);
         let endpoint = Endpoint::new(
             id,
             stage,
+            software,
             self.ledger.clone(),
             self.engines.clone(),
             self.crashes.clone(),
@@ -245,7 +262,8 @@
         let domain = DOMAINS[served.place % DOMAINS.len()];
         let stage = served.endpoint.stage();
         let Served { address, leaving, born, .. } = served;
-        let record = texts::record(*address, stage, domain, *leaving, *born);
+        let software = &served.endpoint.software;
+        let record = texts::record(*address, stage, domain, software, *leaving, *born);
         self.store.put(ENDPOINTS, &served.endpoint.id, Some(record));
     }
 
@@ -352,7 +370,7 @@
             sleep(BACK).await;
             if let Some(site) = site.upgrade() {
                 // A port of loopback can always be had; without one the endpoint stays away.
-                let _ = site.start_endpoint(id, place, ended.stage()).await;
+                let _ = site.start_endpoint(id, place, ended.stage(), ended.software).await;
             }
         });
     }
--- a/crates/soak/tests/excuse.rs
+++ b/crates/soak/tests/excuse.rs
@@ -52,6 +52,7 @@
     let run = |&(began, ended, how, disturbed): &Row| Run {
         endpoint: "e1".into(),
         began: at(began),
+        events: 0,
         ended: Some(how),
         ended_at: Some(at(ended)),
         closed_at: Some(at(ended)),
