A stream goes on only at the build that began it

Callers saw streams with events of two software versions in one answer: resumed after an engine broke off, taken over from a silent engine, or moved from a leaving one.

Cause: the version in an endpoint's record was decoded and dropped, so every engine of the service and stage was a candidate.

A build is a version of a service's software. The first event that leaves, or a move, binds a stream to the build of its engine. What an endpoint must meet whatever its load (region, evacuation, build) is now one value, `Terms`, and one function of the pool, `bar`, which every choice, the last check before sending and the reason of a refusal go through; before, regions and evacuations were checked in three places. Prefills are not bound. Without an engine of its build a stream is cut at once, or refused with `no_version`. An endpoint whose version changes under its id counts as another one.

--- /dev/null
+++ b/crates/coordination/src/builds.rs
@@ -0,0 +1,68 @@
+//! Which builds of each service have been listed, and until when.
+//!
+//! A stream that nobody knows anything of can only be of one build if no other one has served for as long as a stream and the
+//! return of its caller may take.
+
+use crosslane_state::build::Build;
+use crosslane_state::endpoint::Tag;
+use crosslane_state::time::Millis;
+use std::collections::HashMap;
+
+/// Builds of one service.
+#[derive(Debug, Default)]
+struct Service {
+    /// Number of listed endpoints.
+    listed: HashMap<Build, usize>,
+    /// When the last endpoint went.
+    gone: HashMap<Build, Millis>,
+}
+
+/// Builds of all services.
+#[derive(Debug, Default)]
+pub struct Builds {
+    services: HashMap<Tag, Service>,
+    /// When the first endpoint was listed.
+    observed_from: Option<Millis>,
+}
+
+impl Builds {
+    /// Records that an endpoint was listed.
+    pub fn add(&mut self, service: Tag, build: Build, now: Millis) {
+        self.observed_from.get_or_insert(now);
+        let known = self.services.entry(service).or_default();
+        *known.listed.entry(build).or_default() += 1;
+        known.gone.remove(&build);
+    }
+
+    /// Records that an endpoint is no longer listed.
+    pub fn remove(&mut self, service: Tag, build: Build, now: Millis) {
+        let Some(known) = self.services.get_mut(&service) else {
+            return;
+        };
+        let left = known.listed.get(&build).copied().unwrap_or_default().saturating_sub(1);
+        if left > 0 {
+            known.listed.insert(build, left);
+        } else if known.listed.remove(&build).is_some() {
+            known.gone.insert(build, now);
+        }
+    }
+
+    /// Whether an endpoint of a service is listed that runs a build.
+    pub fn lists(&self, service: Tag, build: Build) -> bool {
+        self.services.get(&service).is_some_and(|known| known.listed.contains_key(&build))
+    }
+
+    /// The only build of a service that is listed now.
+    pub fn only(&self, service: Tag) -> Option<Build> {
+        let mut listed = self.services.get(&service)?.listed.keys();
+        listed.next().copied().filter(|_| listed.next().is_none())
+    }
+
+    /// The only build of a service that was listed within the last milliseconds, if they were observed.
+    pub fn sole(&self, service: Tag, span_ms: u64, now: Millis) -> Option<Build> {
+        let observed = self.observed_from.is_some_and(|from| now.since(from) >= span_ms);
+        let gone = &self.services.get(&service)?.gone;
+        let no_other = gone.values().all(|at| now.since(*at) >= span_ms);
+        self.only(service).filter(|_| observed && no_other)
+    }
+}
--- a/crates/coordination/src/choice.rs
+++ b/crates/coordination/src/choice.rs
@@ -7,6 +7,7 @@
 
 use crate::entry::Entry;
 use crate::index::Group;
+use crosslane_state::build::Build;
 use crosslane_state::endpoint::{Key, Stage, Tag};
 use crosslane_state::residency::Residency;
 use crosslane_state::time::Millis;
@@ -72,6 +73,15 @@
     }
 }
 
+/// What an endpoint must meet to serve a request, whatever its load.
+#[derive(Clone, Copy, Debug)]
+pub struct Terms<'a> {
+    /// Where the request may be served.
+    pub residency: &'a Residency,
+    /// Build that began the stream, if it has begun.
+    pub build: Option<Build>,
+}
+
 /// Requirements on the endpoint of a request.
 #[derive(Clone, Copy, Debug)]
 pub struct Query<'a> {
@@ -87,8 +97,8 @@
     pub room: Option<Room>,
     /// Endpoints to exclude.
     pub exclude: &'a [Key],
-    /// Where the request may be served.
-    pub residency: &'a Residency,
+    /// What it must meet.
+    pub terms: Terms<'a>,
     /// Point on the ring from which its candidates follow in a large group.
     pub point: Tag,
 }
--- a/crates/coordination/src/entry.rs
+++ b/crates/coordination/src/entry.rs
@@ -2,6 +2,7 @@
 
 use crate::health::Health;
 use crate::usage::Usage;
+use crosslane_state::build::Build;
 use crosslane_state::endpoint::{Endpoint, Tag};
 use crosslane_state::time::Millis;
 
@@ -36,6 +37,7 @@
 #[derive(Debug)]
 pub(crate) struct Entry {
     pub(crate) tag: Tag,
+    pub(crate) build: Build,
     pub(crate) endpoint: Endpoint,
     pub(crate) local: Usage,
     pub(crate) remote: Usage,
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod allowance;
 pub mod bootstrap;
+pub mod builds;
 pub mod choice;
 pub mod claims;
 pub mod connections;
--- a/crates/coordination/src/pool.rs
+++ b/crates/coordination/src/pool.rs
@@ -4,13 +4,13 @@
 //! Health is passive: it follows from the outcomes of real requests, here and at other nodes, and
 //! old outcomes decay.
 
-use crate::choice::{self, MAX_EXACT_CHOICE, MAX_FULL_SCAN, Query};
+use crate::builds::Builds;
+use crate::choice::{self, MAX_EXACT_CHOICE, MAX_FULL_SCAN, Query, Terms};
 use crate::entry::{Entry, Load};
 use crate::health::{Health, Outcome};
 use crate::index::Index;
 use crate::usage::{PeerUsage, Usage};
 use crosslane_state::endpoint::{Endpoint, Key, Stage, Tag};
-use crosslane_state::residency::Residency;
 use crosslane_state::time::Millis;
 use rand::Rng;
 use rand::rngs::SmallRng;
@@ -42,13 +42,15 @@
     issued_here: bool,
 }
 
-/// Why no endpoint of a service may serve a request, whatever its load.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// Why no endpoint of a service may serve a request, whatever its load; the later ones count before the earlier ones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Unavailable {
-    /// All endpoints that could are in evacuated failure domains.
-    Evacuated,
     /// No endpoint is in a region where the request may be served.
     Region,
+    /// No endpoint there runs the build that began the stream.
+    Build,
+    /// All endpoints that could are in evacuated failure domains.
+    Evacuated,
 }
 
 /// All known endpoints, indexed by key and by tag.
@@ -64,6 +66,7 @@
     /// Endpoints by id, of which only the latest incarnation is known.
     ids: HashMap<String, Key>,
     index: Index,
+    builds: Builds,
     /// Endpoints whose records disappeared and may return.
     lapsed: HashSet<Key>,
     draining_count: usize,
@@ -86,6 +89,7 @@
             entries: SlotMap::with_key(),
             tags: HashMap::new(),
             ids: HashMap::new(),
+            builds: Builds::default(),
             lapsed: HashSet::new(),
             draining_count: 0,
             peer_usage: PeerUsage::default(),
@@ -115,16 +119,21 @@
         self.entries.values().filter(|entry| domains.contains(&entry.endpoint.domain)).count()
     }
 
-    /// Whether a request with a residency may be sent to an endpoint: it is known, not evacuated, and in a region that is
-    /// allowed. It may be draining, since a run that was stopped there can be continued there.
-    pub fn accepts(&self, key: Key, residency: &Residency) -> bool {
-        let endpoint = self.get(key);
-        endpoint.is_some_and(|found| self.serves(found) && self.permits(residency, found))
+    /// Whether a request may be sent to an endpoint: it is known and meets the terms. It may be draining, since a run that was
+    /// stopped there can be continued there.
+    pub fn accepts(&self, key: Key, terms: Terms<'_>) -> bool {
+        let Self { entries, regions, evacuated, .. } = self;
+        entries.get(key).is_some_and(|entry| bar(entry, terms, regions, evacuated).is_none())
+    }
+
+    /// Whether an endpoint accepts requests under some terms and is not draining.
+    pub fn may_receive(&self, key: Key, terms: Terms<'_>) -> bool {
+        self.accepts(key, terms) && !self.is_leaving(key)
     }
 
-    /// Whether an endpoint accepts requests with a residency and is not draining.
-    pub fn may_receive(&self, key: Key, residency: &Residency) -> bool {
-        self.accepts(key, residency) && !self.is_leaving(key)
+    /// Builds of all services.
+    pub fn builds(&self) -> &Builds {
+        &self.builds
     }
 
     /// Whether an endpoint's failure domain is in service.
@@ -132,32 +141,38 @@
         !self.evacuated.contains(&endpoint.domain)
     }
 
-    fn permits(&self, residency: &Residency, endpoint: &Endpoint) -> bool {
-        residency.permits(self.regions.get(&endpoint.domain).map(String::as_str))
-    }
-
-    /// Why no endpoint of a service and stage may serve a request with a residency, if there are endpoints and none may. It
+    /// Why no endpoint of a service and stage may serve a request under some terms, if there are endpoints and none may. It
     /// will not change within a caller's patience.
     pub fn unavailable(
         &self,
         service: &str,
         stage: Stage,
-        residency: &Residency,
+        terms: Terms<'_>,
     ) -> Option<Unavailable> {
-        let group = self.index.group(service, stage);
-        let endpoints = group.keys().filter_map(|key| self.get(key));
-        let endpoints = endpoints.filter(|endpoint| !endpoint.draining);
-        let mut reason = None;
-        for endpoint in endpoints {
-            match (self.permits(residency, endpoint), self.serves(endpoint)) {
-                (true, true) => return None,
-                (true, false) => reason = Some(Unavailable::Evacuated),
-                (false, _) => reason = reason.or(Some(Unavailable::Region)),
-            }
+        let Self { index, entries, regions, evacuated, .. } = self;
+        let listed = index.group(service, stage).keys().filter_map(|key| entries.get(key));
+        // Without any endpoint of its build, a stream can't go on, even if no other endpoint is listed either.
+        let mut reason = terms.build.map(|_| Unavailable::Build);
+        for entry in listed.filter(|entry| !entry.endpoint.draining) {
+            let barred = bar(entry, terms, regions, evacuated)?;
+            reason = reason.max(Some(barred));
         }
         reason
     }
 
+    /// Whether an endpoint of a service and stage other than these may receive requests under some terms, at some load.
+    pub fn any_besides(
+        &self,
+        service: &str,
+        stage: Stage,
+        terms: Terms<'_>,
+        except: &[Key],
+    ) -> bool {
+        let mut others =
+            self.index.group(service, stage).keys().filter(|key| !except.contains(key));
+        others.any(|key| self.may_receive(key, terms))
+    }
+
     /// Replaces the list of endpoints, as if each had been updated and the missing ones withdrawn.
     pub fn replace(&mut self, endpoints: Vec<Endpoint>, lenient: bool, now: Millis) {
         let listed: HashSet<&str> = endpoints.iter().map(|endpoint| endpoint.id.as_str()).collect();
@@ -169,15 +184,15 @@
         }
     }
 
-    /// Adds or changes a listed endpoint. If its id is known with another birth time, it was
+    /// Adds or changes a listed endpoint. If its id is known with another birth time or build, it was
     /// restarted: the former entry is removed at once, with its usage and health.
     pub fn update(&mut self, endpoint: Endpoint, now: Millis) {
-        let tag = endpoint.tag();
+        let (tag, build) = (endpoint.tag(), endpoint.build());
         let Some(key) = self.ids.get(&endpoint.id).copied() else {
             return self.insert(tag, endpoint, now);
         };
         match self.entries.get_mut(key) {
-            Some(entry) if entry.tag == tag => {
+            Some(entry) if (entry.tag, entry.build) == (tag, build) => {
                 let former = std::mem::replace(&mut entry.endpoint, endpoint);
                 if (former.cold_ms, former.sequence)
                     != (entry.endpoint.cold_ms, entry.endpoint.sequence)
@@ -192,7 +207,7 @@
                 self.index.insert(&entry.endpoint, key);
             }
             _ => {
-                self.remove(key);
+                self.remove(key, now);
                 self.insert(tag, endpoint, now);
             }
         }
@@ -209,7 +224,7 @@
                 entry.lapsed_at.get_or_insert(now);
                 self.lapsed.insert(key);
             }
-            _ => self.remove(key),
+            _ => self.remove(key, now),
         }
     }
 
@@ -222,12 +237,13 @@
         let gone = |entry: &Entry| entry.lapsed_at.is_some_and(|at| now.since(at) > LAPSE_GRACE_MS);
         let lapsed = self.lapsed.iter().filter(|key| self.entries.get(**key).is_none_or(gone));
         let gone: Vec<Key> = lapsed.copied().collect();
-        gone.into_iter().for_each(|key| self.remove(key));
+        gone.into_iter().for_each(|key| self.remove(key, now));
     }
 
-    fn remove(&mut self, key: Key) {
+    fn remove(&mut self, key: Key, now: Millis) {
         self.lapsed.remove(&key);
         if let Some(entry) = self.entries.remove(key) {
+            self.builds.remove(Tag::of(&entry.endpoint.service), entry.build, now);
             self.tags.remove(&entry.tag);
             self.ids.remove(&entry.endpoint.id);
             self.index.remove(&entry.endpoint);
@@ -239,8 +255,11 @@
         let remote = self.peer_usage.sum(tag);
         let cold_until = now + endpoint.cold_ms;
         self.draining_count += usize::from(endpoint.draining);
+        let build = endpoint.build();
+        self.builds.add(Tag::of(&endpoint.service), build, now);
         let key = self.entries.insert(Entry {
             tag,
+            build,
             endpoint,
             local: Usage::default(),
             remote,
@@ -351,11 +370,9 @@
             order.is_some_and(|order| order.until > now && order.stage != entry.endpoint.stage)
         };
         let admitted = |(key, entry): &(Key, &Entry)| {
-            let at = &entry.endpoint.domain;
             query.admits(*key, entry, now)
                 && !changing(entry)
-                && !evacuated.contains(at)
-                && query.residency.permits(regions.get(at).map(String::as_str))
+                && bar(entry, query.terms, regions, evacuated).is_none()
         };
         let found = |key: Key| entries.get(key).map(|entry| (key, entry)).filter(admitted);
         let group = index.group(query.service, query.stage);
@@ -433,11 +450,6 @@
         });
     }
 
-    /// Number of endpoints of a service and stage.
-    pub fn group_len(&self, service: &str, stage: Stage) -> usize {
-        self.index.group(service, stage).len()
-    }
-
     /// A random sample of the endpoints of a service.
     pub fn sample(&mut self, service: &str, count: usize) -> Vec<Endpoint> {
         let keys = STAGES.iter().flat_map(|stage| self.index.group(service, *stage).keys());
@@ -560,3 +572,20 @@
         }
     }
 }
+
+/// Why an endpoint may not serve requests under some terms, whatever its load.
+fn bar(
+    entry: &Entry,
+    terms: Terms<'_>,
+    regions: &HashMap<String, String>,
+    evacuated: &BTreeSet<String>,
+) -> Option<Unavailable> {
+    let domain = &entry.endpoint.domain;
+    if !terms.residency.permits(regions.get(domain).map(String::as_str)) {
+        return Some(Unavailable::Region);
+    }
+    if terms.build.is_some_and(|build| build != entry.build) {
+        return Some(Unavailable::Build);
+    }
+    evacuated.contains(domain).then_some(Unavailable::Evacuated)
+}
--- a/crates/coordination/tests/pool.rs
+++ b/crates/coordination/tests/pool.rs
@@ -1,10 +1,11 @@
 //! Pool of endpoints: which of them are usable, and which one is chosen.
 
-use crosslane_coordination::choice::{Query, Room};
+use crosslane_coordination::choice::{Query, Room, Terms};
 use crosslane_coordination::connections;
 use crosslane_coordination::health::{Outcome, Record};
 use crosslane_coordination::pool::{Pool, Unavailable};
 use crosslane_coordination::usage::Usage;
+use crosslane_state::build::Build;
 use crosslane_state::endpoint::{Endpoint, Stage, Tag};
 use crosslane_state::residency::Residency;
 use crosslane_state::time::Millis;
@@ -24,7 +25,7 @@
     max_connections: u32::MAX,
     room: None,
     exclude: &[],
-    residency: &Residency::ANYWHERE,
+    terms: Terms { residency: &Residency::ANYWHERE, build: None },
     point: Tag(0),
 };
 
@@ -458,7 +459,8 @@
     pool.set_evacuated(names(case.evacuated));
     let [route, organisation] = case.regions.map(|regions| Residency::within(names(regions)));
     let residency = route.and(&organisation);
-    let query = Query { residency: &residency, ..QUERY };
+    let terms = Terms { residency: &residency, build: None };
+    let query = Query { terms, ..QUERY };
     let mut chosen = BTreeSet::new();
     for _ in 0..200 {
         chosen.extend(
@@ -468,12 +470,12 @@
         pool.choose(query, Millis(1)).into_iter().for_each(|(key, _)| pool.add_request(key, 5_000));
     }
     assert_eq!(chosen, names(case.chosen), "{}", case.name);
-    let unavailable = pool.unavailable(SERVICE, Stage::Decode, &residency);
+    let unavailable = pool.unavailable(SERVICE, Stage::Decode, terms);
     assert_eq!(unavailable, case.unavailable, "{}", case.name);
     for (domain, _) in ZONES {
         let key = pool.key(tag(domain)).unwrap();
         let expected = case.chosen.contains(&domain);
-        assert_eq!(pool.may_receive(key, &residency), expected, "{}: {domain}", case.name);
+        assert_eq!(pool.may_receive(key, terms), expected, "{}: {domain}", case.name);
     }
 }
 
@@ -495,7 +497,8 @@
     assert_eq!(chosen(&mut pool, 5), None);
     pool.set_evacuated(BTreeSet::new());
     let residency = Residency::within(names(&["ch"]));
-    assert!(pool.choose(Query { residency: &residency, ..QUERY }, Millis(5)).is_none());
+    let terms = Terms { residency: &residency, build: None };
+    assert!(pool.choose(Query { terms, ..QUERY }, Millis(5)).is_none());
 }
 
 /// Engines of a fleet, of which one in five is in the pool's failure domain.
@@ -618,3 +621,52 @@
     let most = usage.iter().map(|(_, usage)| usage.requests).max().unwrap();
     assert!(most <= 5, "{most}");
 }
+
+struct Versions {
+    name: &'static str,
+    /// Id, software version and whether it is draining.
+    engines: &'static [(&'static str, &'static str, bool)],
+    /// Version that began the stream.
+    began: Option<&'static str>,
+    chosen: &'static [&'static str],
+    unavailable: Option<Unavailable>,
+}
+
+#[rstest]
+#[case(Versions { name: "not begun", engines: &[("a", "v1", false), ("b", "v2", false)], began: None, chosen: &["a", "b"], unavailable: None })]
+#[case(Versions { name: "begun", engines: &[("a", "v1", false), ("b", "v2", false), ("c", "v1", false)], began: Some("v1"), chosen: &["a", "c"], unavailable: None })]
+#[case(Versions { name: "its engines are leaving", engines: &[("a", "v1", true), ("b", "v2", false)], began: Some("v1"), chosen: &[], unavailable: Some(Unavailable::Build) })]
+#[case(Versions { name: "no engine of it", engines: &[("b", "v2", false)], began: Some("v1"), chosen: &[], unavailable: Some(Unavailable::Build) })]
+#[case(Versions { name: "no engine at all", engines: &[], began: Some("v1"), chosen: &[], unavailable: Some(Unavailable::Build) })]
+fn streams_go_on_at_the_build_that_began_them(#[case] case: Versions) {
+    let mut pool = pool(&[]);
+    for (id, software, draining) in case.engines {
+        let listed = Endpoint { software: (*software).into(), ..endpoint(id, *draining) };
+        pool.update(listed, Millis(0));
+    }
+    let build = case.began.map(|version| Build::new(SERVICE, version));
+    let terms = Terms { build, ..QUERY.terms };
+    let query = Query { terms, ..QUERY };
+    let mut chosen = BTreeSet::new();
+    for _ in 0..200 {
+        let (key, _) = pool.choose(query, Millis(1)).unzip();
+        chosen.extend(key.map(|key| pool.get(key).unwrap().id.clone()));
+        key.into_iter().for_each(|key| pool.add_request(key, 5_000));
+    }
+    assert_eq!(chosen, names(case.chosen), "{}", case.name);
+    assert_eq!(pool.unavailable(SERVICE, Stage::Decode, terms), case.unavailable, "{}", case.name);
+    let any = pool.any_besides(SERVICE, Stage::Decode, terms, &[]);
+    assert_eq!(any, !case.chosen.is_empty(), "{}", case.name);
+}
+
+/// A stream that ran there must not be sent to the process that took its place.
+#[rstest]
+fn an_endpoint_whose_version_changes_is_another_one() {
+    let mut pool = pool(&["a"]);
+    let before = pool.key(tag("a")).unwrap();
+    pool.add_request(before, 100);
+    pool.update(Endpoint { software: "v2".into(), ..endpoint("a", false) }, Millis(5));
+    let after = pool.key(tag("a")).unwrap();
+    assert_ne!(before, after);
+    assert!(pool.get(before).is_none() && pool.is_leaving(before));
+}
--- a/crates/gateway/src/cache.rs
+++ b/crates/gateway/src/cache.rs
@@ -64,8 +64,12 @@
     let engines = listings.get(&subset).map_or(&[][..], |listing| &listing.engines);
     let hit = |stage| {
         let mut hits = engines.iter().filter(|engine| {
+            let terms = match stage {
+                Stage::Prefill => call.prefill_terms(),
+                Stage::Decode | Stage::Plain => call.terms(),
+            };
             let cached = engine.stage == stage && engine.parts.contains(part);
-            cached && node.pool().may_receive(engine.key, &call.residency)
+            cached && node.pool().may_receive(engine.key, terms)
         });
         hits.next().map(|engine| engine.key)
     };
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -13,9 +13,11 @@
 use crate::refusal::{Reason, Refusal};
 use crate::stream;
 use bytes::Bytes;
+use crosslane_coordination::choice::Terms;
 use crosslane_coordination::health::Outcome;
 use crosslane_platform::request::{Metadata, Purpose};
 use crosslane_platform::response::Head;
+use crosslane_state::build::Build;
 use crosslane_state::endpoint::{Endpoint, Key, Stage, Tag};
 use crosslane_state::fingerprint::Fingerprint;
 use crosslane_state::residency::Residency;
@@ -57,6 +59,8 @@
     pub grant: Arc<Grant>,
     /// Where it may be served.
     pub residency: Residency,
+    /// Build that began the stream, once it has begun; a stream goes on only there.
+    pub build: Arc<OnceLock<Build>>,
     /// Whether the last attempt got a connection to its endpoint, so that it may have been sent.
     pub connected: Arc<AtomicBool>,
     /// Whether it is refused once this node has lost its way to the service, so that another node can serve it.
@@ -74,10 +78,19 @@
         self.deadline.left()
     }
 
-    /// Point on the rings of endpoints from which the request's candidates follow: the same for a repeat with the same prompt.
+    /// What an endpoint must meet to run it.
+    pub fn terms(&self) -> Terms<'_> {
+        Terms { residency: &self.residency, build: self.build.get().copied() }
+    }
+
+    /// What an endpoint must meet to prefill its prompt: KV cache is no part of what the caller gets.
+    pub fn prefill_terms(&self) -> Terms<'_> {
+        Terms { build: None, ..self.terms() }
+    }
+
+    /// Point on the rings of endpoints and nodes from which its candidates follow.
     pub fn point(&self) -> Tag {
-        let Metadata { last_segment_id, id, .. } = &*self.metadata;
-        Tag::of(last_segment_id.as_ref().unwrap_or(id))
+        self.metadata.point()
     }
 
     /// Hash of what a repeat of the request has in common with it: host, method, path, caller and body. Request ids,
@@ -270,7 +283,7 @@
 
 /// Refusal if no endpoint of a service and stage may serve a call, however long it waits.
 pub fn refusal(node: &Node, service: &str, stage: Stage, call: &Call) -> Option<Refusal> {
-    let unavailable = node.pool().unavailable(service, stage, &call.residency)?;
+    let unavailable = node.pool().unavailable(service, stage, call.terms())?;
     Some(stream::retry_later(unavailable.into()))
 }
 
@@ -286,9 +299,13 @@
         return Err(Failure::Unsent);
     };
     slot.acquire_permit(&call.metadata.id).await?;
-    // The last check: its domain may have been evacuated since it was chosen.
-    if !node.pool().accepts(slot.key, &call.residency) {
-        log_failure(call, &endpoint, Failure::Unsent, "evacuated");
+    let terms = match purpose {
+        Purpose::Prefill => call.prefill_terms(),
+        Purpose::Run | Purpose::Decode { .. } => call.terms(),
+    };
+    // The last check: its domain may have been evacuated since it was chosen, or the stream may have begun elsewhere.
+    if !node.pool().accepts(slot.key, terms) {
+        log_failure(call, &endpoint, Failure::Unsent, "no longer meets the terms");
         return Err(Failure::Unsent);
     }
     let mut trial = quarantine::admit(&node, call, &endpoint, purpose).await?;
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -251,6 +251,8 @@
         | Reason::OverQuota
         | Reason::RateLimited
         | Reason::Evacuated
-        | Reason::NoRegion => false,
+        | Reason::NoRegion
+        | Reason::NoVersion
+        | Reason::UnknownStream => false,
     }
 }
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -213,6 +213,7 @@
         fingerprint,
         grant,
         residency,
+        build: Arc::default(),
         connected: Arc::default(),
         may_forward: true,
     };
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -7,6 +7,7 @@
 use crate::node::{Node, ResponseBody};
 use crate::quarantine;
 use crate::refusal::{Reason, Refusal};
+use crate::resume;
 use crate::stall::{self, Watch};
 use bytes::Bytes;
 use crosslane_coordination::choice::Query;
@@ -131,7 +132,7 @@
             max_connections: connections,
             room: None,
             exclude: except,
-            residency: &self.call.residency,
+            terms: self.call.terms(),
             point: self.call.point(),
         };
         let choice = self.node.pool().choose(query, self.node.now())?;
@@ -192,6 +193,11 @@
     let error = answer.parts.status.is_server_error();
     answer.record_outcome(if error { Outcome::Error } else { Outcome::Good });
     let short = answer.head.content_length.is_some_and(|length| length <= MAX_BUFFERED_BYTES);
+    if let Kind::Stream { .. } = route.kind
+        && answer.parts.status.is_success()
+    {
+        resume::begin(call, answer.endpoint.build());
+    }
     if route.kind != Kind::Safe || !short {
         return Ok(Attempt::Final(relay(node, answer, call)));
     }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -54,11 +54,15 @@
     Evacuated,
     /// No endpoint is in a region where the request may be served.
     NoRegion,
+    /// No endpoint runs the software version that began the stream.
+    NoVersion,
+    /// Which software version began the stream is not known.
+    UnknownStream,
 }
 
 /// Every reason with its name and HTTP status, in the order of `Reason`. With status 408, 429 or 503 the request
 /// has not run.
-pub const REASONS: [(Reason, &str, StatusCode); 20] = [
+pub const REASONS: [(Reason, &str, StatusCode); 22] = [
     (Reason::NoId, "no_id", StatusCode::BAD_REQUEST),
     (Reason::NoRoute, "no_route", StatusCode::NOT_FOUND),
     (Reason::BodyTooLong, "too_long", StatusCode::PAYLOAD_TOO_LARGE),
@@ -79,6 +83,8 @@
     (Reason::RateLimited, "limited", StatusCode::SERVICE_UNAVAILABLE),
     (Reason::Evacuated, "evacuated", StatusCode::SERVICE_UNAVAILABLE),
     (Reason::NoRegion, "no_region", StatusCode::SERVICE_UNAVAILABLE),
+    (Reason::NoVersion, "no_version", StatusCode::SERVICE_UNAVAILABLE),
+    (Reason::UnknownStream, "unknown_stream", StatusCode::SERVICE_UNAVAILABLE),
 ];
 
 impl Reason {
@@ -116,6 +122,7 @@
         match unavailable {
             Unavailable::Evacuated => Self::Evacuated,
             Unavailable::Region => Self::NoRegion,
+            Unavailable::Build => Self::NoVersion,
         }
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -10,6 +10,7 @@
 use crate::migration;
 use crate::node::ResponseBody;
 use crate::quarantine;
+use crate::resume;
 use crate::sse::Splitter;
 use crate::stream::Generation;
 use bytes::{Bytes, BytesMut};
@@ -54,6 +55,8 @@
     last_endpoint: String,
     /// Error with which to cut the stream.
     broken: Option<Break>,
+    /// Whether the stream is bound to a build and other nodes were told.
+    begun: bool,
 }
 
 /// How an attempt broke off.
@@ -92,6 +95,7 @@
             move_at: None,
             moves_left: MAX_MOVES,
             broken: None,
+            begun: false,
         }
     }
 
@@ -116,6 +120,7 @@
             match self.next_chunk().await {
                 Chunk::Data(bytes) => {
                     if let Some(events) = self.events.push(&bytes) {
+                        self.begin();
                         return Some((Ok(Frame::data(events)), self));
                     }
                 }
@@ -133,6 +138,15 @@
         }
     }
 
+    /// Binds the stream to the build of its engine, before its first event leaves or its KV cache moves.
+    fn begin(&mut self) {
+        if let Some(answer) = self.answer.as_ref().filter(|_| !self.begun) {
+            self.begun = true;
+            let Generation { call, .. } = &self.generation;
+            resume::begin(call, answer.endpoint.build());
+        }
+    }
+
     /// Abandons an engine and resumes the stream at another one, or marks the stream to be cut.
     async fn fail_over(&mut self, broken: Break) {
         self.drop_broken().await;
@@ -231,6 +245,7 @@
     async fn move_run(&mut self) -> Option<Bytes> {
         self.moves_left -= 1;
         self.move_at = Some(Instant::now() + MOVE_RETRY_INTERVAL);
+        self.begin();
         let (source, key) =
             self.answer.as_ref().map(|answer| (answer.endpoint.clone(), answer.key()))?;
         let choice = self.generation.choose_decode(FULL_UTILIZATION, &[key])?;
@@ -327,6 +342,9 @@
                     answer.record_outcome(Outcome::Error);
                     // The response, and its trial with it, is dropped before the next try.
                 }
+                Err(None) if self.generation.has_no_version() => {
+                    return Err("no engine of its version");
+                }
                 Err(None) => return Err("no memory elsewhere"),
                 Err(Some(failure)) if failure.quarantined() => return Err("quarantined"),
                 Err(Some(_)) => {}
--- a/crates/gateway/src/reserve.rs
+++ b/crates/gateway/src/reserve.rs
@@ -12,6 +12,7 @@
 use crate::stream::{Generation, retry_later};
 use crosslane_coordination::admission::Timeliness;
 use crosslane_coordination::health::Outcome;
+use crosslane_coordination::pool::Unavailable;
 use crosslane_platform::engine;
 use crosslane_state::endpoint::{Key, Stage};
 use hyper::StatusCode;
@@ -39,8 +40,19 @@
 impl Generation {
     /// Whether no engine can run the request, however long it waits for memory.
     fn reaches_no_engine(&self) -> bool {
-        let decoding = self.node.pool().group_len(&self.service, Stage::Decode);
-        self.node.has_lost(&self.service) || (1..=self.unreachable().len()).contains(&decoding)
+        let unreachable = self.unreachable();
+        let any_left = || {
+            let terms = self.call.terms();
+            self.node.pool().any_besides(&self.service, Stage::Decode, terms, &unreachable)
+        };
+        self.node.has_lost(&self.service) || (!unreachable.is_empty() && !any_left())
+    }
+
+    /// Whether no engine is left that runs the build at which the stream began.
+    pub fn has_no_version(&self) -> bool {
+        let terms = self.call.terms();
+        let unavailable = self.node.pool().unavailable(&self.service, Stage::Decode, terms);
+        unavailable == Some(Unavailable::Build)
     }
 
     /// KV cache tokens that the request is expected to need.
@@ -70,7 +82,10 @@
                 return Err(refusal);
             }
             if self.reaches_no_engine() {
-                return Err(retry_later(Reason::Unreachable));
+                // Other engines of the service may be reached, and other nodes reach no more of this build.
+                let bound = self.call.build.get().is_some() && !self.node.has_lost(&self.service);
+                let reason = if bound { Reason::NoVersion } else { Reason::Unreachable };
+                return Err(retry_later(reason));
             }
             if let Some(refusal) = limit::refusal_by(&self.node, &self.service, until) {
                 return Err(refusal);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -122,7 +122,7 @@
             Prefiller::Decoding => None,
             Prefiller::Prefilling => self.first_prefill(hits.prefill).await?,
         };
-        if !self.node.pool().may_receive(reservation.key, &self.call.residency) {
+        if !self.node.pool().may_receive(reservation.key, self.call.terms()) {
             // The engine announced its departure during the prefill, or its domain was evacuated.
             let until = self.call.deadline.instant().min(Instant::now() + max_wait);
             reservation = self.reserve(until, &[]).await?;
@@ -205,7 +205,7 @@
             max_connections: connections,
             room: None,
             exclude: &[],
-            residency: &self.call.residency,
+            terms: self.call.prefill_terms(),
             point: self.call.point(),
         };
         self.node.pool().choose(query, self.node.now())
@@ -225,7 +225,7 @@
             max_connections: connections,
             room,
             exclude: except,
-            residency: &self.call.residency,
+            terms: self.call.terms(),
             point: self.call.point(),
         };
         self.node.pool().choose(query, self.node.now())
@@ -477,7 +477,8 @@
     /// Fetches the prompt's KV cache from the engine that prefilled it, which usually still has it: a new prefill at the
     /// next engine takes 0.2 s and stalls its other streams. `None` if no engine may be asked.
     async fn refetch_prompt(&self) -> Result<Option<Handle>, Failure> {
-        let may_receive = |key: &Key| self.node.pool().may_receive(*key, &self.call.residency);
+        let terms = self.call.prefill_terms();
+        let may_receive = |key: &Key| self.node.pool().may_receive(*key, terms);
         let cached_at = self.prefilled_at.filter(may_receive);
         let Some(cached_at) = cached_at else {
             return Ok(None);
--- a/crates/state/src/endpoint.rs
+++ b/crates/state/src/endpoint.rs
@@ -1,5 +1,6 @@
 //! Endpoints as service discovery describes them: prefill engines, decode engines and plain services.
 
+use crate::build::Build;
 use crate::hash;
 use serde::{Deserialize, Serialize};
 use slotmap::new_key_type;
@@ -69,4 +70,9 @@
         let start_bytes = self.started_unix_ms.to_le_bytes();
         Tag(hash::of(&[self.id.as_bytes(), &start_bytes].concat()))
     }
+
+    /// Build that it runs.
+    pub fn build(&self) -> Build {
+        Build::new(&self.service, &self.software)
+    }
 }
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod answer;
 pub mod attempt;
+pub mod build;
 pub mod endpoint;
 pub mod fingerprint;
 pub mod hash;
