Callers who come back go on at the build that began their stream

Cause: only the node that began a stream knew where, and `Resumes` was read by nobody.

Before the first event of a stream leaves, its node tells others its build: all of a small fleet, three of different failure domains that follow its point on a ring of nodes in a large one, so that a message a stream and holder is the cost at any size. It is kept by the id that callers name, within their organisation, and by the prompt's own part for callers who name none, for as long as they may come back, and told again when they do. A node that was not told asks. What was told counts first; a node that has seen a single build for longer than a stream may last can answer for all. If no node has run for that long, one listed build is taken, and of several the one whose decode engines cache the prompt. Anything else is refused at once as `unknown_stream`, not run, and a stream whose version has no engine left as `no_version`.

--- a/crates/coordination/src/builds.rs
+++ b/crates/coordination/src/builds.rs
@@ -3,6 +3,7 @@
 //! A stream that nobody knows anything of can only be of one build if no other one has served for as long as a stream and the
 //! return of its caller may take.
 
+use crate::streams::Knowledge;
 use crosslane_state::build::Build;
 use crosslane_state::endpoint::Tag;
 use crosslane_state::time::Millis;
@@ -53,16 +54,22 @@
     }
 
     /// The only build of a service that is listed now.
-    pub fn only(&self, service: Tag) -> Option<Build> {
+    fn only(&self, service: Tag) -> Option<Build> {
         let mut listed = self.services.get(&service)?.listed.keys();
         listed.next().copied().filter(|_| listed.next().is_none())
     }
 
-    /// The only build of a service that was listed within the last milliseconds, if they were observed.
-    pub fn sole(&self, service: Tag, span_ms: u64, now: Millis) -> Option<Build> {
+    /// What follows for a stream that began within the last milliseconds.
+    pub fn knowledge(&self, service: Tag, span_ms: u64, now: Millis) -> Knowledge {
+        let Some(known) = self.services.get(&service) else {
+            return Knowledge::Nothing;
+        };
         let observed = self.observed_from.is_some_and(|from| now.since(from) >= span_ms);
-        let gone = &self.services.get(&service)?.gone;
-        let no_other = gone.values().all(|at| now.since(*at) >= span_ms);
-        self.only(service).filter(|_| observed && no_other)
+        let went = known.gone.values().any(|at| now.since(*at) < span_ms);
+        match (self.only(service).filter(|_| !went), observed) {
+            (Some(build), true) => Knowledge::Sole(build),
+            (None, true) => Knowledge::Several,
+            (only, false) => Knowledge::Unobserved(only),
+        }
     }
 }
--- a/crates/gateway/src/cache.rs
+++ b/crates/gateway/src/cache.rs
@@ -9,7 +9,8 @@
 use crate::exchange::Call;
 use crate::node::Node;
 use crosslane_platform::engine;
-use crosslane_state::endpoint::{Key, Stage, Tag};
+use crosslane_state::build::Build;
+use crosslane_state::endpoint::{Endpoint, Key, Stage, Tag};
 use crosslane_state::time::Millis;
 use futures::future::join_all;
 use log::{debug, info};
@@ -48,6 +49,9 @@
     pub decode: Option<Key>,
     /// Prefill engine, which can transfer it.
     pub prefill: Option<Key>,
+    /// Build of the decode engines that cache it, if it is the same. An engine that decodes reads the prompt before it
+    /// generates anything.
+    pub decoding_build: Option<Build>,
 }
 
 /// Finds the engines of a service that cache the last part of a request's prompt.
@@ -73,13 +77,24 @@
         });
         hits.next().map(|engine| engine.key)
     };
-    let hits = Hits { decode: hit(Stage::Decode), prefill: hit(Stage::Prefill) };
+    let (decode, prefill) = (hit(Stage::Decode), hit(Stage::Prefill));
+    let decoding_build = decoding_build(node, engines, part);
+    let hits = Hits { decode, prefill, decoding_build };
     let (asked, decoding, prefilling) =
         (engines.len(), hits.decode.is_some(), hits.prefill.is_some());
     info!(request, prompt = part, asked, decoding, prefilling; "{}", event::CACHED);
     hits
 }
 
+/// The only build of the decode engines that cache the part of a prompt.
+fn decoding_build(node: &Node, engines: &[Engine], part: &str) -> Option<Build> {
+    let caching = engines.iter().filter(|it| it.stage == Stage::Decode && it.parts.contains(part));
+    let pool = node.pool();
+    let mut builds = caching.filter_map(|it| pool.get(it.key)).map(Endpoint::build);
+    let first = builds.next()?;
+    builds.all(|build| build == first).then_some(first)
+}
+
 async fn list(node: &Node, service: &str, point: Tag) -> Vec<Engine> {
     let mut engines = node.pool().cache_candidates(service, point);
     // A list delays an engine's work, and engines that name a rate limit are overloaded.
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -30,6 +30,8 @@
 pub const RESERVE: &str = "reserve";
 /// Engines were asked for the cached prefix of a prompt that a caller sends again.
 pub const CACHED: &str = "cached";
+/// A caller comes back with a stream, and the build that began it was looked for.
+pub const RESUMED: &str = "resumed";
 /// An endpoint was chosen for a request.
 pub const PLACE: &str = "place";
 /// An attempt at an endpoint failed.
@@ -74,7 +76,7 @@
 pub const PANICKED: &str = "panicked";
 
 /// All events.
-pub const EVENTS: [&str; 35] = [
+pub const EVENTS: [&str; 36] = [
     START,
     STOP,
     SUSPENDED,
@@ -90,6 +92,7 @@
     LEASE,
     RESERVE,
     CACHED,
+    RESUMED,
     PLACE,
     ATTEMPT,
     SILENT,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -78,6 +78,11 @@
         self.deadline.left()
     }
 
+    /// Whether it takes up a stream of which it is not known which build began it.
+    pub fn is_unbound(&self) -> bool {
+        self.metadata.resumes_stream() && self.build.get().is_none()
+    }
+
     /// What an endpoint must meet to run it.
     pub fn terms(&self) -> Terms<'_> {
         Terms { residency: &self.residency, build: self.build.get().copied() }
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -8,11 +8,13 @@
 use crate::node::{InFlight, Node, ResponseBody};
 use crate::quota::Grant;
 use crate::refusal::{RETRY_AFTER, Reason, Refusal};
+use crate::resume::{self, Finding};
 use crate::{plain, quarantine, quota, shutdown, stream};
 use bytes::Bytes;
 use crosslane_coordination::identity;
 use crosslane_platform::request::Metadata;
 use crosslane_platform::response;
+use crosslane_state::endpoint::Tag;
 use crosslane_state::hash;
 use crosslane_state::organisation::Organisation;
 use crosslane_state::residency::Residency;
@@ -190,8 +192,11 @@
         ask.timeout.map_or_else(|| deadline.clone(), |patience| node.clock.deadline(patience));
     entry.deadline = Some(deadline.clone());
     let body = read_body(body, table.limits, deadline.left()).await?;
-    let service = choose_service(route, &ask.id);
-    let tokens = ask.estimated_output_tokens();
+    let (metadata, fingerprint) = (Arc::new(ask), Arc::default());
+    let finding = resume::find(node, &metadata, route).await.map_err(stream::retry_later)?;
+    let service = choose_service(node, route, &metadata.id, finding)
+        .ok_or_else(|| stream::retry_later(Reason::NoVersion))?;
+    let tokens = metadata.estimated_output_tokens();
     shutdown::check(node, route, service, tokens, deadline.left())?;
     entry.open = Some(node.begin_request(service, tokens));
     let mut parts = hyper::http::uri::Parts::default();
@@ -200,7 +205,6 @@
     let method = head.method;
     let anywhere = Residency::ANYWHERE;
     let residency = route.residency.and(organisation.map_or(&anywhere, |known| &known.residency));
-    let (metadata, fingerprint) = (Arc::new(ask), Arc::default());
     let grant = Arc::new(Grant::unlimited(node));
     let call = Call {
         metadata,
@@ -213,7 +217,10 @@
         fingerprint,
         grant,
         residency,
-        build: Arc::default(),
+        build: Arc::new(match finding {
+            Finding::Began(build) => OnceLock::from(build),
+            Finding::New | Finding::Unobserved => OnceLock::new(),
+        }),
         connected: Arc::default(),
         may_forward: true,
     };
@@ -278,6 +285,9 @@
                 stream::Generation::new(node.clone(), route.clone(), service.into(), engine, call);
             generation.start().await
         }
+        (Kind::Stream { .. }, None) if call.is_unbound() => {
+            Err(stream::retry_later(Reason::UnknownStream))
+        }
         _ => plain::run(node, route, service, &call).await,
     }
 }
@@ -300,8 +310,23 @@
     })
 }
 
-/// Service that serves a request, chosen by a hash of the request id and the weights of the route.
-fn choose_service<'a>(route: &'a Route, id: &str) -> &'a str {
+/// Service that serves a request: the one that began the stream, if its route still leads there, or one chosen by a hash of the
+/// request id and the weights of the route.
+fn choose_service<'a>(
+    node: &Node,
+    route: &'a Route,
+    id: &str,
+    finding: Finding,
+) -> Option<&'a str> {
+    let Finding::Began(build) = finding else {
+        return Some(choose_by_weight(route, id));
+    };
+    let pool = node.pool();
+    let mut services = route.shares.iter().map(|share| share.service.as_str());
+    services.find(|service| pool.builds().lists(Tag::of(service), build))
+}
+
+fn choose_by_weight<'a>(route: &'a Route, id: &str) -> &'a str {
     let total: u64 = route.shares.iter().map(|share| u64::from(share.weight)).sum();
     let mut point = hash::of(id.as_bytes()) % total.max(1);
     for share in &route.shares {
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -8,6 +8,8 @@
 use crosslane_coordination::heartbeat::{self, Interval, MAX_NEAR_PEERS};
 use crosslane_coordination::limits::Update as LimitUpdate;
 use crosslane_coordination::quota;
+use crosslane_coordination::ring::Ring;
+use crosslane_coordination::streams::{Knowledge, Name, Record};
 use crosslane_coordination::suspicion;
 use crosslane_coordination::usage::Usage;
 use crosslane_platform::settings::Settings;
@@ -146,6 +148,29 @@
         /// Tags of the services.
         services: Vec<Tag>,
     },
+    /// Streams that begin at the sender, sent before their first events leave.
+    Streams {
+        /// The streams.
+        begun: Vec<Record>,
+    },
+    /// Query which build began a stream.
+    StreamQuery {
+        /// Number of the query, repeated in the reply.
+        number: u32,
+        /// The stream, if it can be named.
+        name: Option<Name>,
+        /// Tag of its service, if the request can only go to one.
+        service: Option<Tag>,
+        /// Time that a stream and the return of its caller may take, in milliseconds.
+        span_ms: u32,
+    },
+    /// What the sender knows of a stream.
+    StreamReply {
+        /// Number of the query.
+        number: u32,
+        /// Its knowledge.
+        knowledge: Knowledge,
+    },
 }
 
 /// Result of recording a heartbeat.
@@ -174,6 +199,10 @@
     Successors,
 }
 
+/// Nodes of a large fleet that are told of a stream, besides the one that begins it. A message to each costs less than the usage
+/// updates of the stream's run.
+const HOLDERS: usize = 3;
+
 /// Time for which a silent node is assumed to still serve callers behind a network partition, in
 /// milliseconds: partitions last seconds, and a node that is gone for good must not hold its share
 /// of the organisations' limits.
@@ -198,7 +227,17 @@
     lost: Vec<(Tag, Millis)>,
 }
 
+/// Name of a node on the ring.
+fn place(ip: IpAddr) -> Tag {
+    Tag::of(&ip.to_string())
+}
+
 impl Member {
+    /// Whether its next heartbeat is not overdue.
+    fn is_live(&self, now: Millis) -> bool {
+        self.last_heartbeat.is_some_and(|last| now < last.expires_at())
+    }
+
     /// Whether it has lost its way to a service, or to any.
     fn has_lost(&self, service: Option<Tag>, now: Millis) -> bool {
         let is_meant = |known: Tag| service.is_none_or(|service| service == known);
@@ -230,6 +269,8 @@
     /// Window of the retry budget, in milliseconds.
     retry_window_ms: u64,
     members: HashMap<IpAddr, Member>,
+    /// The same nodes on a ring.
+    ring: Ring<IpAddr>,
     /// Whether nodes were added that have not been sent a heartbeat yet.
     unannounced: bool,
     /// Since when too few of the nodes before this one read the store.
@@ -245,6 +286,7 @@
             domain: settings.domain.clone(),
             retry_window_ms: settings.retry_budget.window_ms,
             members: HashMap::new(),
+            ring: Ring::default(),
             unannounced: false,
             readers_missing_since: None,
         };
@@ -256,6 +298,7 @@
     pub fn add(&mut self, ip: IpAddr) {
         if ip != self.own_ip && !self.members.contains_key(&ip) {
             self.members.insert(ip, Member::default());
+            self.ring.insert(place(ip), ip);
             self.unannounced = true;
         }
     }
@@ -290,7 +333,9 @@
             last_heartbeat: Some(last_heartbeat),
             lost,
         };
-        self.members.insert(ip, member);
+        if self.members.insert(ip, member).is_none() {
+            self.ring.insert(place(ip), ip);
+        }
         receipt
     }
 
@@ -367,10 +412,7 @@
     }
 
     fn live(&self, now: Millis) -> impl Iterator<Item = (&IpAddr, &Member)> {
-        let is_live = move |member: &Member| {
-            member.last_heartbeat.is_some_and(|last| now < last.expires_at())
-        };
-        self.members.iter().filter(move |(_, member)| is_live(member))
+        self.members.iter().filter(move |(_, member)| member.is_live(now))
     }
 
     /// Addresses of the nodes in a scope.
@@ -398,6 +440,36 @@
         ring.into_iter().map(|(_, ip)| ip).collect()
     }
 
+    /// Nodes to tell of a stream that begins: all other live ones of a small fleet, else those that follow its point on the ring.
+    pub fn stream_holders(&self, point: Tag, now: Millis) -> Vec<IpAddr> {
+        if self.members.len() <= MAX_NEAR_PEERS {
+            return self.addresses(Scope::Live, now);
+        }
+        self.ring.first(HOLDERS, point, |ip| {
+            let member = self.members.get(ip)?;
+            member.is_live(now).then_some(member.domain.as_str())
+        })
+    }
+
+    /// Nodes to ask of a stream: those that may have been told, and some more, since nodes come and go in between. A node that has
+    /// just started asks also those that it has not heard of yet.
+    pub fn stream_sources(&self, point: Tag, now: Millis) -> Vec<IpAddr> {
+        if self.members.len() <= MAX_NEAR_PEERS {
+            return self.addresses(Scope::All, now);
+        }
+        let mut sources = Vec::new();
+        for _ in 0..2 {
+            let more = self.ring.first(HOLDERS, point, |ip| {
+                let member = self.members.get(ip).filter(|_| !sources.contains(ip))?;
+                let unheard = member.last_heartbeat.is_none().then_some(*ip);
+                let may_know = member.is_live(now) || unheard.is_some();
+                may_know.then_some((member.domain.as_str(), unheard))
+            });
+            sources.extend(more);
+        }
+        sources
+    }
+
     /// Addresses of the live nodes that choose among the same engines, and of the other live ones.
     pub fn near_and_far(&self, now: Millis) -> (Vec<IpAddr>, Vec<IpAddr>) {
         let (near, far): (Vec<_>, Vec<_>) =
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -57,6 +57,12 @@
     store_errors: IntCounterVec,
     connections: IntCounterVec,
     forwarded: IntCounterVec,
+    /// Streams that callers take up again, by how the build that began them was found.
+    resumed: IntCounterVec,
+    /// Names of streams whose build is known.
+    pub known_streams: IntGauge,
+    /// Names of streams that were dropped for others.
+    pub dropped_streams: IntCounter,
     /// Services whose endpoints this node can't reach.
     pub lost_services: IntGauge,
     /// Failed pulls from other nodes.
@@ -134,6 +140,16 @@
                 "Requests sent to other nodes by outcome",
                 "outcome",
             )?,
+            resumed: counters(
+                "crosslane_resumed_streams",
+                "Streams that callers take up again, by how their build was found",
+                "source",
+            )?,
+            known_streams: gauge("crosslane_known_streams", "Names of streams with a known build")?,
+            dropped_streams: counter(
+                "crosslane_dropped_streams",
+                "Names of streams that were dropped for others",
+            )?,
             lost_services: gauge(
                 "crosslane_lost_services",
                 "Services whose endpoints can't be reached",
@@ -193,6 +209,11 @@
         self.connections.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts a stream that a caller takes up again, by how the build that began it was found.
+    pub fn count_resumed(&self, source: &str) {
+        self.resumed.with_label_values(&[source]).inc();
+    }
+
     /// Counts a request sent to another node by its outcome.
     pub fn count_forwarded(&self, outcome: &str) {
         self.forwarded.with_label_values(&[outcome]).inc();
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -12,6 +12,7 @@
 use crate::operators;
 use crate::quarantine::Checks;
 use crate::quota::{self, Limiter};
+use crate::resume::Queries;
 use bytes::Bytes;
 use crosslane_coordination::admission::Timeouts;
 use crosslane_coordination::allowance::Allowance;
@@ -22,6 +23,7 @@
 use crosslane_coordination::limits::{self, Limits, Queues};
 use crosslane_coordination::pool::Pool;
 use crosslane_coordination::quarantine::Quarantine;
+use crosslane_coordination::streams::Streams;
 use crosslane_coordination::throttle::Throttle;
 use crosslane_platform::configuration;
 use crosslane_platform::settings::Settings;
@@ -152,6 +154,9 @@
     limits: Mutex<Limits>,
     /// Requests queued for limits that this node owns.
     pub queues: Mutex<Queues>,
+    streams: Mutex<Streams>,
+    /// Queries to other nodes which build began a stream.
+    pub stream_queries: Queries,
 }
 
 /// Idle time after which a connection to a plain endpoint is not reused: shorter than the shortest
@@ -222,6 +227,8 @@
             quarantine: Mutex::new(Quarantine::new(Tag::of(&settings.vm))),
             limits: Mutex::default(),
             queues: Mutex::default(),
+            streams: Mutex::default(),
+            stream_queries: Queries::default(),
             settings,
         })
     }
@@ -308,6 +315,11 @@
         lock(&self.limits)
     }
 
+    /// Streams that have begun here or, as far as this node was told, at others.
+    pub fn streams(&self) -> MutexGuard<'_, Streams> {
+        lock(&self.streams)
+    }
+
     /// Records the offsets that another node announced.
     pub fn record_peer_offsets(&self, offsets: Offsets) {
         self.peer_offsets.send_if_modified(|highest| {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -17,7 +17,7 @@
 use crate::members::{Heartbeat, Message, Scope};
 use crate::mirror::{Batch, Offsets, Packed, Topic};
 use crate::node::{Node, lock};
-use crate::{limit, pull, quarantine, quota};
+use crate::{limit, pull, quarantine, quota, resume};
 use crosslane_coordination::gossip;
 use crosslane_coordination::heartbeat::FAR_EVERY;
 use crosslane_coordination::limits;
@@ -492,6 +492,13 @@
             Ok(Message::QuotaRefund { subject, cost }) => {
                 node.limiter(subject).refund(subject, cost);
             }
+            Ok(Message::Streams { begun }) => resume::record(&node, &begun),
+            Ok(Message::StreamQuery { number, name, service, span_ms }) => {
+                resume::reply(&node, number, name, service, span_ms, from.ip());
+            }
+            Ok(Message::StreamReply { number, knowledge }) => {
+                node.stream_queries.resolve(number, knowledge);
+            }
             Ok(Message::RulingsRequest) => {
                 send_rulings(&node, &socket, from.ip()).await;
                 send_unruled_suspicions(&node, &socket, from.ip()).await;
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -196,7 +196,7 @@
     if let Kind::Stream { .. } = route.kind
         && answer.parts.status.is_success()
     {
-        resume::begin(call, answer.endpoint.build());
+        resume::begin(node, call, route, answer.endpoint.build());
     }
     if route.kind != Kind::Safe || !short {
         return Ok(Attempt::Final(relay(node, answer, call)));
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -142,8 +142,8 @@
     fn begin(&mut self) {
         if let Some(answer) = self.answer.as_ref().filter(|_| !self.begun) {
             self.begun = true;
-            let Generation { call, .. } = &self.generation;
-            resume::begin(call, answer.endpoint.build());
+            let Generation { node, call, route, .. } = &self.generation;
+            resume::begin(node, call, route, answer.endpoint.build());
         }
     }
 
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -5,7 +5,7 @@
 use crate::node::Node;
 use crate::shutdown::ACCEPT_TIME;
 use crate::{
-    event, follower, frontend, limit, orders, peers, quarantine, reach, rulings, suspension,
+    event, follower, frontend, limit, orders, peers, quarantine, reach, resume, rulings, suspension,
 };
 use crosslane_platform::settings::Settings;
 use derive_more::{Display, Error, From};
@@ -106,6 +106,7 @@
         quarantine::remove_expired(&node);
         node.organisation_limiter.remove_expired(node.now());
         limit::remove_expired(&node);
+        resume::remove_expired(&node);
     }
 }
 
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -113,6 +113,10 @@
         let max_wait = Duration::from_millis(self.timeliness.max_wait_ms(&self.caller));
         let until = self.call.deadline.instant().min(self.call.arrived + max_wait);
         let hits = self.cache_hits().await;
+        if self.call.is_unbound() {
+            let build = hits.decoding_build.ok_or_else(|| retry_later(Reason::UnknownStream))?;
+            self.call.build.get_or_init(|| build);
+        }
         let (mut reservation, kept) = self.reserve_near_cache(&hits, until).await?;
         // The wait for memory may have used up the time that a shutdown leaves it to end.
         let tokens = self.call.metadata.estimated_output_tokens();
