Soak: callers come back with streams that broke off, and engines run several versions

The soak's callers take a resumable stream up again, twice at most, at any node, naming the request that began it. Endpoints of two versions serve side by side, releases and rebirths change them. Every stream may hold events of one version only, over all attempts; and of 12 returns or more at nodes in touch, while two engines of the version serve, the share that goes on must reach half of the share of new streams that begin.

--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod node;
 pub mod proxy;
 pub mod reach;
+pub mod returns;
 pub mod run;
 pub mod site;
 pub mod traffic;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -120,6 +120,7 @@
     traffic::check_crashes(&site);
     innocence::check(&site);
     site.reach.check(&site.ledger);
+    site.returns.check(&site.ledger);
     let mut endings = Endings::new();
     while let Some(some) = callers.join_next().await {
         some?.into_iter().for_each(|(ending, count)| *endings.entry(ending).or_default() += count);
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -3,6 +3,7 @@
 use crate::node::Node;
 use crate::proxy::{Mode, Proxy};
 use crate::reach::Reach;
+use crate::returns::Returns;
 use crosslane_platform_standins::endpoint::{Endpoint, Engines, Stage};
 use crosslane_platform_standins::ledger::{Kind, Ledger};
 use crosslane_platform_standins::serve::Server;
@@ -101,6 +102,8 @@
     partitions: Mutex<Vec<Mode>>,
     /// Since when nodes are cut off from all endpoints, and what that did to their callers.
     pub reach: Reach,
+    /// Callers who came back with their streams.
+    pub returns: Returns,
     engines: Engines,
     version: AtomicU64,
     /// Routes in it that nobody asks for.
@@ -139,6 +142,7 @@
             served: Mutex::default(),
             partitions: Mutex::new(vec![Mode::Pass; plan.nodes]),
             reach: Reach::new(plan.nodes),
+            returns: Returns::default(),
             engines: Engines::default(),
             version: AtomicU64::new(0),
             besides: AtomicU64::new(0),
@@ -289,6 +293,13 @@
         lock(&self.served).iter().filter(|it| !it.leaving && it.endpoint.stage() == stage).count()
     }
 
+    /// Engines of a software version that generate tokens now.
+    pub fn generating(&self, software: &str) -> usize {
+        let served = lock(&self.served);
+        let generates = |it: &&Served| !it.leaving && it.endpoint.stage() == Stage::Decode;
+        served.iter().filter(generates).filter(|it| it.endpoint.software == software).count()
+    }
+
     /// Looks at an endpoint, if it still takes requests.
     pub fn with<T>(&self, id: &str, look: impl FnOnce(&Served) -> T) -> Option<T> {
         let served = lock(&self.served);
--- a/crates/soak/src/traffic.rs
+++ b/crates/soak/src/traffic.rs
@@ -4,7 +4,7 @@
 use crate::node::{Life, Node};
 use crate::reach::CONTACT;
 use crate::site::{SETTLED, Site};
-use crosslane_platform_standins::caller::{Caller, Ending, POISON_ID_PREFIX};
+use crosslane_platform_standins::caller::{Caller, Ending, POISON_ID_PREFIX, Progress};
 use crosslane_platform_standins::endpoint::POISON_MARKER;
 use crosslane_platform_standins::ledger::{Ended, Kind, Run};
 use crosslane_platform_standins::texts::{self, DESK_KEY};
@@ -32,6 +32,9 @@
 /// Share of the requests after which a caller goes to another node although its connection is open.
 const WANDERING: f64 = 0.1;
 
+/// Times that a caller takes a stream up again.
+const RETURNS: u32 = 2;
+
 /// Time for an endpoint to notice that a connection was closed, and pause between looks.
 const ENDS: Duration = Duration::from_secs(2);
 const LOOK: Duration = Duration::from_millis(10);
@@ -86,32 +89,89 @@
         let kind = KINDS[random.random_range(0..KINDS.len())];
         let leaves = kind == Kind::Endless || random.random_bool(LEAVING);
         let leave = leaves.then(|| Duration::from_millis(random.random_range(LEAVES)));
-        let life = site.nodes[node].life();
-        let began = Instant::now();
-        let ending = caller.send(&id, kind, leave).await;
-        let took = began.elapsed();
-        let time = CONTACT + took;
-        if life.in_touch(time) && site.some_node_reaches_endpoints(time) {
-            site.reach.record(node, began, kind, ending);
+        let attempt = Attempt { site: &site, node, id: &id, kind };
+        let mut ending = attempt.send(&mut caller, leave).await;
+        for again in 1..=RETURNS {
+            let Some(progress) = caller.progress().cloned().filter(|_| comes_back(kind, ending))
+            else {
+                break;
+            };
+            *endings.entry((kind, ending)).or_default() += 1;
+            node = random.random_range(0..site.nodes.len());
+            caller = caller_at(&site, node);
+            let id = format!("{id}-again{again}");
+            ending =
+                Attempt { site: &site, node, id: &id, kind }.resume(&mut caller, progress).await;
         }
-        let broke_off = site.reach.broke_off(node, began);
-        let asked = Asked {
-            id: &id,
-            kind,
-            ending,
-            node: &site.nodes[node],
-            life: &life,
-            began,
-            took,
-            broke_off,
-        };
-        asked.check(&site).await;
         *endings.entry((kind, ending)).or_default() += 1;
         sleep(Duration::from_millis(random.random_range(PAUSE))).await;
     }
     endings
 }
 
+/// Whether a caller takes up a stream again that ended so.
+fn comes_back(kind: Kind, ending: Ending) -> bool {
+    let broke = match ending {
+        Ending::Cut | Ending::Closed | Ending::Unreached | Ending::Status(502..=504) => true,
+        Ending::Answered | Ending::Status(_) | Ending::Silent | Ending::Left => false,
+    };
+    kind == Kind::Read && broke
+}
+
+/// One attempt of a caller at a node.
+struct Attempt<'a> {
+    site: &'a Site,
+    node: usize,
+    id: &'a str,
+    kind: Kind,
+}
+
+impl Attempt<'_> {
+    /// Sends a new request, and leaves after a time if one is given.
+    async fn send(&self, caller: &mut Caller, leave: Option<Duration>) -> Ending {
+        let (life, began) = (self.site.nodes[self.node].life(), Instant::now());
+        let ending = caller.send(self.id, self.kind, leave).await;
+        let has_events = caller.progress().is_some();
+        if self.kind == Kind::Read && ending != Ending::Left && self.is_in_touch(&life, began) {
+            self.site.returns.record(false, has_events);
+        }
+        self.check(ending, &life, began).await;
+        ending
+    }
+
+    /// Takes up a stream.
+    async fn resume(&self, caller: &mut Caller, progress: Progress) -> Ending {
+        let (life, began) = (self.site.nodes[self.node].life(), Instant::now());
+        let (before, software) = (progress.last_event, progress.software.clone());
+        let serving = || self.site.generating(&software) >= 2;
+        let served_before = serving();
+        let ending = caller.resume(self.id, self.kind, progress).await;
+        let went_on = caller.progress().is_some_and(|after| after.last_event > before);
+        if served_before && serving() && self.is_in_touch(&life, began) {
+            self.site.returns.record(true, went_on || ending == Ending::Answered);
+        }
+        self.check(ending, &life, began).await;
+        ending
+    }
+
+    /// Whether the node, and some way to endpoints, were there from a while before the attempt until now.
+    fn is_in_touch(&self, life: &Life, began: Instant) -> bool {
+        let time = CONTACT + began.elapsed();
+        life.in_touch(time) && self.site.some_node_reaches_endpoints(time)
+    }
+
+    async fn check(&self, ending: Ending, life: &Life, began: Instant) {
+        let Self { site, node, id, kind } = *self;
+        if self.is_in_touch(life, began) {
+            site.reach.record(node, began, kind, ending);
+        }
+        let (took, broke_off) = (began.elapsed(), site.reach.broke_off(node, began));
+        let node = &site.nodes[node];
+        let asked = Asked { id, kind, ending, node, life, began, took, broke_off };
+        asked.check(site).await;
+    }
+}
+
 /// Sends requests that make endpoints crash again and again, through any node and by any address, until told
 /// to end.
 pub async fn crash(site: Arc<Site>, seed: u64, over: Arc<AtomicBool>) {
