Streams bound to a build may use all memory of its engines

Callers who come back are kept from the last tenth of an engine's memory, which is for callers on time.

A stream that is bound while several builds are listed has the same limit as a new one.

--- a/crates/coordination/src/admission.rs
+++ b/crates/coordination/src/admission.rs
@@ -85,10 +85,12 @@
 }
 
 impl Timeliness {
-    /// Utilization above which an engine is considered full for this class.
-    pub fn max_utilization(self) -> f64 {
+    /// Utilization above which an engine is considered full for this class. A stream that is `bound` can go on only at some
+    /// engines of its service, while new ones can begin at the others, so no memory is kept from it there.
+    pub fn max_utilization(self, bound: bool) -> f64 {
         match self {
             Self::OnTime => FULL_UTILIZATION,
+            Self::Resumed if bound => FULL_UTILIZATION,
             Self::Late => LATE_MAX_UTILIZATION,
             Self::Resumed => RESUMED_MAX_UTILIZATION,
         }
--- a/crates/coordination/src/builds.rs
+++ b/crates/coordination/src/builds.rs
@@ -53,6 +53,11 @@
         self.services.get(&service).is_some_and(|known| known.listed.contains_key(&build))
     }
 
+    /// Whether endpoints of a service run several builds.
+    pub fn several(&self, service: Tag) -> bool {
+        self.services.get(&service).is_some_and(|known| known.listed.len() > 1)
+    }
+
     /// The only build of a service that is listed now.
     fn only(&self, service: Tag) -> Option<Build> {
         let mut listed = self.services.get(&service)?.listed.keys();
--- a/crates/gateway/src/reserve.rs
+++ b/crates/gateway/src/reserve.rs
@@ -14,7 +14,7 @@
 use crosslane_coordination::health::Outcome;
 use crosslane_coordination::pool::Unavailable;
 use crosslane_platform::engine;
-use crosslane_state::endpoint::{Key, Stage};
+use crosslane_state::endpoint::{Key, Stage, Tag};
 use hyper::StatusCode;
 use log::{debug, info};
 use rand::Rng;
@@ -48,6 +48,12 @@
         self.node.has_lost(&self.service) || (!unreachable.is_empty() && !any_left())
     }
 
+    /// Whether the stream can go on only at some engines of the service.
+    fn is_bound(&self) -> bool {
+        let service = Tag::of(&self.service);
+        self.call.build.get().is_some() && self.node.pool().builds().several(service)
+    }
+
     /// Whether no engine is left that runs the build at which the stream began.
     pub fn has_no_version(&self) -> bool {
         let terms = self.call.terms();
@@ -114,7 +120,8 @@
         tried.extend(self.unreachable().iter());
         let excluded = tried.len();
         while tried.len() < excluded + MAX_ENGINES_PER_ROUND {
-            let Some(choice) = self.choose_decode(self.timeliness.max_utilization(), &tried) else {
+            let max_utilization = self.timeliness.max_utilization(self.is_bound());
+            let Some(choice) = self.choose_decode(max_utilization, &tried) else {
                 return Err(if tried.len() == excluded { "memory" } else { "reservations" });
             };
             match self.reserve_on(choice, tokens).await {
