Soak: a gate that refused before it listened ends no connections later

Cause (the users' finding): shutdown on a bound socket that does not listen fails with ENOTCONN, and Linux marks the socket all the same; once it listens, every connection that it accepts reads its end at once. The gate called it whether it listened or not, so one that refused twice, first, or before it was silent was dead from its next opening on.

The gate shuts down its socket only while it listens.

--- a/crates/soak/src/gate.rs
+++ b/crates/soak/src/gate.rs
@@ -3,9 +3,9 @@
 //! While it refuses, the socket is bound and does not listen, so the kernel answers connection attempts with a reset. While it is
 //! silent, its queue is full, so the kernel drops them and they time out, as behind a network partition.
 
-use socket2::{Domain, SockRef, Socket, Type};
+use socket2::{Domain, Socket, Type};
 use std::io;
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
@@ -20,6 +20,8 @@
 #[derive(Debug)]
 pub struct Gate {
     socket: Socket,
+    /// Whether the socket listens.
+    listening: bool,
     /// Connections that fill the queue of a silent gate.
     fillers: Vec<TcpStream>,
 }
@@ -31,30 +33,32 @@
         socket.set_reuse_address(true)?;
         socket.bind(&address.into())?;
         socket.set_nonblocking(true)?;
-        Ok(Self { socket, fillers: Vec::new() })
+        Ok(Self { socket, listening: false, fillers: Vec::new() })
     }
 
     /// Listens, and returns the listener to accept from until the gate is closed.
     pub fn open(&mut self) -> io::Result<TcpListener> {
         self.fillers.clear();
         self.socket.listen(BACKLOG)?;
+        self.listening = true;
         TcpListener::from_std(self.socket.try_clone()?.into())
     }
 
     /// Refuses new connections. Accepted ones stay open.
     pub fn refuse(&mut self) -> io::Result<()> {
         self.fillers.clear();
-        match SockRef::from(&self.socket).shutdown(std::net::Shutdown::Both) {
-            // It was not listening.
-            Err(error) if error.kind() == io::ErrorKind::NotConnected => Ok(()),
-            result => result,
+        // A socket that is shut down while it does not listen stays so: it would end each connection that it accepts later.
+        if std::mem::take(&mut self.listening) {
+            self.socket.shutdown(Shutdown::Both)?;
         }
+        Ok(())
     }
 
     /// Leaves new connections unanswered. Accepted ones stay open.
     pub async fn silence(&mut self) -> io::Result<()> {
         self.refuse()?;
         self.socket.listen(0)?;
+        self.listening = true;
         let Some(address) = self.socket.local_addr()?.as_socket() else {
             return Ok(());
         };
