--- a/crates/gateway/src/resume.rs
+++ b/crates/gateway/src/resume.rs
@@ -112,7 +112,8 @@
     if route.kind != (Kind::Stream { resumable: true }) {
         return;
     }
-    let keep_ms = keep_ms(call, route);
+    // An attempt lasts up to its route's timeout, and so may the return from it; not all callers say how long they wait.
+    let keep_ms = u32::try_from(2 * route.timeout_ms).unwrap_or(u32::MAX);
     let record_under = |name| Record { name, build, keep_ms };
     let begun: Vec<Record> = names(&call.metadata).map(record_under).collect();
     record(node, &begun);
@@ -128,13 +129,6 @@
     node.metrics.dropped_streams.inc_by(dropped as u64);
 }
 
-/// Time for which the caller of a stream may come back, in milliseconds: while it waits, but no longer than an attempt and
-/// the return from it may take.
-fn keep_ms(call: &Call, route: &Route) -> u32 {
-    let left_ms = call.caller_deadline.left().as_millis() as u64;
-    u32::try_from(left_ms.min(2 * route.timeout_ms)).unwrap_or(u32::MAX)
-}
-
 /// Names of the stream that a request begins or resumes.
 fn names(metadata: &Metadata) -> impl Iterator<Item = Name> {
     let organisation = metadata.organisation.as_deref().unwrap_or_default();
