Endpoints of the soak's sites take no port of a node that has not started

Its output held no line of the nodes.

Cause: ports of nodes are found free and given up until the nodes start; endpoints start first, and the way of each from a node takes any free port of that node's address.

Change: ways leave out the ports of nodes, also while these don't run. A node binds the port for forwarded requests before it opens connections of its own, which draw from the same ports.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -72,13 +72,16 @@
     let callers = TcpListener::bind(settings.caller_address).await?;
     let ready = TcpListener::bind(settings.readiness_address).await?;
     let metrics = TcpListener::bind(SocketAddr::new(settings.ip, metrics_port)).await?;
+    let forwarded = match settings.forward_port {
+        Some(port) => Some(TcpListener::bind(SocketAddr::new(settings.ip, port)).await?),
+        None => None,
+    };
     info!(vm = settings.vm, domain = settings.domain, callers:% = settings.caller_address; "{}", event::START);
     tokio::spawn(follower::follow(node.clone(), Topic::Operators));
     tokio::spawn(follower::follow(node.clone(), Topic::Endpoints));
     tokio::spawn(frontend::run(node.clone(), callers, Origin::Caller, connections.clone()));
-    if let Some(port) = settings.forward_port {
-        let nodes = TcpListener::bind(SocketAddr::new(settings.ip, port)).await?;
-        tokio::spawn(frontend::run(node.clone(), nodes, Origin::Node, connections.clone()));
+    if let Some(forwarded) = forwarded {
+        tokio::spawn(frontend::run(node.clone(), forwarded, Origin::Node, connections.clone()));
     }
     tokio::spawn(reach::watch(node.clone()));
     tokio::spawn(frontend::serve_status(node.clone(), ready, METRICS_PATH));
--- a/crates/soak/src/node.rs
+++ b/crates/soak/src/node.rs
@@ -83,6 +83,11 @@
         self.place.ip
     }
 
+    /// Ports that its process listens on while it runs.
+    pub fn ports(&self) -> [u16; 4] {
+        self.place.ports()
+    }
+
     /// Address for callers.
     pub fn callers(&self) -> SocketAddr {
         SocketAddr::new(self.place.ip, self.place.callers)
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -6,6 +6,7 @@
 use crate::returns::Returns;
 use crosslane_platform_standins::endpoint::{Endpoint, Engines, Stage};
 use crosslane_platform_standins::ledger::{Kind, Ledger};
+use crosslane_platform_standins::ports;
 use crosslane_platform_standins::serve::Server;
 use crosslane_platform_standins::store::{CONFIGURATION, ENDPOINTS, OPERATORS, Store};
 use crosslane_platform_standins::texts::{self, Place};
@@ -237,13 +238,13 @@
         Ok(())
     }
 
-    /// Opens ways from all nodes to a server, under a port that is free at all of them. A node that connects to the unspecified
-    /// address from its own one gets to its own one.
+    /// Opens ways from all nodes to a server, under a port that is free at all of them, also while they don't run. A node that
+    /// connects to the unspecified address from its own one gets to its own one.
     fn start_ways(&self, server: SocketAddr) -> io::Result<Vec<Proxy>> {
         let modes = lock(&self.partitions).clone();
-        let first = self.nodes[0].ip();
+        let first = &self.nodes[0];
         loop {
-            let port = std::net::TcpListener::bind(SocketAddr::new(first, 0))?.local_addr()?.port();
+            let port = ports::free_except(first.ip(), &first.ports())?;
             let ways = self.nodes.iter().zip(&modes).map(|(node, mode)| {
                 Proxy::start_at(SocketAddr::new(node.ip(), port), server, *mode)
             });
@@ -394,7 +395,7 @@
     let number = process.wrapping_mul(SITES_A_PROCESS).wrapping_add(site % SITES_A_PROCESS);
     let (high, low) = ((number / 250 % 250 + 1) as u8, (number % 250 + 1) as u8);
     let ip = |place: usize| IpAddr::V4(Ipv4Addr::new(127, high, low, place as u8 + 1));
-    let [callers, ready, peers] = ports(ip(0)).await?;
+    let [callers, ready, peers] = node_ports(ip(0)).await?;
     let seeds: Vec<IpAddr> = (0..plan.nodes.min(3)).map(ip).collect();
     let node = |(place, way): (usize, &Proxy)| {
         let place = Place {
@@ -414,7 +415,7 @@
 }
 
 /// Ports that the system finds free; all nodes use the same on their addresses. The one after the last is free too.
-async fn ports(ip: IpAddr) -> io::Result<[u16; 3]> {
+async fn node_ports(ip: IpAddr) -> io::Result<[u16; 3]> {
     let mut kept = Vec::new();
     while kept.len() < 3 {
         let listener = TcpListener::bind(SocketAddr::new(ip, 0)).await?;
