New streams leave room at a build with few engines

While a version shrinks to its last engines, new streams fill these like all others, though they could begin at any build, and callers who come back when one of them ends find no room (LOST counts that while two engines of their version serve).

Change: where engines of several builds decode, a new stream that would load one above 1 - 1/n of its memory, n being its build's engines, begins elsewhere if any other engine has room: that share is what n-1 engines can take over from the n-th. Soft: without room elsewhere it begins there as before. One build alone: nothing changes, so sites whose endpoints name one version place as before. Counts of builds are kept as endpoints are added and removed, so a choice costs the same at 20,000 endpoints.

--- a/crates/coordination/src/choice.rs
+++ b/crates/coordination/src/choice.rs
@@ -49,6 +49,10 @@
 /// usually arrived since the other domain's last report.
 const LARGE_POOL_CROSS_DOMAIN_PENALTY: f64 = 0.15;
 
+/// Score penalty of an engine whose free memory is kept for streams of its build: that of a full engine, so that new streams begin
+/// there only if no other engine has room.
+const RESERVE_PENALTY: f64 = 1.0;
+
 /// Utilization up to which an engine's memory is overcommitted by the expected need of its requests:
 /// running requests have not generated all of their tokens yet, which leaves about 5 % unused.
 const OVERCOMMIT_LIMIT: f64 = 1.05;
@@ -114,6 +118,18 @@
             && endpoint.service == self.service
             && !self.exclude.contains(&key)
     }
+
+    /// Whether a new stream would use memory at an engine that streams of its build need when one of the build's engines ends:
+    /// they can go on only at the others, while a new stream can begin at any build.
+    fn uses_reserve(&self, group: &Group, build: Build, utilization: f64) -> bool {
+        let begins = self.stage == Stage::Decode && self.terms.build.is_none();
+        if !begins || !group.has_several_builds() {
+            return false;
+        }
+        let tokens = self.room.map_or(0, |room| room.tokens);
+        let after = utilization + f64::from(tokens) / self.capacity_tokens.max(1) as f64;
+        after > 1.0 - 1.0 / group.count_of(build).max(1) as f64
+    }
 }
 
 /// An endpoint that may be chosen.
@@ -140,12 +156,13 @@
     let near = group.near_from(query.point).take(MAX_PROBES).filter_map(&admitted).filter(fits);
     let far = group.far_from(query.point).take(MAX_PROBES).filter_map(&admitted).filter(fits);
     let candidates = near.take(NEAR_CANDIDATES).chain(far.take(REMOTE_SAMPLE)).collect();
-    best(query, candidates, domain, random, now)
+    best(query, group, candidates, domain, random, now)
 }
 
-/// The best of the endpoints that a query admits, with its utilization.
+/// The best of the endpoints of a group that a query admits, with its utilization.
 pub(crate) fn best(
     query: Query<'_>,
+    group: &Group,
     entries: Vec<(Key, &Entry)>,
     domain: &str,
     random: &mut SmallRng,
@@ -182,6 +199,9 @@
         if entry.lapsed_at.is_some() {
             score += 0.5;
         }
+        if query.uses_reserve(group, entry.build, utilization) {
+            score += RESERVE_PENALTY;
+        }
         (key, utilization, score + random.random_range(0.0..SCORE_JITTER))
     });
     let best = scored.min_by(|a, b| a.2.total_cmp(&b.2));
--- a/crates/coordination/src/index.rs
+++ b/crates/coordination/src/index.rs
@@ -4,6 +4,7 @@
 //! domain that knows the same endpoints. In a large group a request therefore has few candidates, which follow the hash of its
 //! prompt: the cost of a choice does not grow with the endpoints, and a caller that comes back is looked for where it ran.
 
+use crosslane_state::build::Build;
 use crosslane_state::endpoint::{Endpoint, Key, Stage, Tag};
 use std::collections::{BTreeMap, HashMap};
 use std::ops::Bound;
@@ -16,6 +17,8 @@
 pub struct Group {
     near: Ring,
     far: Ring,
+    /// Number of endpoints by build, without those that are draining.
+    builds: HashMap<Build, usize>,
 }
 
 impl Group {
@@ -24,6 +27,16 @@
         self.near.len() + self.far.len()
     }
 
+    /// Number of endpoints that run a build and are not draining.
+    pub fn count_of(&self, build: Build) -> usize {
+        self.builds.get(&build).copied().unwrap_or_default()
+    }
+
+    /// Whether endpoints that are not draining run several builds.
+    pub fn has_several_builds(&self) -> bool {
+        self.builds.len() > 1
+    }
+
     /// Keys of all endpoints, those of this failure domain first.
     pub fn keys(&self) -> impl Iterator<Item = Key> {
         self.near.values().chain(self.far.values()).copied()
@@ -38,6 +51,15 @@
     pub fn far_from(&self, point: Tag) -> impl Iterator<Item = Key> {
         from(&self.far, point)
     }
+
+    fn remove_build(&mut self, build: Build) {
+        let left = self.count_of(build).saturating_sub(1);
+        if left > 0 {
+            self.builds.insert(build, left);
+        } else {
+            self.builds.remove(&build);
+        }
+    }
 }
 
 fn from(ring: &Ring, point: Tag) -> impl Iterator<Item = Key> {
@@ -65,15 +87,21 @@
         let groups = self.groups.entry(endpoint.service.clone()).or_default();
         let group = &mut groups[endpoint.stage as usize];
         let ring = if near { &mut group.near } else { &mut group.far };
-        ring.insert(endpoint.tag(), key);
+        let known = ring.insert(endpoint.tag(), key).is_some();
+        if !known && !endpoint.draining {
+            *group.builds.entry(endpoint.build()).or_default() += 1;
+        }
     }
 
     /// Removes an endpoint, as it was added.
     pub fn remove(&mut self, endpoint: &Endpoint) {
         if let Some(groups) = self.groups.get_mut(&endpoint.service) {
             let group = &mut groups[endpoint.stage as usize];
-            group.near.remove(&endpoint.tag());
-            group.far.remove(&endpoint.tag());
+            let tag = endpoint.tag();
+            let known = group.near.remove(&tag).or(group.far.remove(&tag)).is_some();
+            if known && !endpoint.draining {
+                group.remove_build(endpoint.build());
+            }
         }
     }
 
--- a/crates/coordination/src/pool.rs
+++ b/crates/coordination/src/pool.rs
@@ -382,7 +382,7 @@
             return Some(best);
         }
         let candidates = group.keys().filter_map(found).collect();
-        choice::best(query, candidates, domain, random, now)
+        choice::best(query, group, candidates, domain, random, now)
     }
 
     /// Whether there are so many engines that each request has some of them as candidates.
--- a/crates/coordination/tests/pool.rs
+++ b/crates/coordination/tests/pool.rs
@@ -670,3 +670,40 @@
     assert_ne!(before, after);
     assert!(pool.get(before).is_none() && pool.is_leaving(before));
 }
+
+struct Reserve {
+    name: &'static str,
+    /// Engines, their versions and used tokens.
+    engines: &'static [(&'static str, &'static str, u32)],
+    began: Option<&'static str>,
+    chosen: &'static [&'static str],
+}
+
+/// New streams filled the last engines of a version, so that callers who came back with its streams found no room.
+#[rstest]
+#[case(Reserve { name: "one version", engines: &[("a", "v1", 20_000), ("b", "v1", 30_000)], began: None, chosen: &["a"] })]
+#[case(Reserve { name: "two of one version left", engines: &[("a", "v1", 20_000), ("b", "v1", 20_000), ("c", "v2", 25_000), ("d", "v2", 25_000), ("e", "v2", 25_000)], began: None, chosen: &["c", "d", "e"] })]
+#[case(Reserve { name: "two of one version left, idle", engines: &[("a", "v1", 0), ("b", "v1", 0), ("c", "v2", 20_000), ("d", "v2", 20_000), ("e", "v2", 20_000)], began: None, chosen: &["a", "b"] })]
+#[case(Reserve { name: "a single one, idle", engines: &[("a", "v1", 0), ("c", "v2", 20_000), ("d", "v2", 20_000), ("e", "v2", 20_000)], began: None, chosen: &["c", "d", "e"] })]
+#[case(Reserve { name: "no room elsewhere", engines: &[("a", "v1", 30_000), ("b", "v1", 30_000), ("c", "v2", 49_000), ("d", "v2", 49_000)], began: None, chosen: &["a", "b"] })]
+#[case(Reserve { name: "a stream that has begun", engines: &[("a", "v1", 40_000), ("b", "v1", 40_000), ("c", "v2", 0), ("d", "v2", 0)], began: Some("v1"), chosen: &["a", "b"] })]
+fn new_streams_leave_room_to_streams_of_a_version_with_few_engines(#[case] case: Reserve) {
+    let mut pool = Pool::new("aarau".into(), SmallRng::seed_from_u64(1));
+    let engines = case
+        .engines
+        .iter()
+        .map(|(id, version, _)| Endpoint { software: (*version).into(), ..endpoint(id, false) });
+    pool.replace(engines.collect(), false, Millis(0));
+    for (id, _, tokens) in case.engines {
+        let key = pool.key(tag(id)).unwrap();
+        pool.add_request(key, *tokens);
+    }
+    let build = case.began.map(|version| Build::new(SERVICE, version));
+    let terms = Terms { build, ..QUERY.terms };
+    let query = Query { terms, room: Some(Room { tokens: 8_000, max_utilization: 1.0 }), ..QUERY };
+    for _ in 0..50 {
+        let (key, _) = pool.choose(query, Millis(0)).unwrap();
+        let id = pool.get(key).unwrap().id.as_str();
+        assert!(case.chosen.contains(&id), "{}: {id}", case.name);
+    }
+}
