A build keeps two decode engines while others can change their stage

Cause (by reading): the planner of stages counted engines whatever their version, and ordered the first one by its place to prefill, also one of the last two of a version whose streams can go on nowhere else.

Change: an engine that its build needs to decode is ordered to prefill only if all candidates are needed so.

Tests: a_version_keeps_two_decode_engines; cases 1 and 2 of 3 failed on the code before ("none of its two: v1", "not its last one: v1").

--- a/crates/coordination/src/stages.rs
+++ b/crates/coordination/src/stages.rs
@@ -3,7 +3,11 @@
 //! Decode memory runs out long before prefill throughput, so about a quarter of the engines prefill
 //! and the others decode. Engines are moved back from decode to prefill only when few prefill engines
 //! are left, or when some have been missing for `SHORTAGE_MS`.
+//!
+//! Streams go on only at the build that began them, so a build keeps two decode engines while engines of
+//! other builds can change their stage.
 
+use crosslane_state::build::Build;
 use crosslane_state::endpoint::{Endpoint, Key, Stage};
 use crosslane_state::time::Millis;
 use std::cmp::Reverse;
@@ -37,6 +41,9 @@
 /// crashes for the usual 5 s is missing from the list for less.
 const SHORTAGE_MS: u64 = 4_000;
 
+/// Decode engines of a build that its streams need: one that takes them up when the other one ends.
+const MIN_DECODE_ENGINES: usize = 2;
+
 /// A stage change to order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Change {
@@ -68,7 +75,7 @@
         self.orders.retain(|key, (_, at)| {
             now.since(*at) < REORDER_MS && engines.iter().any(|(listed, _)| listed == key)
         });
-        let prefill = self.planned_prefill(engines).count();
+        let prefill = self.planned(engines, Stage::Prefill).count();
         let max = target_prefill(max);
         let min = self.min_prefill(prefill, engines.len(), now);
         let (count, from, to) = if prefill > max {
@@ -85,9 +92,8 @@
             })
             .copied()
             .collect();
-        let mut counts = PrefillCounts::of(
-            self.planned_prefill(engines).map(|endpoint| endpoint.domain.as_str()),
-        );
+        let mut counts =
+            Counts::of(self.planned(engines, Stage::Prefill), self.planned(engines, Stage::Decode));
         let changes = (0..count).map_while(|_| {
             let index = counts.take_next(&candidates, to)?;
             Some(Change { key: candidates.remove(index).0, stage: to })
@@ -95,17 +101,18 @@
         changes.collect()
     }
 
-    /// Engines that prefill once all orders are executed.
-    fn planned_prefill<'a>(
+    /// Engines of a stage once all orders are executed.
+    fn planned<'a>(
         &self,
         engines: &[(Key, &'a Endpoint)],
+        stage: Stage,
     ) -> impl Iterator<Item = &'a Endpoint> {
-        let stage = |key: &Key, endpoint: &Endpoint| {
+        let planned = |key: &Key, endpoint: &Endpoint| {
             self.orders.get(key).map_or(endpoint.stage, |order| order.0)
         };
         engines
             .iter()
-            .filter(move |(key, endpoint)| stage(key, endpoint) == Stage::Prefill)
+            .filter(move |(key, endpoint)| planned(key, endpoint) == stage)
             .map(|(_, endpoint)| *endpoint)
     }
 
@@ -148,31 +155,50 @@
     }
 }
 
-/// Number of prefill engines by failure domain. They are kept balanced, as nodes prefer engines of
+/// Engines that prefill, by failure domain, and that decode, by build. The former are kept balanced, as nodes prefer engines of
 /// their own domain.
-#[derive(Debug)]
-struct PrefillCounts<'a>(HashMap<&'a str, usize>);
-
-impl<'a> PrefillCounts<'a> {
-    fn of(prefill_domains: impl Iterator<Item = &'a str>) -> Self {
-        let mut counts = HashMap::new();
-        prefill_domains.for_each(|domain| *counts.entry(domain).or_default() += 1);
-        Self(counts)
+#[derive(Debug, Default)]
+struct Counts<'a> {
+    prefill: HashMap<&'a str, usize>,
+    decode: HashMap<Build, usize>,
+}
+
+impl<'a> Counts<'a> {
+    fn of(
+        prefill: impl Iterator<Item = &'a Endpoint>,
+        decode: impl Iterator<Item = &'a Endpoint>,
+    ) -> Self {
+        let mut counts = Self::default();
+        for engine in prefill {
+            *counts.prefill.entry(&engine.domain).or_default() += 1;
+        }
+        for engine in decode {
+            *counts.decode.entry(engine.build()).or_default() += 1;
+        }
+        counts
     }
 
-    /// Index of the engine to change next: one in the domain with the fewest prefill engines if it
-    /// becomes one, else in the domain with the most.
+    /// Index of the engine to change next: one of the domain with the fewest prefill engines if it becomes one, else of the
+    /// domain with the most. Engines that their build needs to decode come last.
     fn take_next(&mut self, candidates: &[(Key, &'a Endpoint)], to: Stage) -> Option<usize> {
-        let count = |domain: &str| self.0.get(domain).copied().unwrap_or(0);
-        let counted = candidates.iter().map(|(_, endpoint)| count(&endpoint.domain)).enumerate();
-        let chosen = if to == Stage::Prefill {
-            counted.min_by_key(|(index, count)| (*count, *index))
-        } else {
-            counted.max_by_key(|(index, count)| (*count, Reverse(*index)))
+        let prefill = |engine: &Endpoint| {
+            self.prefill.get(engine.domain.as_str()).copied().unwrap_or_default()
         };
-        let (index, _) = chosen?;
-        let prefill_count = self.0.entry(&candidates[index].1.domain).or_default();
-        *prefill_count = if to == Stage::Prefill { *prefill_count + 1 } else { *prefill_count - 1 };
+        let needed = |engine: &Endpoint| {
+            self.decode.get(&engine.build()).is_some_and(|count| *count <= MIN_DECODE_ENGINES)
+        };
+        let ranked = candidates.iter().map(|(_, engine)| *engine).enumerate();
+        let (index, engine) = if to == Stage::Prefill {
+            ranked.min_by_key(|(index, engine)| (needed(engine), prefill(engine), *index))
+        } else {
+            ranked.max_by_key(|(index, engine)| (prefill(engine), Reverse(*index)))
+        }?;
+        let prefill = self.prefill.entry(&engine.domain).or_default();
+        let decode = self.decode.entry(engine.build()).or_default();
+        let (more, fewer) =
+            if to == Stage::Prefill { (prefill, decode) } else { (decode, prefill) };
+        *more += 1;
+        *fewer = fewer.saturating_sub(1);
         Some(index)
     }
 }
--- a/crates/coordination/tests/stages.rs
+++ b/crates/coordination/tests/stages.rs
@@ -154,3 +154,29 @@
     assert_eq!(changes.len(), case.orders, "{}", case.name);
     assert!(changes.iter().all(|change| change.stage == Stage::Prefill), "{}", case.name);
 }
+
+/// The last decode engines of a version were ordered to prefill, so its streams could not go on.
+#[rstest]
+#[case("none of its two", &["v1", "v1", "v2", "v2", "v2", "v2", "v2"], &["v2"])]
+#[case("not its last one", &["v1", "v2", "v2", "v2", "v2", "v2", "v2"], &["v2"])]
+#[case("all versions have few", &["v1", "v1", "v2", "v2", "v3", "v3", "v4"], &["v1", "v2", "v3", "v4"])]
+fn a_version_keeps_two_decode_engines(
+    #[case] name: &str,
+    #[case] decode: &[&str],
+    #[case] changed: &[&str],
+) {
+    let version = |place: usize| decode[place - 1].to_owned();
+    let mut engines = vec![engine(0, Stage::Prefill)];
+    let decoding = (1..=decode.len())
+        .map(|place| Endpoint { software: version(place), ..engine(place, Stage::Decode) });
+    engines.extend(decoding);
+    let mut pool = Pool::new("aarau".into(), SmallRng::seed_from_u64(1));
+    pool.replace(engines, false, Millis(0));
+    let engines = &pool.engines()[SERVICE];
+    let mut planner = Planner::default();
+    planner.changes(engines, Millis(0));
+    let changes = planner.changes(engines, Millis(1_000));
+    assert_eq!(changes.len(), 1, "{name}");
+    let software = &pool.get(changes[0].key).unwrap().software;
+    assert!(changed.contains(&software.as_str()), "{name}: {software}");
+}
