After the loss of all nodes, the store shows whether one build served alone

What callers saw: a stream begun at v1 went on at v2, if v1's last engines went and all nodes were killed within seconds: the nodes that started listed v2 only and took it at its word. "Unknown is not guessed" was not kept there.

Cause: which builds served shortly before was known to running nodes only.

Change: the leader records the builds that are listed, or went within the time in which callers come back, under keyed.builds: one conditional append when a build comes or has gone for good; a leader that has not observed the list for as long keeps what was recorded. Sites with one version ever go on as before without the caches.

With it, in the same lines: conclusions from builds now cover twice the route's timeout, as long as streams are known; they covered one timeout. By reading, no test.

Table tests of the record.

--- a/crates/coordination/src/builds.rs
+++ b/crates/coordination/src/builds.rs
@@ -1,13 +1,26 @@
 //! Which builds of each service have been listed, and until when.
 //!
 //! A stream that nobody knows anything of can only be of one build if no other one has served for as long as a stream and the
-//! return of its caller may take.
+//! return of its caller may take. Nodes that have not run for as long compare what they list with what was recorded outside.
 
 use crate::streams::Knowledge;
 use crosslane_state::build::Build;
 use crosslane_state::endpoint::Tag;
 use crosslane_state::time::Millis;
-use std::collections::HashMap;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeSet, HashMap};
+
+/// Builds at which streams may have begun whose callers still come back, with their services.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record(BTreeSet<(Tag, Build)>);
+
+impl Record {
+    /// The only build of a service.
+    pub fn only(&self, service: Tag) -> Option<Build> {
+        let mut builds = self.0.iter().filter(|(known, _)| *known == service);
+        builds.next().map(|(_, build)| *build).filter(|_| builds.next().is_none())
+    }
+}
 
 /// Builds of one service.
 #[derive(Debug, Default)]
@@ -69,12 +82,28 @@
         let Some(known) = self.services.get(&service) else {
             return Knowledge::Nothing;
         };
-        let observed = self.observed_from.is_some_and(|from| now.since(from) >= span_ms);
         let went = known.gone.values().any(|at| now.since(*at) < span_ms);
-        match (self.only(service).filter(|_| !went), observed) {
+        match (self.only(service).filter(|_| !went), self.observes(span_ms, now)) {
             (Some(build), true) => Knowledge::Sole(build),
             (None, true) => Knowledge::Several,
             (only, false) => Knowledge::Unobserved(only),
         }
     }
+
+    /// The builds that are listed or went within the last milliseconds, with those recorded before while this node has not
+    /// observed the list for as long.
+    pub fn record(&self, before: &Record, span_ms: u64, now: Millis) -> Record {
+        let recent = self.services.iter().flat_map(|(service, known)| {
+            let gone = known.gone.iter().filter(|(_, at)| now.since(**at) < span_ms);
+            let builds = known.listed.keys().chain(gone.map(|(build, _)| build));
+            builds.map(|build| (*service, *build))
+        });
+        let unobserved = before.0.iter().filter(|_| !self.observes(span_ms, now)).copied();
+        Record(recent.chain(unobserved).collect())
+    }
+
+    /// Whether the list was observed for some milliseconds.
+    fn observes(&self, span_ms: u64, now: Millis) -> bool {
+        self.observed_from.is_some_and(|from| now.since(from) >= span_ms)
+    }
 }
--- a/crates/coordination/src/streams.rs
+++ b/crates/coordination/src/streams.rs
@@ -72,8 +72,9 @@
     Began(Build),
     /// It can't be known.
     Unknown,
-    /// No node has observed for long enough which builds served: all have just started.
-    Unobserved,
+    /// No node has observed for long enough which builds served: all have just started. The only build that they know of, if it
+    /// is one.
+    Unobserved(Option<Build>),
 }
 
 /// Concludes which build began a stream from what nodes know of it. What they were told counts first, then which builds served.
@@ -95,8 +96,8 @@
         (Agreed::Not, _, _) => Conclusion::Unknown,
         _ if known.contains(&Knowledge::Several) => Conclusion::Unknown,
         (Agreed::Nobody, Agreed::On(build), _) => Conclusion::Began(build),
-        (Agreed::Nobody, Agreed::Nobody, Agreed::On(Some(build))) => Conclusion::Began(build),
-        (Agreed::Nobody, Agreed::Nobody, Agreed::On(None) | Agreed::Not) => Conclusion::Unobserved,
+        (Agreed::Nobody, Agreed::Nobody, Agreed::On(only)) => Conclusion::Unobserved(only),
+        (Agreed::Nobody, Agreed::Nobody, Agreed::Not) => Conclusion::Unobserved(None),
         _ => Conclusion::Unknown,
     }
 }
--- a/crates/coordination/tests/builds.rs
+++ b/crates/coordination/tests/builds.rs
@@ -1,6 +1,6 @@
 //! Which build is the only one that can have begun a stream.
 
-use crosslane_coordination::builds::Builds;
+use crosslane_coordination::builds::{Builds, Record};
 use crosslane_coordination::streams::Knowledge;
 use crosslane_state::build::Build;
 use crosslane_state::endpoint::Tag;
@@ -12,6 +12,10 @@
 /// Time that a stream and the return of its caller may take.
 const SPAN_MS: u64 = 14_000;
 
+fn build(version: &str) -> Build {
+    Build::new("models", version)
+}
+
 /// A change of the list.
 #[derive(Clone, Copy)]
 enum Change {
@@ -49,7 +53,6 @@
 #[case(Case { name: "a build that went and is back", changes: &[(0, Listed("v1")), (50_000, Gone("v1")), (52_000, Listed("v1"))], now: 60_000, known: Known::Sole("v1") })]
 fn builds_that_have_served(#[case] case: Case) {
     let mut builds = Builds::default();
-    let build = |version: &str| Build::new("models", version);
     for (at, change) in case.changes {
         match change {
             Listed(version) => builds.add(SERVICE, build(version), Millis(*at)),
@@ -70,3 +73,44 @@
         assert!(!builds.lists(Tag(2), build(version)), "{}: another service", case.name);
     }
 }
+
+struct Recorded {
+    name: &'static str,
+    /// Versions recorded before.
+    before: &'static [&'static str],
+    changes: &'static [(u64, Change)],
+    now: u64,
+    recorded: &'static [&'static str],
+}
+
+/// A record of the builds of one service.
+fn record(versions: &[&str]) -> Record {
+    let mut builds = Builds::default();
+    versions.iter().for_each(|version| builds.add(SERVICE, build(version), Millis(0)));
+    builds.record(&Record::default(), SPAN_MS, Millis(0))
+}
+
+#[rstest]
+#[case(Recorded { name: "one version", before: &[], changes: &[(0, Listed("v1"))], now: 1, recorded: &["v1"] })]
+#[case(Recorded { name: "another one comes", before: &["v1"], changes: &[(0, Listed("v1")), (50_000, Listed("v2"))], now: 50_000, recorded: &["v1", "v2"] })]
+#[case(Recorded { name: "one just went", before: &["v1", "v2"], changes: &[(0, Listed("v1")), (0, Listed("v2")), (50_000, Gone("v1"))], now: 63_999, recorded: &["v1", "v2"] })]
+#[case(Recorded { name: "one went long ago", before: &["v1", "v2"], changes: &[(0, Listed("v1")), (0, Listed("v2")), (50_000, Gone("v1"))], now: 64_000, recorded: &["v2"] })]
+#[case(Recorded { name: "one went before this node started", before: &["v1", "v2"], changes: &[(0, Listed("v2"))], now: 13_999, recorded: &["v1", "v2"] })]
+#[case(Recorded { name: "one went long before this node started", before: &["v1", "v2"], changes: &[(0, Listed("v2"))], now: 14_000, recorded: &["v2"] })]
+fn builds_recorded_for_nodes_that_start(#[case] case: Recorded) {
+    let mut builds = Builds::default();
+    for (at, change) in case.changes {
+        match change {
+            Listed(version) => builds.add(SERVICE, build(version), Millis(*at)),
+            Gone(version) => builds.remove(SERVICE, build(version), Millis(*at)),
+        }
+    }
+    let recorded = builds.record(&record(case.before), SPAN_MS, Millis(case.now));
+    assert_eq!(recorded, record(case.recorded), "{}", case.name);
+    let only = match case.recorded {
+        [only] => Some(build(only)),
+        _ => None,
+    };
+    assert_eq!(recorded.only(SERVICE), only, "{}", case.name);
+    assert_eq!(recorded.only(Tag(2)), None, "{}: another service", case.name);
+}
--- a/crates/coordination/tests/streams.rs
+++ b/crates/coordination/tests/streams.rs
@@ -94,6 +94,11 @@
     Conclusion::Began(build("v1"))
 }
 
+/// Nothing was observed for long enough; one version is listed.
+fn only_v1() -> Conclusion {
+    Conclusion::Unobserved(Some(build("v1")))
+}
+
 #[rstest]
 #[case(Replies { name: "nobody knows", replies: &[Nothing, Nothing], concluded: Conclusion::Unknown })]
 #[case(Replies { name: "one was told", replies: &[Several, Began("v1")], concluded: v1() })]
@@ -102,9 +107,9 @@
 #[case(Replies { name: "only one build", replies: &[Nothing, Sole("v1"), Only("v1")], concluded: v1() })]
 #[case(Replies { name: "lists that differ", replies: &[Sole("v1"), Sole("v2")], concluded: Conclusion::Unknown })]
 #[case(Replies { name: "one node has seen another build", replies: &[Only("v1"), Several], concluded: Conclusion::Unknown })]
-#[case(Replies { name: "all have just started, one build", replies: &[Only("v1"), Only("v1"), Nothing], concluded: v1() })]
-#[case(Replies { name: "all have just started, several builds", replies: &[Unobserved, Unobserved], concluded: Conclusion::Unobserved })]
-#[case(Replies { name: "all have just started, lists that differ", replies: &[Only("v1"), Only("v2")], concluded: Conclusion::Unobserved })]
+#[case(Replies { name: "all have just started, one build", replies: &[Only("v1"), Only("v1"), Nothing], concluded: only_v1() })]
+#[case(Replies { name: "all have just started, several builds", replies: &[Unobserved, Unobserved], concluded: Conclusion::Unobserved(None) })]
+#[case(Replies { name: "all have just started, lists that differ", replies: &[Only("v1"), Only("v2")], concluded: Conclusion::Unobserved(None) })]
 fn what_nodes_know_together(#[case] case: Replies) {
     let knowledge = |says: &Says| match says {
         Began(version) => Knowledge::Began(build(version)),
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -32,6 +32,8 @@
 pub const CACHED: &str = "cached";
 /// A caller comes back with a stream, and the build that began it was looked for.
 pub const RESUMED: &str = "resumed";
+/// The builds that serve, or did lately, were recorded in the store.
+pub const BUILDS: &str = "builds";
 /// An endpoint was chosen for a request.
 pub const PLACE: &str = "place";
 /// An attempt at an endpoint failed.
@@ -76,7 +78,7 @@
 pub const PANICKED: &str = "panicked";
 
 /// All events.
-pub const EVENTS: [&str; 36] = [
+pub const EVENTS: [&str; 37] = [
     START,
     STOP,
     SUSPENDED,
@@ -93,6 +95,7 @@
     RESERVE,
     CACHED,
     RESUMED,
+    BUILDS,
     PLACE,
     ATTEMPT,
     SILENT,
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -1,5 +1,6 @@
 //! State that the tasks of a node share.
 
+use crate::builds;
 use crate::cache::Listings;
 use crate::control::Control;
 use crate::dialer::Dialer;
@@ -157,6 +158,8 @@
     streams: Mutex<Streams>,
     /// Queries to other nodes which build began a stream.
     pub stream_queries: Queries,
+    /// Builds recorded in the store.
+    pub recorded_builds: builds::Cache,
 }
 
 /// Idle time after which a connection to a plain endpoint is not reused: shorter than the shortest
@@ -229,6 +232,7 @@
             queues: Mutex::default(),
             streams: Mutex::default(),
             stream_queries: Queries::default(),
+            recorded_builds: builds::Cache::default(),
             settings,
         })
     }
--- a/crates/gateway/src/resume.rs
+++ b/crates/gateway/src/resume.rs
@@ -3,6 +3,7 @@
 //! The node at which a stream begins tells some other nodes before the first event leaves. A caller may come back to any node,
 //! which asks those if it was not told itself. What nobody knows is refused, unless no other build can have begun it.
 
+use crate::builds;
 use crate::event;
 use crate::exchange::Call;
 use crate::members::Message;
@@ -49,6 +50,9 @@
     /// At another node.
     #[display("peer")]
     Peer,
+    /// In the store.
+    #[display("store")]
+    Store,
 }
 
 /// Queries to other nodes that wait for replies.
@@ -112,8 +116,7 @@
     if route.kind != (Kind::Stream { resumable: true }) {
         return;
     }
-    // An attempt lasts up to its route's timeout, and so may the return from it; not all callers say how long they wait.
-    let keep_ms = u32::try_from(2 * route.timeout_ms).unwrap_or(u32::MAX);
+    let keep_ms = return_ms(route);
     let record_under = |name| Record { name, build, keep_ms };
     let begun: Vec<Record> = names(&call.metadata).map(record_under).collect();
     record(node, &begun);
@@ -122,6 +125,11 @@
     holders.into_iter().for_each(|holder| peers::try_send(node, &message, holder));
 }
 
+/// Time from the beginning of a stream in which its caller may come back, as messages between nodes carry it.
+fn return_ms(route: &Route) -> u32 {
+    u32::try_from(route.return_ms()).unwrap_or(u32::MAX)
+}
+
 /// Records streams that begin here or at another node.
 pub fn record(node: &Node, begun: &[Record]) {
     let mut streams = node.streams();
@@ -155,20 +163,23 @@
     }
     let arrived = Instant::now();
     let (name, service) = (name(metadata), only_service(route));
-    let here = knowledge(node, name, service, route.timeout_ms);
+    let span_ms = return_ms(route);
+    let here = knowledge(node, name, service, span_ms);
     let (known, source) = match here {
         Knowledge::Began(_) | Knowledge::Sole(_) => (vec![here], Source::Here),
         Knowledge::Several | Knowledge::Unobserved(_) | Knowledge::Nothing => {
-            let mut known = ask(node, name, service, metadata.point(), route).await;
+            let mut known = ask(node, name, service, metadata.point(), span_ms).await;
             known.push(here);
             (known, Source::Peer)
         }
     };
-    let conclusion = conclude(&known);
-    let (outcome, found) = match conclusion {
+    let (outcome, found) = match conclude(&known) {
         Conclusion::Began(build) => (source.to_string(), Ok(Finding::Began(build))),
         Conclusion::Unknown => ("unknown".into(), Err(Reason::UnknownStream)),
-        Conclusion::Unobserved => ("unobserved".into(), Ok(Finding::Unobserved)),
+        Conclusion::Unobserved(only) => match recorded(node, service, only).await {
+            Some(build) => (Source::Store.to_string(), Ok(Finding::Began(build))),
+            None => ("unobserved".into(), Ok(Finding::Unobserved)),
+        },
     };
     let request = metadata.id.as_str();
     let resumes = metadata.resumes.as_deref().unwrap_or_default();
@@ -179,6 +190,13 @@
     found
 }
 
+/// The only build that nodes list, if the store shows that no other one of the service served shortly before.
+async fn recorded(node: &Node, service: Option<Tag>, only: Option<Build>) -> Option<Build> {
+    let (service, only) = (service?, only?);
+    let record = builds::read(node).await?;
+    (record.only(service) == Some(only)).then_some(only)
+}
+
 /// The service of a route, if it has only one.
 fn only_service(route: &Route) -> Option<Tag> {
     match route.shares.as_slice() {
@@ -193,11 +211,10 @@
     name: Option<Name>,
     service: Option<Tag>,
     point: Tag,
-    route: &Route,
+    span_ms: u32,
 ) -> Vec<Knowledge> {
     let sources = lock(&node.members).stream_sources(point, node.now());
     let mut query = node.stream_queries.register();
-    let span_ms = u32::try_from(route.timeout_ms).unwrap_or(u32::MAX);
     let message = Message::StreamQuery { number: query.number, name, service, span_ms };
     sources.iter().for_each(|source| peers::try_send(node, &message, *source));
     query.collect(sources.len()).await
@@ -212,13 +229,13 @@
     span_ms: u32,
     from: IpAddr,
 ) {
-    let knowledge = knowledge(node, name, service, u64::from(span_ms));
+    let knowledge = knowledge(node, name, service, span_ms);
     peers::try_send(node, &Message::StreamReply { number, knowledge }, from);
 }
 
 /// What this node knows of the build that began a stream.
-fn knowledge(node: &Node, name: Option<Name>, service: Option<Tag>, span_ms: u64) -> Knowledge {
-    let now = node.now();
+fn knowledge(node: &Node, name: Option<Name>, service: Option<Tag>, span_ms: u32) -> Knowledge {
+    let (now, span_ms) = (node.now(), u64::from(span_ms));
     if let Some(build) = name.and_then(|name| node.streams().build(name, now)) {
         return Knowledge::Began(build);
     }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -5,7 +5,8 @@
 use crate::node::Node;
 use crate::shutdown::ACCEPT_TIME;
 use crate::{
-    event, follower, frontend, limit, orders, peers, quarantine, reach, resume, rulings, suspension,
+    builds, event, follower, frontend, limit, orders, peers, quarantine, reach, resume, rulings,
+    suspension,
 };
 use crosslane_platform::settings::Settings;
 use derive_more::{Display, Error, From};
@@ -87,6 +88,7 @@
     tokio::spawn(frontend::serve_status(node.clone(), ready, METRICS_PATH));
     tokio::spawn(frontend::serve_status(node.clone(), metrics, METRICS_PATH));
     tokio::spawn(orders::run(node.clone()));
+    tokio::spawn(builds::save(node.clone()));
     tokio::spawn(rulings::follow(node.clone()));
     tokio::spawn(rulings::save(node.clone()));
     tokio::spawn(suspension::watch(node.clone()));
--- a/crates/state/src/route.rs
+++ b/crates/state/src/route.rs
@@ -71,6 +71,12 @@
         MIN_CALLER_IDLE_TIMEOUT_MS.max(4 * self.target_latency_ms).max(8 * self.target_gap_ms)
     }
 
+    /// Time from the beginning of a stream in which its caller may come back with it, in milliseconds: an attempt lasts up to the
+    /// timeout, and so may the return from it, since not all callers say how long they wait.
+    pub fn return_ms(&self) -> u64 {
+        2 * self.timeout_ms
+    }
+
     /// Time without data after which its callers give up, in milliseconds.
     pub fn patience_ms(&self) -> u64 {
         match self.kind {
@@ -126,6 +132,8 @@
     pub limits: Limits,
     /// Time without data after which the callers of every route have given up, in milliseconds.
     pub longest_patience_ms: u64,
+    /// Time after which no caller of any route comes back with a stream, in milliseconds.
+    pub longest_return_ms: u64,
     /// Organisations that may send requests; without it, no API key is needed.
     pub organisations: Option<Organisations>,
 }
@@ -139,6 +147,7 @@
         limits: Limits,
     ) -> Self {
         let longest_patience_ms = routes.iter().map(Route::patience_ms).max().unwrap_or_default();
+        let longest_return_ms = routes.iter().map(Route::return_ms).max().unwrap_or_default();
         let mut hosts: HashMap<String, Vec<Route>> = HashMap::new();
         for route in routes {
             hosts.entry(route.host.clone()).or_default().push(route);
@@ -146,7 +155,16 @@
         for routes in hosts.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
         }
-        Self { version, hosts, services, limits, longest_patience_ms, organisations: None }
+        let organisations = None;
+        Self {
+            version,
+            hosts,
+            services,
+            limits,
+            longest_patience_ms,
+            longest_return_ms,
+            organisations,
+        }
     }
 
     /// The route of a host with the longest prefix of a path; a port after the host is ignored.
