--- a/crates/crosslane/tests/versions.rs
+++ b/crates/crosslane/tests/versions.rs
@@ -5,6 +5,7 @@
 use crosslane_platform_standins::caller::{Caller, Ending, Progress};
 use crosslane_platform_standins::ledger::{self, Kind};
 use crosslane_platform_standins::texts::DESK_KEY;
+use crosslane_soak::proxy::Mode;
 use fixture::Fixture;
 use futures::future::join_all;
 use nix::sys::signal::Signal;
@@ -21,12 +22,16 @@
 
 struct Case {
     name: &'static str,
+    /// Nodes that end besides the one that began the streams.
+    others_end: &'static [usize],
     /// Whether an engine that runs some of the streams ends right before the node.
     engine_ends: bool,
     /// Whether the node that ended is started again before callers come back.
     restarted: bool,
     /// Node to which callers come back.
     back_at: usize,
+    /// Whether that node is partitioned from all endpoints.
+    cut_off: bool,
 }
 
 impl Fixture {
@@ -55,8 +60,10 @@
                 let run = self.site.ledger.runs(&names[0]).remove(0);
                 self.site.remove(&run.endpoint);
             }
-            self.site.nodes[node].signal(Signal::SIGKILL);
-            self.site.nodes[node].ended().await;
+            for ends in [&[node], case.others_end].concat() {
+                self.site.nodes[ends].signal(Signal::SIGKILL);
+                self.site.nodes[ends].ended().await;
+            }
         };
         let (kept, ()) = tokio::join!(join_all(streams), ends);
         kept.into_iter().flatten().collect()
@@ -74,9 +81,11 @@
 
 /// Only the node that began a stream knew at which version, so callers who came back to another one went on at any.
 #[rstest]
-#[case(Case { name: "another node", engine_ends: false, restarted: false, back_at: 1 })]
-#[case(Case { name: "another node, engine gone", engine_ends: true, restarted: false, back_at: 2 })]
-#[case(Case { name: "the same node, started again", engine_ends: false, restarted: true, back_at: 0 })]
+#[case(Case { name: "another node", others_end: &[], engine_ends: false, restarted: false, back_at: 1, cut_off: false })]
+#[case(Case { name: "another node, engine gone", others_end: &[], engine_ends: true, restarted: false, back_at: 2, cut_off: false })]
+#[case(Case { name: "the same node, started again", others_end: &[], engine_ends: false, restarted: true, back_at: 0, cut_off: false })]
+#[case(Case { name: "its failure domain gone", others_end: &[3], engine_ends: true, restarted: false, back_at: 1, cut_off: false })]
+#[case(Case { name: "a node that is cut off", others_end: &[], engine_ends: false, restarted: false, back_at: 1, cut_off: true })]
 #[tokio::test(flavor = "multi_thread")]
 async fn callers_who_come_back_go_on_at_another_software_version(#[case] case: Case) {
     let fixture = Fixture::start(2).await;
@@ -87,6 +96,9 @@
         fixture.site.nodes[0].start().await.unwrap();
         fixture.until_ready().await;
     }
+    if case.cut_off {
+        fixture.site.partition(case.back_at, Mode::Refused);
+    }
     let endings = fixture.come_back(case.back_at, kept).await;
     let broken = fixture.site.ledger.violations();
     assert!(broken.is_empty(), "{}: {broken:?}", case.name);
