Soak: a first try that fails at a cut-off node is repeated at another node at once

The check compared with a mean over two seconds, and its callers ask again as soon as they are refused, so a moment in which no node can serve counted once for each quick refusal.

Change: a first try that fails at a cut-off node is repeated at once at a node in touch that reaches endpoints, as a request of its own. It counts against the cut-off node if that one is served.

--- a/crates/soak/src/node.rs
+++ b/crates/soak/src/node.rs
@@ -157,13 +157,19 @@
 
     /// Whether it says one of these things of a request, in a line of its log that may still be on its way.
     pub async fn told(&self, request: &str, what: &[&str]) -> bool {
+        let says = |line: &String| what.iter().any(|it| line.contains(it));
+        self.lines_until(request, says).await.iter().any(says)
+    }
+
+    /// Lines of its log on a request, once one of them is there, or the time for it is over.
+    async fn lines_until(&self, request: &str, last: impl Fn(&String) -> bool) -> Vec<String> {
         let named = format!("\"{request}\"");
-        let says = |line: &str| line.contains(&named) && what.iter().any(|it| line.contains(it));
         let end = Instant::now() + LOGGED;
         loop {
-            let told = self.lines().iter().any(|it| says(it));
-            if told || Instant::now() > end {
-                return told;
+            let mut lines = self.lines();
+            lines.retain(|line| line.contains(&named));
+            if lines.iter().any(&last) || Instant::now() > end {
+                return lines;
             }
             sleep(LOOK).await;
         }
@@ -174,11 +180,11 @@
         self.broken_at.lock().unwrap_or_else(PoisonError::into_inner).is_some_and(|at| at >= time)
     }
 
-    /// Addresses of the nodes to which it forwarded a request.
-    pub fn forwarded_to(&self, request: &str) -> Vec<String> {
-        let named = format!("\"{request}\"");
-        let lines = self.lines().into_iter().filter(|line| line.contains(&named));
-        let parsed = lines.filter_map(|line| serde_json::from_str::<Value>(&line).ok());
+    /// Addresses of the nodes to which it forwarded a request, which its line on the request's end follows.
+    pub async fn forwarded_to(&self, request: &str) -> Vec<String> {
+        let ends = |line: &String| line.contains("\"event\":\"request\"");
+        let lines = self.lines_until(request, ends).await;
+        let parsed = lines.iter().filter_map(|line| serde_json::from_str::<Value>(line).ok());
         let forwarded = parsed.filter(|line| line["event"] == "forward");
         forwarded.filter_map(|line| line["to"].as_str().map(str::to_owned)).collect()
     }
--- a/crates/soak/src/reach.rs
+++ b/crates/soak/src/reach.rs
@@ -1,7 +1,9 @@
 //! How callers of nodes that are cut off from all endpoints fare, compared with those of the others.
+//!
+//! A first try that fails at a cut-off node is repeated at once at another node. Shares of all requests can't be compared: callers
+//! who are refused ask again at once, so that moments in which no node can serve count most where refusals are quickest.
 
-use crosslane_platform_standins::caller::Ending;
-use crosslane_platform_standins::ledger::{Kind, Ledger};
+use crosslane_platform_standins::ledger::Ledger;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -11,47 +13,38 @@
 /// Time after the beginning of a partition in which requests may be sent over connections that it has made dead.
 const DEAD_CONNECTIONS: Duration = Duration::from_millis(1_500);
 
-/// Part of the share that the other nodes serve, which a cut-off node must reach.
+/// Part of what the other nodes serve, which a cut-off node must reach.
 const LEAST_SHARE: f64 = 2.0 / 3.0;
 
 /// Failures that are no breach: some, and a part of the requests.
 const BORNE: f64 = 10.0;
 const BORNE_SHARE: f64 = 1.0 / 50.0;
 
-/// Time around a request in which the others show what could be served at all.
-const NEAR: Duration = Duration::from_secs(1);
-
-/// A request whose caller waited for the end.
-#[derive(Clone, Copy, Debug)]
-struct Asked {
-    sent: Instant,
-    streams: bool,
-    served: bool,
+/// First tries at cut-off nodes.
+#[derive(Clone, Debug, Default)]
+pub struct Tally {
+    /// Those that were served.
+    pub served: u64,
+    /// Those that failed, as did their repeats at other nodes.
+    pub failed: u64,
+    /// Those that failed though their repeats at other nodes were served.
+    pub unserved: Vec<String>,
 }
 
-impl Asked {
-    fn is_near(&self, other: &Self) -> bool {
-        let apart = self.sent.max(other.sent) - self.sent.min(other.sent);
-        self.streams == other.streams && apart <= NEAR
+impl Tally {
+    /// Whether these nodes serve far less than the others could.
+    pub fn breaks(&self) -> bool {
+        let (served, unserved) = (self.served as f64, self.unserved.len() as f64);
+        let all = served + self.failed as f64 + unserved;
+        unserved > BORNE + BORNE_SHARE * all && served < LEAST_SHARE * (served + unserved)
     }
 }
 
-/// Share of the requests that were served, if there are any.
-fn share<'a>(asked: impl Iterator<Item = &'a Asked>) -> Option<f64> {
-    let (mut count, mut served) = (0.0, 0.0);
-    for one in asked {
-        count += 1.0;
-        served += f64::from(u8::from(one.served));
-    }
-    (count > 0.0).then(|| served / count)
-}
-
 #[derive(Debug)]
 struct State {
     /// Beginning of each node's partition, and its end if it is over.
     partitions: Vec<Option<(Instant, Option<Instant>)>>,
-    cut_off: Vec<Asked>,
-    others: Vec<Asked>,
+    tally: Tally,
 }
 
 /// Partitions of nodes from all endpoints, and what became of requests meanwhile.
@@ -61,8 +54,7 @@
 impl Reach {
     /// No partition yet.
     pub fn new(nodes: usize) -> Self {
-        let (cut_off, others) = (Vec::new(), Vec::new());
-        Self(Mutex::new(State { partitions: vec![None; nodes], cut_off, others }))
+        Self(Mutex::new(State { partitions: vec![None; nodes], tally: Tally::default() }))
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -82,25 +74,24 @@
         }
     }
 
-    /// Records how a request ended that a caller sent at a time, if some nodes were cut off from before it until now.
-    pub fn record(&self, node: usize, sent: Instant, kind: Kind, ending: Ending) {
-        let mut state = self.lock();
-        let holds = |partition: &Option<(Instant, Option<Instant>)>| {
-            partition.is_some_and(|(start, end)| end.is_none() && start + CONTACT <= sent)
-        };
-        let began = |partition: &Option<(Instant, Option<Instant>)>| {
-            partition.is_some_and(|(start, end)| {
-                end.is_none_or(|end| end > sent) && start <= Instant::now()
-            })
-        };
-        let some = state.partitions.iter().any(holds);
-        let served = ending == Ending::Answered;
-        let asked = Asked { sent, streams: kind.streams(), served };
-        match (holds(&state.partitions[node]), began(&state.partitions[node])) {
-            _ if !some || ending == Ending::Left => {}
-            (true, _) => state.cut_off.push(asked),
-            (false, false) => state.others.push(asked),
-            (false, true) => {}
+    /// Whether a node was cut off from so long before a request was sent until now that the promise holds.
+    pub fn is_cut_off(&self, node: usize, sent: Instant) -> bool {
+        let partition = self.lock().partitions[node];
+        partition.is_some_and(|(start, end)| end.is_none() && start + CONTACT <= sent)
+    }
+
+    /// Records a first try that a cut-off node served.
+    pub fn record_served(&self) {
+        self.lock().tally.served += 1;
+    }
+
+    /// Records a first try that failed at a cut-off node, and whether its repeat at another node was served.
+    pub fn record_failed(&self, request: &str, served_elsewhere: bool) {
+        let tally = &mut self.lock().tally;
+        if served_elsewhere {
+            tally.unserved.push(request.to_owned());
+        } else {
+            tally.failed += 1;
         }
     }
 
@@ -116,23 +107,19 @@
         state.partitions[node].is_some_and(|(start, _)| sent < start + DEAD_CONNECTIONS)
     }
 
-    /// Holds what cut-off nodes served against what the others served at the same time: while the endpoints of a kind are gone,
-    /// no node can serve it.
+    /// Holds what cut-off nodes served against what others served at the same moments.
     pub fn check(&self, ledger: &Ledger) {
-        let State { cut_off, others, .. } = &*self.lock();
-        let (mut compared, mut served, mut expected) = (0.0, 0.0, 0.0);
-        for asked in cut_off {
-            if let Some(share) = share(others.iter().filter(|other| asked.is_near(other))) {
-                compared += 1.0;
-                served += f64::from(u8::from(asked.served));
-                expected += share;
-            }
-        }
-        let too_many = compared - served > BORNE + BORNE_SHARE * compared;
-        if too_many && served < LEAST_SHARE * expected {
+        let tally = &self.lock().tally;
+        if tally.breaks() {
+            let Tally { served, failed, unserved } = tally;
             let seen =
-                format!("{served} of {compared} served, the others would have {expected:.1}");
-            ledger.record_violation("a node that reaches no endpoint serves its callers", "", seen);
+                format!("{served} served, {failed} failed everywhere, only here {unserved:?}");
+            let request = unserved.first().map_or("", String::as_str);
+            ledger.record_violation(
+                "a node that reaches no endpoint serves its callers",
+                request,
+                seen,
+            );
         }
     }
 }
--- a/crates/soak/src/traffic.rs
+++ b/crates/soak/src/traffic.rs
@@ -9,6 +9,7 @@
 use crosslane_platform_standins::ledger::{Ended, Kind, Run};
 use crosslane_platform_standins::texts::{self, DESK_KEY};
 use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr};
@@ -135,10 +136,41 @@
         if self.kind == Kind::Read && ending != Ending::Left && self.is_in_touch(&life, began) {
             self.site.returns.record(false, has_events);
         }
+        if leave.is_none() && self.is_in_touch(&life, began) {
+            self.compare(ending, began).await;
+        }
         self.check(ending, &life, began).await;
         ending
     }
 
+    /// Compares how a first try ended at a node that is cut off with one at another node.
+    async fn compare(&self, ending: Ending, began: Instant) {
+        let reach = &self.site.reach;
+        if !reach.is_cut_off(self.node, began) {
+            return;
+        }
+        if ending == Ending::Answered {
+            reach.record_served();
+        } else if let Some(served) = self.is_served_elsewhere().await {
+            reach.record_failed(self.id, served);
+        }
+    }
+
+    /// Whether a request of its kind is served at a node that reaches endpoints, if some such node is in touch meanwhile.
+    async fn is_served_elsewhere(&self) -> Option<bool> {
+        let Self { site, id, kind, .. } = *self;
+        let may_serve = |place: usize, life: &Life, time: Duration| {
+            life.in_touch(time) && site.reach.has_way(place, time)
+        };
+        let lives = site.nodes.iter().map(Node::life).enumerate();
+        let others: Vec<_> =
+            lives.filter(|(place, life)| may_serve(*place, life, CONTACT)).collect();
+        let (place, life) = others.choose(&mut rand::rng())?;
+        let began = Instant::now();
+        let ending = caller_at(site, *place).send(&format!("{id}-elsewhere"), kind, None).await;
+        may_serve(*place, life, CONTACT + began.elapsed()).then_some(ending == Ending::Answered)
+    }
+
     /// Takes up a stream.
     async fn resume(&self, caller: &mut Caller, progress: Progress) -> Ending {
         let (life, began) = (self.site.nodes[self.node].life(), Instant::now());
@@ -162,9 +194,6 @@
 
     async fn check(&self, ending: Ending, life: &Life, began: Instant) {
         let Self { site, node, id, kind } = *self;
-        if self.is_in_touch(life, began) {
-            site.reach.record(node, began, kind, ending);
-        }
         let (took, broke_off) = (began.elapsed(), site.reach.broke_off(node, began));
         let node = &site.nodes[node];
         let asked = Asked { id, kind, ending, node, life, began, took, broke_off };
@@ -228,12 +257,14 @@
         };
         let seen = format!("{:?} after {:?}, {:?}: {run:?}", self.ending, self.took, self.kind);
         match self.ending {
-            _ if self.target_broke(site) => {}
             Ending::Cut | Ending::Closed if self.had_to_be_cut(&runs).await => {}
-            Ending::Cut | Ending::Closed => {
+            Ending::Cut | Ending::Closed if !self.target_broke(site).await => {
                 site.ledger.record_violation("a sound node cuts nothing off", self.id, seen);
             }
-            Ending::Status(502 | 504) if run.ended.is_some_and(|it| it != Ended::Closed) => {
+            Ending::Status(502 | 504)
+                if run.ended.is_some_and(|it| it != Ended::Closed)
+                    && !self.target_broke(site).await =>
+            {
                 site.ledger.record_violation("ready answers are delivered", self.id, seen);
             }
             _ => {}
@@ -241,8 +272,8 @@
     }
 
     /// Whether a node to which it was forwarded was killed, stood still or lost its own way to endpoints meanwhile.
-    fn target_broke(&self, site: &Site) -> bool {
-        let targets = self.node.forwarded_to(self.id);
+    async fn target_broke(&self, site: &Site) -> bool {
+        let targets = self.node.forwarded_to(self.id).await;
         site.nodes.iter().enumerate().any(|(place, node)| {
             let broke = node.broke_since(self.began) || site.reach.broke_off(place, self.began);
             broke && targets.contains(&node.ip().to_string())
