Soak: its own standstill is a disturbance, and keys are checked once one has gone

The store stood still with it. Version 2 was in force 0.14 s after its return. With two versions published, the key of version 0 is still a good one: the check was wrong where fewer than four are published.

--- a/crates/soak/src/keys.rs
+++ b/crates/soak/src/keys.rs
@@ -78,6 +78,10 @@
 
 /// Holds what each node does once all is calm, and all that the limited organisation got, against the promises.
 pub async fn check(site: &Site) {
+    // Only then has a key been taken away.
+    while site.configuration().0 <= STAYS {
+        site.configure();
+    }
     sleep(SETTLED).await;
     until_served(site).await;
     let (newest, _) = site.configuration();
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -31,6 +31,9 @@
 /// Period in which endpoints renew their records.
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 
+/// Delay of a timer from which on this process stood still.
+const STALL: Duration = Duration::from_secs(1);
+
 /// What came of a run.
 #[derive(Debug, Default)]
 pub struct Report {
@@ -179,7 +182,12 @@
 /// Renews endpoints' records while they live.
 async fn beat(site: Arc<Site>) {
     loop {
+        let began = Instant::now();
         sleep(HEARTBEAT).await;
+        if began.elapsed() > HEARTBEAT + STALL {
+            // This process stood still, and with it the store and all endpoints.
+            site.disturb();
+        }
         site.announce_all();
     }
 }
