--- a/crates/crosslane/tests/soak.rs
+++ b/crates/crosslane/tests/soak.rs
@@ -14,50 +14,46 @@
     cause: &'static str,
 }
 
-const CASES: [Case; 3] = [
-    Case { seed: 1, seconds: 8, cause: "a short run for CI" },
-    Case { seed: 15, seconds: 15, cause: "an engine's error in place of a stream was cut off" },
-    Case { seed: 45, seconds: 15, cause: "an engine's error in place of a stream was cut off" },
-];
-
 /// Two streams broke off, met errors where they were to go on, and were cut: their nodes had no attempt or no
 /// repeat left, which they say in their logs.
 const CUT: Case = Case { seed: 4038, seconds: 15, cause: "streams that were made whole were cut" };
 
 #[rstest]
-fn promises_hold_under_faults() {
-    hold(&CASES);
+#[case(Case { seed: 1, seconds: 8, cause: "a short run for CI" })]
+#[case(Case { seed: 15, seconds: 15, cause: "an engine's error in place of a stream was cut off" })]
+#[case(Case { seed: 45, seconds: 15, cause: "an engine's error in place of a stream was cut off" })]
+fn promises_hold_under_faults(#[case] case: Case) {
+    hold(&case);
 }
 
 #[rstest]
 fn streams_that_were_made_whole_are_not_cut() {
-    hold(&[CUT]);
+    hold(&CUT);
 }
 
 /// Held by the test that plays: two sites at once would take the processors from each other.
 static PLAYING: Mutex<()> = Mutex::new(());
 
-fn hold(cases: &[Case]) {
+fn hold(case: &Case) {
     let _playing = PLAYING.lock().unwrap_or_else(PoisonError::into_inner);
-    for Case { seed, seconds, cause } in cases {
-        let plan = Plan {
-            seed: *seed,
-            nodes: 4,
-            engines: 7,
-            pages: 3,
-            callers: 12,
-            time: Duration::from_secs(*seconds),
-            // Those have tests of their own, in `partition.rs`; the seeds are kept as they were.
-            partitions: false,
-            versions: 1,
-            program: PathBuf::from(env!("CARGO_BIN_EXE_crosslaned")),
-        };
-        let folder = tempfile::tempdir().unwrap();
-        let runtime = tokio::runtime::Runtime::new().unwrap();
-        let report = runtime.block_on(run::run(&plan, folder.path())).unwrap();
-        assert!(report.requests() > 0, "nothing was asked");
-        let kept = folder.keep();
-        assert!(report.violations.is_empty(), "{cause}; logs in {}\n{report}", kept.display());
-        std::fs::remove_dir_all(kept).unwrap();
-    }
+    let plan = Plan {
+        seed: case.seed,
+        nodes: 4,
+        engines: 7,
+        pages: 3,
+        callers: 12,
+        time: Duration::from_secs(case.seconds),
+        // Those have tests of their own, in `partition.rs`; the seeds are kept as they were.
+        partitions: false,
+        versions: 1,
+        program: PathBuf::from(env!("CARGO_BIN_EXE_crosslaned")),
+    };
+    let folder = tempfile::tempdir().unwrap();
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    let report = runtime.block_on(run::run(&plan, folder.path())).unwrap();
+    assert!(report.requests() > 0, "nothing was asked");
+    let kept = folder.keep();
+    let cause = case.cause;
+    assert!(report.violations.is_empty(), "{cause}; logs in {}\n{report}", kept.display());
+    std::fs::remove_dir_all(kept).unwrap();
 }
