Ports of a soak site's nodes are free at all of their addresses

Cause: ports were found free at the first node's address only, and a process uses four sets of addresses in turn, so the fifth site of this test binary got those of the first, of which the system still holds what its nodes' connections left (supposed: connections in TIME_WAIT, which a listener can't share; not shown).

Change: each port, and the one after it, is free at all nodes' addresses, all held until the last is found. Test: ports_of_nodes_are_free_at_all_addresses, 200 draws beside 400 ports taken at the second address; not run on the code before, which looked at the first address only.

--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -16,7 +16,6 @@
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::{Duration, Instant};
-use tokio::net::TcpListener;
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
 use tokio::time::sleep;
 
@@ -133,7 +132,7 @@
         for _ in 0..plan.nodes {
             ways.push(Proxy::start(store_server.address).await?);
         }
-        let nodes = nodes(plan, &ways, folder).await?;
+        let nodes = nodes(plan, &ways, folder)?;
         let (crashes, crashed) = mpsc::unbounded_channel();
         let site = Self {
             ledger: Ledger::default(),
@@ -389,13 +388,15 @@
 }
 
 /// Nodes on loopback addresses that no other soak uses at the same time.
-async fn nodes(plan: &Plan, ways: &[Proxy], folder: &Path) -> io::Result<Vec<Node>> {
+fn nodes(plan: &Plan, ways: &[Proxy], folder: &Path) -> io::Result<Vec<Node>> {
     let process = std::process::id();
     let site = SITES.fetch_add(1, Ordering::Relaxed);
     let number = process.wrapping_mul(SITES_A_PROCESS).wrapping_add(site % SITES_A_PROCESS);
     let (high, low) = ((number / 250 % 250 + 1) as u8, (number % 250 + 1) as u8);
     let ip = |place: usize| IpAddr::V4(Ipv4Addr::new(127, high, low, place as u8 + 1));
-    let [callers, ready, peers] = node_ports(ip(0)).await?;
+    let ips: Vec<IpAddr> = (0..plan.nodes).map(ip).collect();
+    // All nodes use the same ports. What connections of a former site at these addresses left behind holds some of them.
+    let [callers, ready, peers] = ports::free_at_all(&ips)?;
     let seeds: Vec<IpAddr> = (0..plan.nodes.min(3)).map(ip).collect();
     let node = |(place, way): (usize, &Proxy)| {
         let place = Place {
@@ -413,20 +414,3 @@
     };
     Ok(ways.iter().enumerate().map(node).collect())
 }
-
-/// Ports that the system finds free; all nodes use the same on their addresses. The one after the last is free too.
-async fn node_ports(ip: IpAddr) -> io::Result<[u16; 3]> {
-    let mut kept = Vec::new();
-    while kept.len() < 3 {
-        let listener = TcpListener::bind(SocketAddr::new(ip, 0)).await?;
-        let next = listener.local_addr()?.port().saturating_add(1);
-        if TcpListener::bind(SocketAddr::new(ip, next)).await.is_ok() {
-            kept.push(listener);
-        }
-    }
-    let mut ports = [0; 3];
-    for (port, listener) in ports.iter_mut().zip(&kept) {
-        *port = listener.local_addr()?.port();
-    }
-    Ok(ports)
-}
--- a/crates/soak/tests/ports.rs
+++ b/crates/soak/tests/ports.rs
@@ -2,7 +2,7 @@
 
 use crosslane_platform_standins::ports;
 use std::fs;
-use std::net::{IpAddr, Ipv4Addr};
+use std::net::{IpAddr, Ipv4Addr, TcpListener};
 
 /// Ports drawn: if half of them are taken, one of those is among these but for one run in 2^100.
 const DRAWS: usize = 100;
@@ -20,3 +20,19 @@
         assert!(!taken.contains(&port), "{port}");
     }
 }
+
+/// Listeners at the second address: one of the ports drawn is among theirs but for one run in 100,000.
+const TAKEN: usize = 400;
+
+/// Ports were looked for at the first node's address, so a node whose address a former site had used could not start.
+#[test]
+fn ports_of_nodes_are_free_at_all_addresses() {
+    let ips = [IpAddr::V4(Ipv4Addr::new(127, 99, 1, 1)), IpAddr::V4(Ipv4Addr::new(127, 99, 1, 2))];
+    let held: Vec<TcpListener> =
+        (0..TAKEN).map(|_| TcpListener::bind((ips[1], 0)).unwrap()).collect();
+    let taken: Vec<u16> = held.iter().map(|it| it.local_addr().unwrap().port()).collect();
+    for _ in 0..2 * DRAWS {
+        let [port]: [u16; 1] = ports::free_at_all(&ips).unwrap();
+        assert!(!taken.contains(&port) && !taken.contains(&(port + 1)), "{port}");
+    }
+}
