The line of a broken answer names the parts that a prompt shares

The incident of 72 engines that ended under different requests: the logs named a prompt's last part only, which is each request's own, so they could not tell a shared part from engines at fault.

--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -238,7 +238,8 @@
     let (request, to) = (call.metadata.id.as_str(), endpoint.id.as_str());
     let ran_ms = node.now().since(started_at);
     let fingerprint = call.fingerprint();
-    info!(request, to, ran_ms, fingerprint:%; "{}", event::BROKE);
+    let segments = call.metadata.shared_segment_ids.join(",");
+    info!(request, to, ran_ms, fingerprint:%, segments; "{}", event::BROKE);
     if ran_ms > BLAME_WINDOW_MS {
         // No evidence against the request, but used to detect that many endpoints end together.
         let (node, endpoint) = (node.clone(), endpoint.clone());
