--- a/crates/crosslane/tests/crashing.rs
+++ b/crates/crosslane/tests/crashing.rs
@@ -13,7 +13,7 @@
 mod fixture;
 
 use crosslane_platform_standins::caller::{Ending, POISON_ID_PREFIX};
-use crosslane_platform_standins::ledger::{Kind, PoisonRequest};
+use crosslane_platform_standins::ledger::{Effect, Kind, Poison};
 use fixture::Fixture;
 use nix::sys::signal::Signal;
 use rstest::rstest;
@@ -91,11 +91,12 @@
             let node = copy % fixture.site.nodes.len();
             fixture.ask(node, &format!("{POISON_ID_PREFIX}{copy}"), kind, &path).await;
         }
-        let PoisonRequest { ended, reached, .. } = fixture.site.ledger.poison_request(&path);
+        let poison = Poison::Request(path.clone());
+        let Effect { ended, reached, .. } = fixture.site.ledger.effect(&poison);
         assert!(ended <= MOST_ENDED, "{name}: {ended} endpoints ended, {reached} times sent");
         let refused = vec![Ending::Status(503); fixture.site.nodes.len()];
         assert_eq!(fixture.asked_everywhere("calm", kind, &path).await, refused, "{name}");
-        assert_eq!(fixture.site.ledger.poison_request(&path).reached, reached, "{name}");
+        assert_eq!(fixture.site.ledger.effect(&poison).reached, reached, "{name}");
         fixture.until_served(kind).await;
         let other = format!("{}other", kind.prefix());
         for node in 0..fixture.site.nodes.len() {
@@ -107,11 +108,11 @@
         fixture.kill_all().await;
         fixture.until_served(kind).await;
         assert_eq!(fixture.asked_everywhere("killed", kind, &path).await, refused, "{name}");
-        assert_eq!(fixture.site.ledger.poison_request(&path).ended, ended, "{name}");
+        assert_eq!(fixture.site.ledger.effect(&poison).ended, ended, "{name}");
         fixture.lift().await;
         let tried = || async {
             fixture.ask(0, &format!("{POISON_ID_PREFIX}lifted"), kind, &path).await;
-            fixture.site.ledger.poison_request(&path).ended > ended
+            fixture.site.ledger.effect(&poison).ended > ended
         };
         fixture.until(tried).await;
     }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -6,7 +6,7 @@
 use crate::site::{Plan, Site};
 use crate::traffic::{self, Endings};
 use crosslane_platform_standins::caller;
-use crosslane_platform_standins::ledger::{PoisonRequest, Violation};
+use crosslane_platform_standins::ledger::{Effect, Poison, Violation};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::collections::BTreeMap;
@@ -45,8 +45,8 @@
     pub endings: Endings,
     /// Most memory of a node that ran at the end, in megabytes.
     pub megabytes: u64,
-    /// Requests that make endpoints crash, and what they did.
-    pub crashing: Vec<(String, PoisonRequest)>,
+    /// What made endpoints crash, and its effects.
+    pub crashing: Vec<(Poison, Effect)>,
     /// Broken promises.
     pub violations: Vec<Violation>,
 }
@@ -79,8 +79,11 @@
         for (fault, count) in &self.faults {
             writeln!(formatter, "  {fault}: {count}")?;
         }
-        for (path, PoisonRequest { ended, reached, late, .. }) in &self.crashing {
-            writeln!(formatter, "  {path}: {ended} ended, {reached} sends, {late} of them late")?;
+        for (poison, Effect { ended, reached, late, .. }) in &self.crashing {
+            writeln!(
+                formatter,
+                "  {poison:?}: {ended} ended, {reached} sends, {late} of them late"
+            )?;
         }
         for Violation { invariant: promise, request, observed: seen } in &self.violations {
             writeln!(formatter, "  BROKEN {promise}: {request} {seen}")?;
@@ -133,7 +136,7 @@
     for node in &site.nodes {
         megabytes = megabytes.max(node.peak_megabytes());
     }
-    let (crashing, violations) = (site.ledger.poison_requests(), site.ledger.violations());
+    let (crashing, violations) = (site.ledger.effects(), site.ledger.violations());
     Ok(Report { seed: plan.seed, faults, endings, megabytes, crashing, violations })
 }
 
--- a/crates/soak/src/traffic.rs
+++ b/crates/soak/src/traffic.rs
@@ -223,10 +223,10 @@
 
 /// Holds what such requests ended against the promise.
 pub fn check_crashes(site: &Site) {
-    for (path, crashing) in site.ledger.poison_requests() {
-        if crashing.late > LATE_SENDS {
-            let seen = format!("{path}: {crashing:?}");
-            site.ledger.record_violation("few endpoints end under one request", &path, seen);
+    for (poison, effect) in site.ledger.effects() {
+        if effect.late > LATE_SENDS {
+            let (seen, poison) = (format!("{effect:?}"), format!("{poison:?}"));
+            site.ledger.record_violation("few endpoints end under one request", &poison, seen);
         }
     }
 }
