--- a/crates/state/src/fingerprint.rs
+++ b/crates/state/src/fingerprint.rs
@@ -32,6 +32,11 @@
         hasher.finalize_xof().fill(&mut bytes);
         Self(bytes)
     }
+
+    /// Its bytes.
+    pub fn as_bytes(&self) -> &[u8] {
+        &self.0
+    }
 }
 
 impl Display for Fingerprint {
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -18,4 +18,5 @@
 pub mod residency;
 pub mod route;
 pub mod runner;
+pub mod segment;
 pub mod time;
