Segments of prompts under which endpoints crash are shut out on every way to an endpoint

Nodes now collect which segments were at an endpoint that crashed and which ran well, tell each other, and derive which segments to shut out; rulings go to the store beside those on requests.

--- a/crates/coordination/src/pattern.rs
+++ b/crates/coordination/src/pattern.rs
@@ -2,11 +2,13 @@
 
 use crosslane_state::fingerprint::Fingerprint;
 use crosslane_state::segment::Segment;
+use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
 /// Segments in ascending order, at least one: a prompt matches if it has all of them.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(try_from = "Vec<Segment>")]
+#[display("{}", _0.iter().map(Segment::to_string).collect::<Vec<_>>().join(","))]
 pub struct Pattern(Vec<Segment>);
 
 impl TryFrom<Vec<Segment>> for Pattern {
--- a/crates/coordination/src/segments.rs
+++ b/crates/coordination/src/segments.rs
@@ -567,6 +567,11 @@
         self.digest = hashes.fold(0, |digest, hash| digest ^ hash);
     }
 
+    /// Whether there are updates for other nodes.
+    pub fn has_updates(&self) -> bool {
+        !self.outbox.is_empty()
+    }
+
     /// Takes the queued updates for other nodes.
     pub fn take_outbox(&mut self) -> Vec<Update> {
         std::mem::take(&mut self.outbox)
--- a/crates/crosslane/src/quarantine.rs
+++ b/crates/crosslane/src/quarantine.rs
@@ -1,9 +1,10 @@
-//! Requests that are shut out because endpoints ended under them: listed, and let in again.
+//! Requests and segments of prompts that are shut out because endpoints ended under them: listed, and let in again.
 
 use crate::arguments::{address, text};
 use crate::error::Error;
 use clap::ArgMatches;
-use crosslane_gateway::rulings::{self, Entry};
+use crosslane_coordination::ruling::Ruling;
+use crosslane_gateway::rulings::{self, Entry, Subject};
 use crosslane_platform::store::Client;
 
 /// Runs a subcommand of `quarantine`.
@@ -19,17 +20,30 @@
 }
 
 async fn list(client: &mut Client) -> Result<(), Error> {
-    for Entry { request, ruling } in rulings::list(client).await? {
-        println!("{request}  {}  since {} ms of Unix time", ruling.verdict, ruling.at);
+    for Entry { subject, ruling } in rulings::list(client).await? {
+        let (key, Ruling { verdict, at }) = (subject.key(), ruling);
+        match subject {
+            Subject::Request(_) => println!("{key}  {verdict}  since {at} ms of Unix time"),
+            Subject::Segments(pattern) => {
+                println!("{key}  {verdict}  since {at} ms of Unix time  prompts with {pattern}");
+            }
+        }
     }
     Ok(())
 }
 
 async fn lift(client: &mut Client, fingerprint: &str) -> Result<(), Error> {
-    let request = fingerprint
-        .parse()
-        .map_err(|error| Error::Argument { message: format!("{fingerprint}: {error}") })?;
-    rulings::lift(client, request).await?;
-    println!("{request}: lifted; nodes hear of it within seconds");
+    let listed = rulings::list(client).await?.into_iter().map(|entry| entry.subject);
+    let subject = listed.into_iter().find(|subject| subject.key() == fingerprint);
+    let subject = match subject {
+        Some(subject) => subject,
+        None => Subject::Request(
+            fingerprint
+                .parse()
+                .map_err(|error| Error::Argument { message: format!("{fingerprint}: {error}") })?,
+        ),
+    };
+    rulings::lift(client, subject).await?;
+    println!("{fingerprint}: lifted; nodes hear of it within seconds");
     Ok(())
 }
--- a/crates/crosslane/tests/crashing.rs
+++ b/crates/crosslane/tests/crashing.rs
@@ -9,11 +9,16 @@
 //!     38.47  place    prompt=9026e97d7716 purpose=decode
 //!     38.61  attempt  outcome=resumed why="engine broke off" after=0
 //!     38.73  attempt  outcome=cut why="engine broke off" after=0
+//!
+//! The same goes for a segment that makes each endpoint crash that begins to answer a prompt with it: there requests have nothing
+//! else in common, and each comes once.
 
 mod fixture;
 
-use crosslane_platform_standins::caller::{Ending, POISON_ID_PREFIX};
+use crosslane_platform_standins::caller::{Caller, Ending, POISON_ID_PREFIX};
+use crosslane_platform_standins::endpoint::POISON_SEGMENT_PREFIX;
 use crosslane_platform_standins::ledger::{Effect, Kind, Poison};
+use crosslane_platform_standins::texts::DESK_KEY;
 use fixture::Fixture;
 use nix::sys::signal::Signal;
 use rstest::rstest;
@@ -53,7 +58,7 @@
         endings
     }
 
-    /// Lets what is shut out in again, with the operator's command.
+    /// Lets all that is shut out in again, with the operator's command.
     async fn lift(&self) {
         let store = self.site.ways[0].address.to_string();
         let run = |arguments: &[&str]| {
@@ -63,8 +68,12 @@
         };
         let listed = run(&["list"]).output().await.unwrap();
         let listed = String::from_utf8(listed.stdout).unwrap();
-        let fingerprint = listed.split_whitespace().next().unwrap();
-        assert!(run(&["lift", fingerprint]).status().await.unwrap().success(), "{listed}");
+        let names: Vec<&str> =
+            listed.lines().filter_map(|line| line.split_whitespace().next()).collect();
+        assert!(!names.is_empty(), "nothing is listed");
+        for name in names {
+            assert!(run(&["lift", name]).status().await.unwrap().success(), "{listed}");
+        }
     }
 
     async fn kill_all(&self) {
@@ -117,3 +126,100 @@
         fixture.until(tried).await;
     }
 }
+
+/// Segments of a prompt that different requests share, by their place in the prompt.
+struct SegmentCase {
+    name: &'static str,
+    kind: Kind,
+    poisonous: &'static [&'static str],
+    sound: &'static [&'static str],
+}
+
+const SEGMENT_CASES: [SegmentCase; 4] = [
+    SegmentCase {
+        name: "second segment",
+        kind: Kind::Read,
+        poisonous: &["a1", "dead01"],
+        sound: &["a1", "b1"],
+    },
+    SegmentCase {
+        name: "first segment",
+        kind: Kind::Read,
+        poisonous: &["dead02", "b2"],
+        sound: &["a2", "b2"],
+    },
+    SegmentCase {
+        name: "among others, in streams that run once",
+        kind: Kind::Draft,
+        poisonous: &["a3", "b3", "dead03", "c3"],
+        sound: &["a3", "b3", "c3"],
+    },
+    SegmentCase {
+        name: "plain calls",
+        kind: Kind::Page,
+        poisonous: &["a4", "dead04"],
+        sound: &["a4", "b4"],
+    },
+];
+
+impl Fixture {
+    /// Asks a node with a prompt of shared segments and one of its own. No two such requests are alike.
+    async fn prompt(&self, node: usize, id: &str, kind: Kind, shared: &[&str]) -> Ending {
+        let own = format!("own{id}");
+        let segments = [shared, &[&own]].concat();
+        let to = self.site.nodes[node].callers();
+        let caller = Caller::new(to, self.site.ledger.clone()).with_key(DESK_KEY);
+        caller.with_prompt(&segments).send(id, kind, None).await
+    }
+
+    /// How each node answers such a request.
+    async fn prompt_everywhere(&self, round: &str, kind: Kind, shared: &[&str]) -> Vec<Ending> {
+        let mut endings = Vec::new();
+        for node in 0..self.site.nodes.len() {
+            endings.push(self.prompt(node, &format!("{round}-{node}"), kind, shared).await);
+        }
+        endings
+    }
+}
+
+/// Guards against blaming each request for itself: no two of those that crash endpoints are alike, and each comes once. Requests
+/// that share their other segments are served as before.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn few_endpoints_crash_under_one_segment_of_different_prompts() {
+    for SegmentCase { name, kind, poisonous, sound } in SEGMENT_CASES {
+        let fixture = Fixture::start(1).await;
+        let nodes = fixture.site.nodes.len();
+        let (refused, answered) = (vec![Ending::Status(503); nodes], vec![Ending::Answered; nodes]);
+        for number in 0..COPIES {
+            fixture.until_served(kind).await;
+            let id = format!("{POISON_ID_PREFIX}{number}");
+            fixture.prompt(number % nodes, &id, kind, poisonous).await;
+        }
+        let segment = poisonous.iter().find(|id| id.starts_with(POISON_SEGMENT_PREFIX)).unwrap();
+        let poison = Poison::Segment((*segment).to_owned());
+        let Effect { ended, reached, .. } = fixture.site.ledger.effect(&poison);
+        assert!(ended <= MOST_ENDED, "{name}: {ended} endpoints crashed, {reached} arrivals");
+        let round = format!("{POISON_ID_PREFIX}late");
+        assert_eq!(fixture.prompt_everywhere(&round, kind, poisonous).await, refused, "{name}");
+        assert_eq!(fixture.site.ledger.effect(&poison).reached, reached, "{name}");
+        fixture.until_served(kind).await;
+        assert_eq!(fixture.prompt_everywhere("sound", kind, sound).await, answered, "{name}");
+        let without = format!("{}without-segments", kind.prefix());
+        assert_eq!(fixture.ask(0, "without", kind, &without).await, Ending::Answered, "{name}");
+        fixture.until(|| async { !fixture.site.store.values(RULINGS).is_empty() }).await;
+        fixture.kill_all().await;
+        fixture.until_served(kind).await;
+        let round = format!("{POISON_ID_PREFIX}killed");
+        assert_eq!(fixture.prompt_everywhere(&round, kind, poisonous).await, refused, "{name}");
+        assert_eq!(fixture.prompt_everywhere("again", kind, sound).await, answered, "{name}");
+        assert_eq!(fixture.site.ledger.effect(&poison).reached, reached, "{name}");
+        fixture.lift().await;
+        let tried = || async {
+            let id = format!("{POISON_ID_PREFIX}lifted");
+            fixture.prompt(0, &id, kind, poisonous).await;
+            fixture.site.ledger.effect(&poison).ended > ended
+        };
+        fixture.until(tried).await;
+    }
+}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -15,12 +15,14 @@
 use bytes::Bytes;
 use crosslane_coordination::choice::Terms;
 use crosslane_coordination::health::Outcome;
+use crosslane_coordination::quarantine::INNOCENT_AFTER_MS;
 use crosslane_platform::request::{Metadata, Purpose};
 use crosslane_platform::response::Head;
 use crosslane_state::build::Build;
 use crosslane_state::endpoint::{Endpoint, Key, Stage, Tag};
 use crosslane_state::fingerprint::Fingerprint;
 use crosslane_state::residency::Residency;
+use crosslane_state::segment::Segment;
 use crosslane_state::time::Millis;
 use crosslane_transport::clock::Deadline;
 use crosslane_transport::connection::{Connection, Error, Outgoing};
@@ -55,6 +57,8 @@
     pub caller_deadline: Deadline,
     /// Fingerprint, computed on first use.
     pub fingerprint: Arc<OnceLock<Fingerprint>>,
+    /// Segments of its prompt that other requests may share, in the order of their ids in the metadata.
+    pub segments: Arc<[Segment]>,
     /// Grant from its organisation's rate limit.
     pub grant: Arc<Grant>,
     /// Where it may be served.
@@ -223,6 +227,8 @@
     /// When the response head arrived: engines send it with the first token, so the run starts then.
     pub started_at: Millis,
     slot: Slot,
+    /// Segments of the prompt with which the run goes well once it has gone on for long enough; none if that is known.
+    unproven: Option<Arc<[Segment]>>,
     /// Trial, if the request is suspected of crashing endpoints.
     trial: Option<Trial>,
     /// Connection; closed on drop unless the whole response was read and the connection is reusable.
@@ -242,8 +248,21 @@
         self.trial = None;
     }
 
+    /// Records that the run goes on, once it has done so for long enough.
+    pub fn record_progress(&mut self) {
+        let ran_ms = self.slot.node.now().since(self.started_at);
+        if ran_ms >= INNOCENT_AFTER_MS
+            && let Some(segments) = self.unproven.take()
+        {
+            quarantine::record_sound(&self.slot.node, &segments);
+        }
+    }
+
     /// Records that the response is complete, and returns the connection for reuse.
     pub fn complete(&mut self) {
+        if let Some(segments) = self.unproven.take() {
+            quarantine::record_sound(&self.slot.node, &segments);
+        }
         if let Some(trial) = &mut self.trial {
             trial.completed = true;
         }
@@ -375,7 +394,19 @@
     let started_at = node.now();
     trial.iter_mut().for_each(|running| running.started_at = Some(started_at));
     let (connection, reusable) = (Some(connection), matches!(purpose, Purpose::Run));
-    Ok(Answer { parts, head, body, endpoint, started_at, slot, trial, connection, reusable })
+    let unproven = (runs && parts.status.is_success()).then(|| call.segments.clone());
+    Ok(Answer {
+        parts,
+        head,
+        body,
+        endpoint,
+        started_at,
+        slot,
+        unproven,
+        trial,
+        connection,
+        reusable,
+    })
 }
 
 /// Logs where a request is sent and the load behind the choice.
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -19,6 +19,7 @@
 use crosslane_state::organisation::Organisation;
 use crosslane_state::residency::Residency;
 use crosslane_state::route::{Engine, Kind, Limits, Route, Table};
+use crosslane_state::segment::Segment;
 use crosslane_transport::clock::Deadline;
 use crosslane_transport::connection::{self, Closer};
 use crosslane_transport::http::{self, ReadError};
@@ -203,6 +204,7 @@
     parts.path_and_query = head.uri.path_and_query().cloned();
     let uri = hyper::Uri::from_parts(parts).map_err(|_| Reason::NoRoute)?;
     let method = head.method;
+    let segments = metadata.shared_segment_ids.iter().map(|id| Segment::new(service, id)).collect();
     let anywhere = Residency::ANYWHERE;
     let residency = route.residency.and(organisation.map_or(&anywhere, |known| &known.residency));
     let grant = Arc::new(Grant::unlimited(node));
@@ -215,6 +217,7 @@
         deadline,
         caller_deadline,
         fingerprint,
+        segments,
         grant,
         residency,
         build: Arc::new(match finding {
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -9,6 +9,7 @@
 use crosslane_coordination::limits::Update as LimitUpdate;
 use crosslane_coordination::quota;
 use crosslane_coordination::ring::Ring;
+use crosslane_coordination::segments;
 use crosslane_coordination::streams::{Knowledge, Name, Record};
 use crosslane_coordination::suspicion;
 use crosslane_coordination::usage::Usage;
@@ -171,6 +172,18 @@
         /// Its knowledge.
         knowledge: Knowledge,
     },
+    /// Evidence for and against segments of prompts, and rulings on them, sent at once.
+    Segments {
+        /// The updates, in order.
+        updates: Vec<segments::Update>,
+    },
+    /// Digest of the rulings on segments that the sender has, sent after each heartbeat while there are any.
+    SegmentsDigest {
+        /// Digest of all rulings.
+        digest: u64,
+    },
+    /// Request for all that the receiver knows of segments.
+    SegmentsRequest,
 }
 
 /// Result of recording a heartbeat.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -79,6 +79,8 @@
     pub evacuated_domains: IntGauge,
     /// Requests that are shut out.
     pub shut_out_requests: IntGauge,
+    /// Patterns of prompt segments that are shut out.
+    pub shut_out_segments: IntGauge,
     /// Bytes of store records sent to other nodes.
     pub sent_bytes: IntCounter,
     /// Duration of a pull from another node.
@@ -164,6 +166,10 @@
                 "Failure domains that are evacuated",
             )?,
             shut_out_requests: gauge("crosslane_shut_out", "Requests that are shut out")?,
+            shut_out_segments: gauge(
+                "crosslane_shut_out_segments",
+                "Patterns of prompt segments that are shut out",
+            )?,
             sent_bytes: counter("crosslane_told_bytes", "Bytes of records handed to other nodes")?,
             pull: histogram("crosslane_pull_seconds", "Time of a pull from another node")?,
             first_byte: histogram("crosslane_first_seconds", "Time to the first byte or event")?,
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -24,6 +24,7 @@
 use crosslane_coordination::limits::{self, Limits, Queues};
 use crosslane_coordination::pool::Pool;
 use crosslane_coordination::quarantine::Quarantine;
+use crosslane_coordination::segments::Segments;
 use crosslane_coordination::streams::Streams;
 use crosslane_coordination::throttle::Throttle;
 use crosslane_platform::configuration;
@@ -152,6 +153,7 @@
     /// Durations of recent requests, by service.
     durations: Mutex<HashMap<String, Durations>>,
     quarantine: Mutex<Quarantine>,
+    segments: Mutex<Segments>,
     limits: Mutex<Limits>,
     /// Requests queued for limits that this node owns.
     pub queues: Mutex<Queues>,
@@ -228,6 +230,7 @@
             timeouts: Mutex::default(),
             durations: Mutex::default(),
             quarantine: Mutex::new(Quarantine::new(Tag::of(&settings.vm))),
+            segments: Mutex::new(Segments::new(Tag::of(&settings.vm))),
             limits: Mutex::default(),
             queues: Mutex::default(),
             streams: Mutex::default(),
@@ -305,6 +308,11 @@
         lock(&self.quarantine)
     }
 
+    /// Segments of prompts that are suspected of crashing endpoints.
+    pub fn segments(&self) -> MutexGuard<'_, Segments> {
+        lock(&self.segments)
+    }
+
     /// The rate limiter that is responsible for a subject.
     pub fn limiter(&self, subject: Subject) -> &Limiter {
         match subject {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -21,6 +21,7 @@
 use crosslane_coordination::gossip;
 use crosslane_coordination::heartbeat::FAR_EVERY;
 use crosslane_coordination::limits;
+use crosslane_coordination::segments;
 use crosslane_coordination::suspicion::Update;
 use crosslane_platform::store::Client;
 use crosslane_state::endpoint::Tag;
@@ -65,6 +66,9 @@
 /// Entries in a datagram: some 100 bytes each.
 const DATAGRAM_ENTRIES: usize = 200;
 
+/// Crashes in a datagram: some 1,200 bytes each at most.
+const DATAGRAM_CRASHES: usize = 40;
+
 /// Minimum time between two requests for all rulings, or for all limits, in milliseconds: hundreds
 /// of nodes may send a digest that differs from this node's.
 const ASK_PAUSE_MS: u64 = 300;
@@ -334,8 +338,22 @@
     loop {
         node.suspicions_changed.notified().await;
         let updates = node.quarantine().take_outbox();
+        let segments = node.segments().take_outbox();
         let addresses = lock(&node.members).addresses(Scope::Live, node.now());
         send_suspicions(&node, &socket, updates, &addresses).await;
+        send_segments(&node, &socket, &segments, &addresses).await;
+    }
+}
+
+async fn send_segments(
+    node: &Node,
+    socket: &UdpSocket,
+    updates: &[segments::Update],
+    addresses: &[IpAddr],
+) {
+    for chunk in updates.chunks(DATAGRAM_CRASHES) {
+        let message = Message::Segments { updates: chunk.to_vec() };
+        send(node, socket, &message, addresses).await;
     }
 }
 
@@ -383,6 +401,10 @@
     if digest != 0 {
         send(node, socket, &Message::RulingsDigest { digest }, addresses).await;
     }
+    let digest = node.segments().digest();
+    if digest != 0 {
+        send(node, socket, &Message::SegmentsDigest { digest }, addresses).await;
+    }
 }
 
 /// Sends a node the suspicions that have no ruling yet, if this node is a reader of the store in
@@ -391,6 +413,8 @@
     if lock(&node.members).is_store_reader(node.now()) {
         let updates = node.quarantine().known_strikes();
         send_suspicions(node, socket, updates, &[to]).await;
+        let updates = node.segments().snapshot();
+        send_segments(node, socket, &updates, &[to]).await;
     }
 }
 
@@ -437,6 +461,7 @@
 async fn receive(node: Arc<Node>, socket: Arc<UdpSocket>) -> io::Result<()> {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     let mut rulings_last_asked = None;
+    let mut segments_last_asked = None;
     let mut limits_last_asked = None;
     loop {
         let (length, from) = match socket.recv_from(&mut buffer).await {
@@ -471,6 +496,18 @@
                     send(&node, &socket, &Message::RulingsRequest, &[from.ip()]).await;
                 }
             }
+            Ok(Message::Segments { updates }) => quarantine::apply_segment_updates(&node, updates),
+            Ok(Message::SegmentsDigest { digest }) => {
+                if digest != node.segments().digest()
+                    && is_due(&mut segments_last_asked, ASK_PAUSE_MS, node.now())
+                {
+                    send(&node, &socket, &Message::SegmentsRequest, &[from.ip()]).await;
+                }
+            }
+            Ok(Message::SegmentsRequest) => {
+                let updates = node.segments().snapshot();
+                send_segments(&node, &socket, &updates, &[from.ip()]).await;
+            }
             Ok(Message::Limits { updates }) => limit::apply_updates(&node, &updates, from.ip()),
             Ok(Message::Lost { services }) => {
                 lock(&node.members).set_lost(from.ip(), &services, node.now());
@@ -548,5 +585,6 @@
         // Either node may just have started and lack suspicions and rulings.
         send_unruled_suspicions(node, socket, from).await;
         send(node, socket, &Message::RulingsRequest, &[from]).await;
+        send(node, socket, &Message::SegmentsRequest, &[from]).await;
     }
 }
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -230,6 +230,8 @@
                     // hyper stops polling once a known length is reached.
                     if answer.body.is_end_stream() {
                         answer.complete();
+                    } else {
+                        answer.record_progress();
                     }
                     return Some((Ok(frame), Some((node, answer, call))));
                 }
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -7,16 +7,19 @@
 use crate::dialer::Dialer;
 use crate::event;
 use crate::exchange::{Call, Failure};
+use crate::members::Scope;
 use crate::node::{Node, lock};
 use crate::refusal::{Reason, Refusal};
 use crate::stream;
 use crosslane_coordination::quarantine::{ANNOUNCE_DELAY_MS, BLAME_WINDOW_MS, INNOCENT_AFTER_MS};
 use crosslane_coordination::ruling::{SHUT_OUT_MS, Verdict};
+use crosslane_coordination::segments;
 use crosslane_coordination::suspect::{JOINT_CRASH_WINDOW_MS, STRIKES_TO_SHUT_OUT};
 use crosslane_coordination::suspicion::{Status, Strike, Update};
 use crosslane_platform::request::Purpose;
 use crosslane_state::endpoint::{Endpoint, Key, Tag};
 use crosslane_state::fingerprint::Fingerprint;
+use crosslane_state::segment::Segment;
 use crosslane_state::time::Millis;
 use crosslane_transport::clock;
 use crosslane_transport::connection::Error;
@@ -147,6 +150,9 @@
 
 /// Whether a request is clear, suspect, on trial or shut out.
 fn request_status(node: &Node, call: &Call) -> Status {
+    if let Some((_, left)) = node.segments().shut_out(&call.segments, clock::unix()) {
+        return Status::ShutOut(left);
+    }
     if node.quarantine().is_empty() {
         return Status::Clear;
     }
@@ -163,8 +169,8 @@
 ) -> Result<Option<Trial>, Failure> {
     let runs = !matches!(purpose, Purpose::Prefill);
     match request_status(node, call) {
-        Status::ShutOut(_) => Err(log_rejection(call, Failure::ShutOut)),
-        Status::OnTrial if runs => Err(log_rejection(call, Failure::OnTrial)),
+        Status::ShutOut(_) => Err(log_rejection(node, call, Failure::ShutOut)),
+        Status::OnTrial if runs => Err(log_rejection(node, call, Failure::OnTrial)),
         Status::Suspect if runs => start_trial(node, call, endpoint).await.map(Some),
         Status::Clear | Status::Suspect | Status::OnTrial => Ok(None),
     }
@@ -177,7 +183,7 @@
     {
         let mut quarantine = node.quarantine();
         if quarantine.other_trials(request, node.now()).contains(&tag) {
-            return Err(beside_another(call));
+            return Err(beside_another(node, call));
         }
         quarantine.begin_trial(request, tag, node.now());
     }
@@ -185,16 +191,16 @@
     let trial = Trial { node: node.clone(), request, started_at: None, completed: false };
     sleep(Duration::from_millis(ANNOUNCE_DELAY_MS)).await;
     if node.quarantine().must_yield(request, tag, node.now()) {
-        return Err(beside_another(call));
+        return Err(beside_another(node, call));
     }
     match request_status(node, call) {
-        Status::ShutOut(_) => Err(log_rejection(call, Failure::ShutOut)),
+        Status::ShutOut(_) => Err(log_rejection(node, call, Failure::ShutOut)),
         Status::Clear | Status::Suspect | Status::OnTrial => Ok(trial),
     }
 }
 
-fn beside_another(call: &Call) -> Failure {
-    log_barred(call, "beside another suspect");
+fn beside_another(node: &Node, call: &Call) -> Failure {
+    log_barred(node, call, "beside another suspect");
     Failure::Unsent
 }
 
@@ -210,21 +216,33 @@
 
 /// Refusal of a quarantined request, with a Retry-After.
 pub fn refusal(node: &Node, call: &Call, failure: Failure) -> Refusal {
-    log_rejection(call, failure);
+    log_rejection(node, call, failure);
     match request_status(node, call) {
         Status::ShutOut(left) => Refusal::retry_after(Reason::ShutOut, Duration::from_millis(left)),
         Status::Clear | Status::Suspect | Status::OnTrial => stream::retry_later(failure.into()),
     }
 }
 
-fn log_rejection(call: &Call, failure: Failure) -> Failure {
-    log_barred(call, failure);
+fn log_rejection(node: &Node, call: &Call, failure: Failure) -> Failure {
+    log_barred(node, call, failure);
     failure
 }
 
-fn log_barred(call: &Call, why: impl Display) {
+fn log_barred(node: &Node, call: &Call, why: impl Display) {
     let (request, fingerprint) = (call.metadata.id.as_str(), call.fingerprint());
-    info!(request, fingerprint:%, why:%; "{}", event::BARRED);
+    let segments = shut_out_segments(node, call);
+    info!(request, fingerprint:%, segments, why:%; "{}", event::BARRED);
+}
+
+/// Ids of the segments that shut a request out.
+fn shut_out_segments(node: &Node, call: &Call) -> String {
+    let segments = node.segments();
+    let Some((pattern, _)) = segments.shut_out(&call.segments, clock::unix()) else {
+        return String::new();
+    };
+    let named = call.metadata.shared_segment_ids.iter().zip(call.segments.iter());
+    let shut = named.filter(|(_, segment)| pattern.segments().contains(segment));
+    shut.map(|(id, _)| id.as_str()).collect::<Vec<_>>().join(",")
 }
 
 /// Checks whether an endpoint that broke off a response has crashed, and if so counts a strike against the request if its run
@@ -251,30 +269,38 @@
         return;
     }
     if node.liveness_checks.is_gone(node, endpoint).await {
-        strike(node, request, fingerprint, endpoint);
+        strike(node, call, endpoint);
         return;
     }
-    let (node, endpoint, request) = (node.clone(), endpoint.clone(), request.to_owned());
+    let (node, endpoint, call) = (node.clone(), endpoint.clone(), call.clone());
     tokio::spawn(async move {
         sleep(LAST_CHECK_DELAY).await;
         if node.liveness_checks.is_gone(&node, &endpoint).await {
-            strike(&node, &request, fingerprint, &endpoint);
+            strike(&node, &call, &endpoint);
         }
     });
 }
 
-/// Counts a strike against a request, and schedules the verdict once there are enough.
-fn strike(node: &Arc<Node>, request: &str, fingerprint: Fingerprint, endpoint: &Endpoint) {
-    let result = node.quarantine().record_strike(fingerprint, endpoint.tag(), node.now());
-    let to = endpoint.id.as_str();
-    let Strike::Counted(strikes) = result else {
-        info!(request, fingerprint:%, to, why:% = result; "{}", event::SPARED);
-        return;
-    };
-    node.metrics.strikes.inc();
-    info!(request, fingerprint:%, to, strikes; "{}", event::STRUCK);
+/// Counts a strike against a request and the segments of its prompt, and schedules the verdict once there are enough.
+fn strike(node: &Arc<Node>, call: &Call, endpoint: &Endpoint) {
+    let (fingerprint, now) = (call.fingerprint(), node.now());
+    let segment_strikes =
+        node.segments().record_crash(endpoint.tag(), fingerprint, &call.segments, now);
+    let result = node.quarantine().record_strike(fingerprint, endpoint.tag(), now);
     node.suspicions_changed.notify_one();
-    if strikes >= STRIKES_TO_SHUT_OUT {
+    let (request, to) = (call.metadata.id.as_str(), endpoint.id.as_str());
+    let strikes = match result {
+        Strike::Counted(strikes) => {
+            node.metrics.strikes.inc();
+            info!(request, fingerprint:%, to, strikes, segment_strikes; "{}", event::STRUCK);
+            strikes
+        }
+        spared => {
+            info!(request, fingerprint:%, to, segment_strikes, why:% = spared; "{}", event::SPARED);
+            0
+        }
+    };
+    if strikes.max(segment_strikes) >= STRIKES_TO_SHUT_OUT {
         let node = node.clone();
         tokio::spawn(async move {
             sleep(Duration::from_millis(JOINT_CRASH_WINDOW_MS)).await;
@@ -283,6 +309,18 @@
     }
 }
 
+/// Records that a request with these segments in its prompt ran well.
+pub fn record_sound(node: &Node, segments: &[Segment]) {
+    if segments.is_empty() {
+        return;
+    }
+    let mut quarantine = node.segments();
+    quarantine.record_sound(segments, node.now(), clock::unix());
+    if quarantine.has_updates() {
+        node.suspicions_changed.notify_one();
+    }
+}
+
 /// Shuts out requests with enough strikes, and lifts the rulings on those whose strikes another request that is shut out
 /// explains.
 fn make_rulings(node: &Node) {
@@ -291,7 +329,12 @@
         let mut quarantine = node.quarantine();
         (quarantine.shut_out_due(now, unix), quarantine.lift_superseded(now, unix))
     };
+    let patterns = node.segments().make_rulings(now, unix);
     let for_s = SHUT_OUT_MS / 1_000;
+    for pattern in &patterns {
+        let fingerprint = pattern.fingerprint();
+        warn!(fingerprint:%, segments:% = pattern, verdict:% = Verdict::Shut, source = "here", for_s; "{}", event::RULED);
+    }
     for fingerprint in &shut_out {
         warn!(fingerprint:%, verdict:% = Verdict::Shut, source = "here", for_s; "{}", event::RULED);
     }
@@ -299,7 +342,7 @@
         let why = "another request is shut out for it";
         warn!(fingerprint:%, verdict:% = Verdict::Lifted, source = "here", why; "{}", event::RULED);
     }
-    if !shut_out.is_empty() || !lifted.is_empty() {
+    if !patterns.is_empty() || !shut_out.is_empty() || !lifted.is_empty() {
         node.rulings_changed.notify_one();
         node.suspicions_changed.notify_one();
     }
@@ -319,12 +362,38 @@
     }
 }
 
+/// Applies another node's updates on segments.
+pub fn apply_segment_updates(node: &Node, updates: Vec<segments::Update>) {
+    let (now, unix) = (node.now(), clock::unix());
+    let nodes = lock(&node.members).addresses(Scope::Live, now).len() + 1;
+    for update in updates {
+        let ruled = match &update {
+            segments::Update::Ruled(pattern, ruling) => Some((pattern.clone(), *ruling)),
+            _ => None,
+        };
+        let new = node.segments().apply(update, nodes, now, unix);
+        if let Some((pattern, ruling)) = ruled.filter(|_| new) {
+            let fingerprint = pattern.fingerprint();
+            info!(fingerprint:%, segments:% = pattern, verdict:% = ruling.verdict, source = "peer"; "{}", event::RULED);
+        }
+    }
+    if node.segments().has_updates() {
+        node.suspicions_changed.notify_one();
+    }
+}
+
 /// Decides on requests that no other node has decided on, and removes expired state.
 pub fn remove_expired(node: &Node) {
-    if node.quarantine().is_empty() {
+    if node.quarantine().is_empty() && node.segments().is_empty() {
         return;
     }
     make_rulings(node);
+    let shut_out = {
+        let mut segments = node.segments();
+        segments.expire(node.now(), clock::unix());
+        segments.shut_out_count()
+    };
+    node.metrics.shut_out_segments.set(shut_out as i64);
     let mut quarantine = node.quarantine();
     for fingerprint in quarantine.expire(node.now(), clock::unix()) {
         info!(fingerprint:%, why = "its time is over"; "{}", event::FORGOTTEN);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -121,6 +121,7 @@
                 Chunk::Data(bytes) => {
                     if let Some(events) = self.events.push(&bytes) {
                         self.begin();
+                        self.answer.iter_mut().for_each(Answer::record_progress);
                         return Some((Ok(Frame::data(events)), self));
                     }
                 }
--- a/crates/gateway/src/rulings.rs
+++ b/crates/gateway/src/rulings.rs
@@ -7,13 +7,17 @@
 
 use crate::event;
 use crate::node::{Node, lock};
+use crosslane_coordination::pattern::Pattern;
 use crosslane_coordination::ruling::{Ruling, Verdict};
+use crosslane_coordination::segments;
 use crosslane_coordination::suspicion::Update;
 use crosslane_platform::store::{Client, Error, Page, Record};
 use crosslane_state::fingerprint::Fingerprint;
+use crosslane_state::segment::Segment;
 use crosslane_transport::clock;
 use derive_more::{Display, Error as StdError};
 use log::{debug, info, warn};
+use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -42,32 +46,110 @@
 #[display("not a ruling")]
 pub struct Malformed;
 
-/// A request and the ruling on it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// Begins the keys of rulings on segments, which earlier versions skip.
+const SEGMENTS_PREFIX: &str = "segments-";
+
+/// What a ruling is on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Subject {
+    /// A request, by its fingerprint.
+    Request(Fingerprint),
+    /// All requests whose prompts have some segments.
+    Segments(Pattern),
+}
+
+/// A subject and the ruling on it.
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Entry {
-    /// Fingerprint of the request.
-    pub request: Fingerprint,
+    /// What it is on.
+    pub subject: Subject,
     /// The ruling.
     pub ruling: Ruling,
 }
 
+/// Ruling as the store keeps it.
+#[derive(Serialize, Deserialize)]
+struct Value {
+    #[serde(flatten)]
+    ruling: Ruling,
+    /// Segments, if it is on some.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    segments: Vec<String>,
+}
+
+impl Subject {
+    /// Key in the store.
+    pub fn key(&self) -> String {
+        match self {
+            Self::Request(request) => request.to_string(),
+            Self::Segments(pattern) => format!("{SEGMENTS_PREFIX}{}", pattern.fingerprint()),
+        }
+    }
+}
+
 impl TryFrom<&Record> for Entry {
     type Error = Malformed;
 
     fn try_from(record: &Record) -> Result<Self, Malformed> {
-        let request = record.key.parse().map_err(|_| Malformed)?;
         let value = record.value.as_deref().ok_or(Malformed)?;
-        let ruling = serde_json::from_slice(value).map_err(|_| Malformed)?;
-        Ok(Self { request, ruling })
+        let Value { ruling, segments } = serde_json::from_slice(value).map_err(|_| Malformed)?;
+        let subject = match record.key.strip_prefix(SEGMENTS_PREFIX) {
+            None => Subject::Request(record.key.parse().map_err(|_| Malformed)?),
+            Some(_) => {
+                let segments: Result<Vec<Segment>, _> =
+                    segments.iter().map(|segment| segment.parse()).collect();
+                let segments = segments.map_err(|_| Malformed)?;
+                Subject::Segments(Pattern::try_from(segments).map_err(|_| Malformed)?)
+            }
+        };
+        Ok(Self { subject, ruling })
     }
 }
 
 impl Entry {
     async fn write(&self, client: &mut Client) -> Result<(), Error> {
-        let value = serde_json::to_vec(&self.ruling).unwrap_or_default();
-        client.append(TOPIC, &self.request.to_string(), &value, None).await?;
+        let segments = match &self.subject {
+            Subject::Request(_) => Vec::new(),
+            Subject::Segments(pattern) => {
+                pattern.segments().iter().map(Segment::to_string).collect()
+            }
+        };
+        let value = Value { ruling: self.ruling, segments };
+        let value = serde_json::to_vec(&value).unwrap_or_default();
+        client.append(TOPIC, &self.subject.key(), &value, None).await?;
         Ok(())
     }
+
+    /// Records that the store has the ruling.
+    fn mark_saved(&self, node: &Node) {
+        match &self.subject {
+            Subject::Request(request) => node.quarantine().mark_saved(*request, self.ruling),
+            Subject::Segments(pattern) => node.segments().mark_saved(pattern, self.ruling),
+        }
+    }
+
+    /// Applies a ruling of the store, and queues it for the other nodes if it is new here.
+    fn merge(&self, node: &Node) -> bool {
+        let (now, unix) = (node.now(), clock::unix());
+        match &self.subject {
+            Subject::Request(request) => {
+                let mut quarantine = node.quarantine();
+                let new = quarantine.merge_ruling(*request, self.ruling, now, unix);
+                if new {
+                    quarantine.queue_update(*request, Update::Ruled(self.ruling));
+                }
+                new
+            }
+            Subject::Segments(pattern) => {
+                let mut segments = node.segments();
+                let new = segments.merge_ruling(pattern.clone(), self.ruling, now, unix);
+                if new {
+                    segments.queue_update(segments::Update::Ruled(pattern.clone(), self.ruling));
+                }
+                new
+            }
+        }
+    }
 }
 
 /// Reads the rulings from the store at the start, and follows them forever while this node is a
@@ -109,20 +191,16 @@
 
 /// Applies rulings, and sends new ones to the other nodes.
 fn apply(node: &Node, page: &Page) {
-    let (now, unix) = (node.now(), clock::unix());
     for record in &page.records {
-        let Ok(Entry { request, ruling }) = Entry::try_from(record) else {
+        let Ok(entry) = Entry::try_from(record) else {
             node.metrics.skipped_records.inc();
             warn!(why = "not a ruling", key = record.key; "{}", event::SKIPPED);
             continue;
         };
-        let mut quarantine = node.quarantine();
-        let new = quarantine.merge_ruling(request, ruling, now, unix);
-        quarantine.mark_saved(request, ruling);
+        let new = entry.merge(node);
+        entry.mark_saved(node);
         if new {
-            quarantine.queue_update(request, Update::Ruled(ruling));
-            drop(quarantine);
-            info!(fingerprint:% = request, verdict:% = ruling.verdict, source = "store"; "{}", event::RULED);
+            info!(fingerprint = entry.subject.key(), verdict:% = entry.ruling.verdict, source = "store"; "{}", event::RULED);
             node.suspicions_changed.notify_one();
         }
     }
@@ -136,15 +214,14 @@
         // A new ruling is written at once, since all nodes may be killed at the next moment.
         let _ = timeout(CHECK_INTERVAL, node.rulings_changed.notified()).await;
         let reader = lock(&node.members).is_store_reader(node.now());
-        let unsaved = node.quarantine().rulings_to_save(node.now(), reader.then_some(ORPHANED_MS));
-        for (request, ruling) in unsaved {
-            match (Entry { request, ruling }).write(&mut client).await {
+        for entry in unsaved(&node, reader.then_some(ORPHANED_MS)) {
+            match entry.write(&mut client).await {
                 Ok(()) => {
                     failures = 0;
-                    node.quarantine().mark_saved(request, ruling);
+                    entry.mark_saved(&node);
                 }
                 Err(error) => {
-                    info!(fingerprint:% = request, why:% = error; "{}", event::UNSAVED);
+                    info!(fingerprint = entry.subject.key(), why:% = error; "{}", event::UNSAVED);
                     sleep(RETRY_PAUSE * (1 << failures.min(MAX_DOUBLINGS))).await;
                     failures += 1;
                 }
@@ -153,6 +230,17 @@
     }
 }
 
+/// Rulings that this node is to write to the store, those of other nodes `after` a time in milliseconds.
+fn unsaved(node: &Node, after: Option<u64>) -> Vec<Entry> {
+    let requests = node.quarantine().rulings_to_save(node.now(), after);
+    let requests =
+        requests.into_iter().map(|(request, ruling)| (Subject::Request(request), ruling));
+    let patterns = node.segments().rulings_to_save(node.now(), after);
+    let patterns =
+        patterns.into_iter().map(|(pattern, ruling)| (Subject::Segments(pattern), ruling));
+    requests.chain(patterns).map(|(subject, ruling)| Entry { subject, ruling }).collect()
+}
+
 /// All unexpired rulings in the store.
 pub async fn list(client: &mut Client) -> Result<Vec<Entry>, Error> {
     let page = client.latest(TOPIC).await?;
@@ -161,8 +249,8 @@
     Ok(entries.filter(|entry| !entry.ruling.is_expired(unix)).collect())
 }
 
-/// Lifts the ruling on a request.
-pub async fn lift(client: &mut Client, request: Fingerprint) -> Result<(), Error> {
+/// Lifts the ruling on a subject.
+pub async fn lift(client: &mut Client, subject: Subject) -> Result<(), Error> {
     let ruling = Ruling { at: clock::unix(), verdict: Verdict::Lifted };
-    Entry { request, ruling }.write(client).await
+    Entry { subject, ruling }.write(client).await
 }
