A flood of requests that are struck once leaves room for the next culprit

The oldest suspect with a single strike now gives way. a_flood_of_single_strikes_leaves_room_for_the_next_culprit failed before (Clear instead of ShutOut).

--- a/crates/coordination/src/quarantine.rs
+++ b/crates/coordination/src/quarantine.rs
@@ -65,9 +65,10 @@
 /// copies that are tried one at a time crash at most two in that time.
 const JOINT_CRASHES: usize = 3;
 
-/// Maximum number of suspects, some 200 bytes each. Known ones are kept at the maximum, so that a
-/// flood of new ones can't evict them.
+/// Maximum number of suspects, some 200 bytes each. At the maximum, known ones with more than this number of
+/// strikes are kept, so that a flood of new ones can't evict them.
 const MAX_SUSPECTS: usize = 4_096;
+const WEAK_STRIKES: usize = 1;
 
 /// Requests under which endpoints crashed.
 #[derive(Debug)]
@@ -182,7 +183,7 @@
         self.add_crash(endpoint, now);
         let attributed = self.is_attributed_elsewhere(request, endpoint);
         let known = self.suspects.contains_key(&request);
-        if !known && !self.has_room() {
+        if !known && !self.make_room() {
             return Strike::Full;
         }
         let suspect = self.suspects.entry(request).or_default();
@@ -333,7 +334,7 @@
     }
 
     fn apply_strikes(&mut self, request: Fingerprint, endpoints: &[Tag], now: Millis) {
-        if !self.suspects.contains_key(&request) && !self.has_room() {
+        if !self.suspects.contains_key(&request) && !self.make_room() {
             return;
         }
         let suspect = self.suspects.entry(request).or_default();
@@ -345,8 +346,18 @@
         self.attribute_crashes(request);
     }
 
-    fn has_room(&self) -> bool {
-        self.suspects.len() < MAX_SUSPECTS
+    /// Makes room for another suspect: forgets the one with a single strike that is oldest, if there are too many. False if all
+    /// have more.
+    fn make_room(&mut self) -> bool {
+        if self.suspects.len() < MAX_SUSPECTS {
+            return true;
+        }
+        let weak =
+            |suspect: &Suspect| suspect.ruling.is_none() && suspect.crash_count() <= WEAK_STRIKES;
+        let weak = self.suspects.iter().filter(|(_, suspect)| weak(suspect));
+        let oldest = weak.min_by_key(|(_, suspect)| suspect.last_strike_at);
+        let oldest = oldest.map(|(request, _)| *request);
+        oldest.and_then(|request| self.suspects.remove(&request)).is_some()
     }
 
     /// Strikes of requests without a ruling, for a node that starts.
--- a/crates/coordination/tests/quarantine.rs
+++ b/crates/coordination/tests/quarantine.rs
@@ -463,3 +463,20 @@
     quarantine.expire(Millis(900_000), UNIX_MS + 900_000);
     assert!(quarantine.is_empty());
 }
+
+/// Requests that are struck once and never come again left no room for the next culprit until their strikes expired.
+#[rstest]
+fn a_flood_of_single_strikes_leaves_room_for_the_next_culprit() {
+    let mut quarantine = quarantine();
+    for number in 0..5_000_u64 {
+        let request = request(&format!("flood{number}"));
+        quarantine.record_strike(request, Tag(1_000 + number), Millis(number * 100));
+    }
+    for (second, endpoint) in [11, 12, 13].into_iter().enumerate() {
+        let at = Millis(500_000 + second as u64 * 1_000);
+        quarantine.record_strike(request("culprit"), Tag(endpoint), at);
+        quarantine.record_strike(request("another"), Tag(900 + endpoint), at + 100);
+    }
+    let status = quarantine.status(request("culprit"), Millis(503_000), UNIX_MS);
+    assert_eq!(status, Status::ShutOut(SHUT_OUT_MS));
+}
