--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -300,6 +300,11 @@
         served.iter().filter(generates).filter(|it| it.endpoint.software == software).count()
     }
 
+    /// Does something with all endpoints.
+    pub fn with_all(&self, mut act: impl FnMut(&Endpoint)) {
+        lock(&self.served).iter().for_each(|it| act(&it.endpoint));
+    }
+
     /// Looks at an endpoint, if it still takes requests.
     pub fn with<T>(&self, id: &str, look: impl FnOnce(&Served) -> T) -> Option<T> {
         let served = lock(&self.served);
