--- a/crates/crosslane/examples/soak.rs
+++ b/crates/crosslane/examples/soak.rs
@@ -45,8 +45,11 @@
         let report = runtime.block_on(run::run(&plan(&matches, seed)?, &folder))?;
         println!("{report}");
         if report.violations.is_empty() {
-            if report.most_ended() > ENDED {
-                println!("many endpoints ended under one request; logs: {}", folder.display());
+            if report.misses_aim() {
+                println!(
+                    "many endpoints ended under one request or segment; logs: {}",
+                    folder.display()
+                );
             } else {
                 std::fs::remove_dir_all(&folder)?;
             }
@@ -80,10 +83,6 @@
     })
 }
 
-/// Endpoints ended under one request above which the logs are kept: the aim, which faults of all nodes at once may
-/// defeat without breaking a promise.
-const ENDED: u32 = 6;
-
 /// Tells the story of each request that a broken promise names.
 fn explain(report: &Report, folder: &Path) -> io::Result<()> {
     println!("logs: {}", folder.display());
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -19,6 +19,11 @@
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
 
+/// Aims for the endpoints that end under one request, and under one segment of different prompts; faults of all nodes at once
+/// may defeat them without breaking a promise.
+const ENDED_BY_REQUEST: u32 = 6;
+const ENDED_BY_SEGMENT: u32 = 9;
+
 /// Pause between the beginnings of two faults, in milliseconds.
 const PAUSE: std::ops::Range<u64> = 50..900;
 
@@ -52,9 +57,12 @@
 }
 
 impl Report {
-    /// Most endpoints that ended under one request.
-    pub fn most_ended(&self) -> u32 {
-        self.crashing.iter().map(|it| it.1.ended).max().unwrap_or_default()
+    /// Whether more endpoints than the aim ended under a request or a segment.
+    pub fn misses_aim(&self) -> bool {
+        self.crashing.iter().any(|(poison, effect)| match poison {
+            Poison::Request(_) => effect.ended > ENDED_BY_REQUEST,
+            Poison::Segment(_) => effect.ended > ENDED_BY_SEGMENT,
+        })
     }
 
     /// Requests that were asked.
@@ -103,6 +111,7 @@
     }
     let probe = tokio::spawn(traffic::probe(site.clone(), plan.seed, over.clone()));
     let culprits = tokio::spawn(traffic::crash(site.clone(), plan.seed, over.clone()));
+    let segments = tokio::spawn(traffic::crash_by_segment(site.clone(), plan.seed, over.clone()));
     let keyed = tokio::spawn(keys::call(site.clone(), plan.seed, over.clone()));
     let beats = tokio::spawn(beat(site.clone()));
     let (drawn, beside, in_need, partitioned) = tokio::join!(
@@ -121,10 +130,11 @@
     over.store(true, Ordering::Relaxed);
     probe.await?;
     culprits.await?;
+    segments.await?;
     keyed.await?;
     keys::check(&site).await;
     traffic::check_crashes(&site);
-    innocence::check(&site);
+    innocence::check(&site, plan.seed);
     site.reach.check(&site.ledger);
     site.returns.check(&site.ledger);
     let mut endings = Endings::new();
--- a/crates/soak/src/traffic.rs
+++ b/crates/soak/src/traffic.rs
@@ -5,7 +5,7 @@
 use crate::reach::CONTACT;
 use crate::site::{SETTLED, Site};
 use crosslane_platform_standins::caller::{Caller, Ending, POISON_ID_PREFIX, Progress};
-use crosslane_platform_standins::endpoint::POISON_MARKER;
+use crosslane_platform_standins::endpoint::{POISON_MARKER, POISON_SEGMENT_PREFIX};
 use crosslane_platform_standins::ledger::{Ended, Kind, Run};
 use crosslane_platform_standins::texts::{self, DESK_KEY};
 use rand::rngs::SmallRng;
@@ -44,6 +44,10 @@
 const CULPRITS: [Kind; 2] = [Kind::Read, Kind::Page];
 const CULPRIT_PAUSE: std::ops::Range<u64> = 50..600;
 
+/// Number of first and second segments that prompts have in common.
+const FIRST_SEGMENTS: u64 = 2;
+const SECOND_SEGMENTS: u64 = 10;
+
 /// Times that such a request may still reach an endpoint when all nodes must know of it.
 const LATE_SENDS: u32 = 3;
 
@@ -221,6 +225,42 @@
     }
 }
 
+/// Sends prompts with one segment that makes endpoints crash, no two alike, and sound ones that share their other segments,
+/// through any node until told to end.
+pub async fn crash_by_segment(site: Arc<Site>, seed: u64, over: Arc<AtomicBool>) {
+    let mut random = SmallRng::seed_from_u64(seed.rotate_left(41));
+    for number in 0_u64.. {
+        sleep(Duration::from_millis(random.random_range(CULPRIT_PAUSE))).await;
+        if over.load(Ordering::Relaxed) {
+            return;
+        }
+        let node = random.random_range(0..site.nodes.len());
+        let kind = CULPRITS[random.random_range(0..CULPRITS.len())];
+        let first = format!("first{}", random.random_range(0..FIRST_SEGMENTS));
+        let second = format!("second{}", random.random_range(0..SECOND_SEGMENTS));
+        let (poison, own) = (poison_segment(seed, kind), format!("own{number}"));
+        let ask = |id: String, segments: &[&str]| {
+            let mut caller = caller_at(&site, node).with_prompt(segments);
+            async move { caller.send(&id, kind, None).await }
+        };
+        let sound = ask(format!("s{seed}-beside-{number}"), &[&first, &second, &own]);
+        let culprit = ask(
+            format!("{POISON_ID_PREFIX}s{seed}-segment-{number}"),
+            &[&first, &poison, &second, &own],
+        );
+        tokio::join!(sound, culprit);
+    }
+}
+
+/// Ids of the segments that make endpoints crash, one for each service.
+pub fn poison_segments(seed: u64) -> [String; 2] {
+    CULPRITS.map(|kind| poison_segment(seed, kind))
+}
+
+fn poison_segment(seed: u64, kind: Kind) -> String {
+    format!("{POISON_SEGMENT_PREFIX}{seed}-{kind:?}").to_ascii_lowercase()
+}
+
 /// Holds what such requests ended against the promise.
 pub fn check_crashes(site: &Site) {
     for (poison, effect) in site.ledger.effects() {
