A crash is counted once another endpoint can be reached, not lost while none can

Its first three crashes were not counted (event lost, no other endpoint can be reached): poison requests had ended all other endpoints, so each node took its own links for gone, looked once more after 150 ms and forgot it.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod history;
 pub mod idle;
 pub mod limit;
+pub mod liveness;
 pub mod members;
 pub mod metrics;
 pub mod migration;
--- a/crates/gateway/src/migration.rs
+++ b/crates/gateway/src/migration.rs
@@ -6,7 +6,7 @@
 use crate::control::Control;
 use crate::event;
 use crate::exchange::Call;
-use crate::quarantine;
+use crate::liveness;
 use crosslane_platform::engine::{self, MoveOutcome};
 use crosslane_state::endpoint::Endpoint;
 use crosslane_transport::connection::Error;
@@ -45,7 +45,7 @@
         match outcome {
             Some(outcome) if outcome != MoveOutcome::UnderWay => return outcome,
             _ if !sent || call.remaining().is_zero() => return MoveOutcome::Refused,
-            _ if quarantine::refuses_connections(control.dialer(), from).await => {
+            _ if liveness::refuses_connections(control.dialer(), from).await => {
                 return MoveOutcome::Ended;
             }
             _ => sleep(RETRY_INTERVAL).await,
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -4,9 +4,9 @@
 //! off a response has crashed, admits or rejects requests, and logs and shares the results. While no request is suspect,
 //! the check costs one lookup in an empty map per request; fingerprints are computed only after a response broke off.
 
-use crate::dialer::Dialer;
 use crate::event;
 use crate::exchange::{Call, Failure};
+use crate::liveness::{self, Liveness};
 use crate::members::Scope;
 use crate::node::{Node, lock};
 use crate::refusal::{Reason, Refusal};
@@ -22,94 +22,12 @@
 use crosslane_state::segment::Segment;
 use crosslane_state::time::Millis;
 use crosslane_transport::clock;
-use crosslane_transport::connection::Error;
 use log::{info, warn};
-use std::collections::HashMap;
 use std::fmt::Display;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::OnceCell;
 use tokio::time::sleep;
 
-/// Timeout of a liveness check: a port without a process refuses connections within a round trip of some 3 ms. The next
-/// attempt at the request waits for the check.
-const CHECK_TIMEOUT: Duration = Duration::from_millis(100);
-
-/// Delay before the second check of an endpoint that still accepts connections: a process that ends closes its connections
-/// and its port one after the other.
-const RECHECK_DELAY: Duration = Duration::from_millis(10);
-
-/// Delay before the last check.
-const LAST_CHECK_DELAY: Duration = Duration::from_millis(150);
-
-/// Other endpoints to try before an endpoint that refuses connections counts as gone: some may have ended too.
-const MAX_OTHER_CHECKS: usize = 3;
-
-/// Remembered checks: enough for some seconds in which hundreds of endpoints end.
-const MAX_CHECKS: usize = 1_024;
-
-/// Liveness checks of endpoints that broke off responses; all requests that ran there share one check.
-#[derive(Debug, Default)]
-pub struct Checks(Mutex<HashMap<Tag, Arc<OnceCell<bool>>>>);
-
-impl Checks {
-    /// Whether an endpoint is gone. Concurrent requests share a check; only the result `true` is remembered, since a live
-    /// endpoint may be gone at the next check.
-    async fn is_gone(&self, node: &Node, endpoint: &Endpoint) -> bool {
-        let tag = endpoint.tag();
-        let cell = {
-            let mut checks = lock(&self.0);
-            if checks.len() >= MAX_CHECKS {
-                checks.clear();
-            }
-            checks.entry(tag).or_default().clone()
-        };
-        let gone = *cell.get_or_init(|| has_ended(node, endpoint)).await;
-        if !gone {
-            lock(&self.0).remove(&tag);
-        }
-        gone
-    }
-}
-
-/// Whether an endpoint's process has ended or is just ending.
-async fn has_ended(node: &Node, endpoint: &Endpoint) -> bool {
-    if !refuses_connections(&node.dialer, endpoint).await {
-        sleep(RECHECK_DELAY).await;
-        if !refuses_connections(&node.dialer, endpoint).await {
-            return false;
-        }
-    }
-    reaches_another(node, endpoint).await
-}
-
-/// Whether this node reaches another endpoint, if there is one. Otherwise its own links may be gone: then it sees every endpoint
-/// refuse connections.
-async fn reaches_another(node: &Node, endpoint: &Endpoint) -> bool {
-    for _ in 0..MAX_OTHER_CHECKS {
-        let other = node.pool().random_other(endpoint);
-        match other {
-            None => return true,
-            Some(other) if accepts_connections(&node.dialer, &other).await => return true,
-            Some(_) => {}
-        }
-    }
-    let why = "no other endpoint can be reached";
-    info!(dependency = "endpoints", to = endpoint.id, why; "{}", event::LOST);
-    false
-}
-
-/// Whether an endpoint refuses connections, so its process has ended. A timeout or another error does not count.
-pub async fn refuses_connections(dialer: &Dialer, endpoint: &Endpoint) -> bool {
-    let checked = dialer.check(endpoint, CHECK_TIMEOUT).await;
-    matches!(checked, Err(Error::Unreachable { refused: true, .. }))
-}
-
-/// Whether an endpoint's process is running and its machine can be reached.
-pub async fn accepts_connections(dialer: &Dialer, endpoint: &Endpoint) -> bool {
-    dialer.check(endpoint, CHECK_TIMEOUT).await.is_ok()
-}
-
 /// Trial of a suspect request; its result is recorded when it is dropped.
 #[derive(Debug)]
 pub struct Trial {
@@ -262,20 +180,19 @@
         // No evidence against the request, but used to detect that many endpoints end together.
         let (node, endpoint) = (node.clone(), endpoint.clone());
         tokio::spawn(async move {
-            if node.liveness_checks.is_gone(&node, &endpoint).await {
+            if node.liveness_checks.check(&node, &endpoint).await == Liveness::Gone {
                 node.quarantine().record_crash(endpoint.tag(), node.now());
             }
         });
         return;
     }
-    if node.liveness_checks.is_gone(node, endpoint).await {
+    if node.liveness_checks.check(node, endpoint).await == Liveness::Gone {
         strike(node, call, endpoint);
         return;
     }
     let (node, endpoint, call) = (node.clone(), endpoint.clone(), call.clone());
     tokio::spawn(async move {
-        sleep(LAST_CHECK_DELAY).await;
-        if node.liveness_checks.is_gone(&node, &endpoint).await {
+        if liveness::turns_out_gone(&node, &endpoint).await {
             strike(&node, &call, &endpoint);
         }
     });
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -6,6 +6,7 @@
 
 use crate::cache::{self, Hits};
 use crate::exchange::{self, Answer, Call, Failure, Slot};
+use crate::liveness;
 use crate::metrics::{Metrics, Retry};
 use crate::node::{Node, ResponseBody, lock};
 use crate::plain;
@@ -395,7 +396,7 @@
             for key in stalled {
                 let engine = self.node.pool().get(*key).cloned();
                 if let Some(engine) = engine
-                    && quarantine::accepts_connections(&self.node.dialer, &engine).await
+                    && liveness::accepts_connections(&self.node.dialer, &engine).await
                 {
                     return;
                 }
