Segments: two culprits do not shut out what they have in common; a lapsed ruling returns by one crash

Found by a table of cases written against the decision: a sound segment that two culprits share was shut out by six strikes before either culprit was by four; a lifted pattern came back at once by way of a sound companion; after a ruling lapsed, the crash that brings it back was looked up by the wrong pattern.

--- a/crates/coordination/src/segments.rs
+++ b/crates/coordination/src/segments.rs
@@ -58,6 +58,9 @@
 const AGAINST_SOUND: Need =
     Need { strikes: 2 * STRIKES_TO_SHUT_OUT, requests: 4, span_ms: 2 * INNOCENT_AFTER_MS };
 
+/// The same if other segments are in several of the requests, so that these may be the causes.
+const AGAINST_SOUND_OR_FEW: Need = Need { strikes: 4 * STRIKES_TO_SHUT_OUT, ..AGAINST_SOUND };
+
 /// Maximum number of further strikes needed where endpoints crash for other causes meanwhile.
 const MAX_MORE_STRIKES: usize = 2;
 
@@ -352,14 +355,13 @@
                 *reports.entry(*segment).or_default() += 1;
             }
         }
-        let lapsed = |segment: &Segment| {
-            self.lapsed.values().any(|(pattern, _)| pattern.segments().contains(segment))
-        };
-        let candidates = reports
-            .into_iter()
-            .filter(|(segment, count)| *count >= STRIKES_TO_SHUT_OUT || lapsed(segment));
+        let candidates = reports.into_iter().filter(|(_, count)| *count >= STRIKES_TO_SHUT_OUT);
         let patterns = candidates.filter_map(|(segment, _)| self.pattern_of(segment));
-        patterns.filter(|pattern| !self.is_covered(pattern)).collect()
+        let again = |(pattern, at): &&(Pattern, Millis)| {
+            self.crashes.values().any(|crash| crash.at > *at && crash.is_explained_by(pattern))
+        };
+        let lapsed = self.lapsed.values().filter(again).map(|(pattern, _)| pattern.clone());
+        patterns.chain(lapsed).filter(|pattern| !self.is_covered(pattern)).collect()
     }
 
     /// Whether a pattern that is shut out matches all that this one does.
@@ -383,19 +385,19 @@
         let unproven: Vec<Segment> =
             common.iter().filter(|segment| !self.sound_before.contains(segment)).copied().collect();
         let sound_before = unproven.is_empty();
+        if !sound_before && self.sound_before.contains(&segment) {
+            return None;
+        }
         let pattern = if sound_before { common.clone() } else { unproven };
         let pattern = Pattern::try_from(pattern).ok()?;
-        let lapsed = self.lapsed.get(&pattern.fingerprint());
-        if lapsed.is_some_and(|(_, at)| strikes.iter().any(|(_, crash)| crash.at > *at)) {
-            return Some(pattern);
-        }
         let requests: BTreeSet<Fingerprint> = reports.iter().map(|report| report.request).collect();
         let others = self.requests_by_segment(&reports, &common);
         let several = others.values().any(|requests| requests.len() > 1);
         let mut all = reports.iter().flat_map(|report| &report.segments);
         let some_known = all.any(|segment| self.sound_before.contains(segment));
         let need = match (sound_before, others.is_empty(), several, some_known) {
-            (true, _, _, _) => AGAINST_SOUND,
+            (true, _, false, _) => AGAINST_SOUND,
+            (true, _, true, _) => AGAINST_SOUND_OR_FEW,
             (false, true, _, _) => AGAINST_COMMON,
             (false, false, false, _) => AGAINST_ONE_OF_SEVERAL,
             (false, false, true, true) => AGAINST_ONE_OF_FEW,
@@ -427,9 +429,10 @@
     ) -> BTreeMap<Segment, BTreeSet<Fingerprint>> {
         let mut requests: BTreeMap<Segment, BTreeSet<Fingerprint>> = BTreeMap::new();
         for report in reports {
-            let others = report.segments.iter().filter(|segment| {
-                !common.contains(segment) && !self.sound_before.contains(segment)
-            });
+            let others = report
+                .segments
+                .iter()
+                .filter(|other| !common.contains(other) && !self.sound_before.contains(other));
             for segment in others {
                 requests.entry(*segment).or_default().insert(report.request);
             }
