--- a/crates/crosslane/tests/crashing.rs
+++ b/crates/crosslane/tests/crashing.rs
@@ -39,10 +39,11 @@
     name: &'static str,
 }
 
-const CASES: [Case; 5] = [
+const CASES: [Case; 6] = [
     Case { kind: Kind::Read, path: "crashing", name: "stream that may be resumed" },
     Case { kind: Kind::Draft, path: "crashing", name: "stream that runs once" },
     Case { kind: Kind::Draft, path: "crashing-late", name: "stream that engines begin late" },
+    Case { kind: Kind::Read, path: "crashing-slow", name: "stream that engines write late" },
     Case { kind: Kind::Page, path: "crashing", name: "call that may be repeated" },
     Case { kind: Kind::Confirm, path: "crashing", name: "call that runs once" },
 ];
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -213,6 +213,17 @@
     }
 }
 
+/// How far a run has come, as its response shows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Progress {
+    /// The request was sent.
+    Sent,
+    /// The response head has arrived.
+    Begun,
+    /// A part of the body has arrived.
+    Written,
+}
+
 /// A response whose body is still to be read.
 #[derive(Debug)]
 pub struct Answer {
@@ -226,6 +237,8 @@
     pub endpoint: Endpoint,
     /// When the response head arrived: engines send it with the first token, so the run starts then.
     pub started_at: Millis,
+    /// How far the run has come.
+    pub progress: Progress,
     slot: Slot,
     /// Segments of the prompt with which the run goes well once it has gone on for long enough; none if that is known.
     unproven: Option<Arc<[Segment]>>,
@@ -248,8 +261,10 @@
         self.trial = None;
     }
 
-    /// Records that the run goes on, once it has done so for long enough.
+    /// Records that a part of the body has arrived, and that the run goes on once it has done so for long enough.
     pub fn record_progress(&mut self) {
+        self.progress = Progress::Written;
+        self.trial.iter_mut().for_each(|trial| trial.written = true);
         let ran_ms = self.slot.node.now().since(self.started_at);
         if ran_ms >= INNOCENT_AFTER_MS
             && let Some(segments) = self.unproven.take()
@@ -297,8 +312,9 @@
             }
             Ok(Err(_)) => {
                 self.record_outcome(Outcome::Failed);
-                let Self { endpoint, started_at, slot, .. } = self;
-                quarantine::check_for_crash(&slot.node, call, &endpoint, started_at).await;
+                let Self { endpoint, started_at, progress, slot, .. } = self;
+                let run = (started_at, progress);
+                quarantine::check_for_crash(&slot.node, call, &endpoint, run).await;
                 Err(Failure::Broken)
             }
         }
@@ -358,7 +374,8 @@
             slot.record_outcome(error_outcome(&error));
             log_failure(call, &endpoint, failure, &error.to_string());
             if failure == Failure::Broken {
-                quarantine::check_for_crash(&node, call, &endpoint, sent_at).await;
+                let run = (sent_at, Progress::Sent);
+                quarantine::check_for_crash(&node, call, &endpoint, run).await;
             }
             return Err(failure);
         }
@@ -401,6 +418,7 @@
         body,
         endpoint,
         started_at,
+        progress: Progress::Begun,
         slot,
         unproven,
         trial,
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -252,8 +252,8 @@
             left_ms: call.remaining().as_millis() as u64,
         }
         .log();
-        let Answer { endpoint, started_at, .. } = answer;
-        quarantine::check_for_crash(&node, &call, &endpoint, started_at).await;
+        let Answer { endpoint, started_at, progress, .. } = answer;
+        quarantine::check_for_crash(&node, &call, &endpoint, (started_at, progress)).await;
         Some((Err::<Frame<Bytes>, _>(error), None))
     });
     let mut response = Response::new(BoxBody::new(StreamBody::new(frames)));
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -5,7 +5,7 @@
 //! the check costs one lookup in an empty map per request; fingerprints are computed only after a response broke off.
 
 use crate::event;
-use crate::exchange::{Call, Failure};
+use crate::exchange::{Call, Failure, Progress};
 use crate::liveness::{self, Liveness};
 use crate::members::Scope;
 use crate::node::{Node, lock};
@@ -35,6 +35,8 @@
     request: Fingerprint,
     /// When the run started, if it has: a request may queue at its engine for seconds.
     pub started_at: Option<Millis>,
+    /// Whether a part of the response has arrived since.
+    pub written: bool,
     /// Whether the response was completed.
     pub completed: bool,
 }
@@ -42,7 +44,7 @@
 impl Drop for Trial {
     fn drop(&mut self) {
         let ran = self.started_at.map_or(0, |started_at| self.node.now().since(started_at));
-        let innocent = self.completed || ran >= INNOCENT_AFTER_MS;
+        let innocent = self.completed || (self.written && ran >= INNOCENT_AFTER_MS);
         let mut quarantine = self.node.quarantine();
         let cleared = innocent && quarantine.clear(self.request);
         if !innocent {
@@ -106,7 +108,8 @@
         quarantine.begin_trial(request, tag, node.now());
     }
     node.suspicions_changed.notify_one();
-    let trial = Trial { node: node.clone(), request, started_at: None, completed: false };
+    let trial =
+        Trial { node: node.clone(), request, started_at: None, written: false, completed: false };
     sleep(Duration::from_millis(ANNOUNCE_DELAY_MS)).await;
     if node.quarantine().must_yield(request, tag, node.now()) {
         return Err(beside_another(node, call));
@@ -164,19 +167,23 @@
 }
 
 /// Checks whether an endpoint that broke off a response has crashed, and if so counts a strike against the request if its run
-/// had started only a moment before. An error, a network partition or an unresponsive endpoint is no crash.
+/// had started only a moment before, or had written nothing yet, as at a slow engine. An error, a network partition or an unresponsive endpoint is no crash.
 pub async fn check_for_crash(
     node: &Arc<Node>,
     call: &Call,
     endpoint: &Endpoint,
-    started_at: Millis,
+    (started_at, progress): (Millis, Progress),
 ) {
     let (request, to) = (call.metadata.id.as_str(), endpoint.id.as_str());
     let ran_ms = node.now().since(started_at);
     let fingerprint = call.fingerprint();
     let segments = call.metadata.shared_segment_ids.join(",");
     info!(request, to, ran_ms, fingerprint:%, segments; "{}", event::BROKE);
-    if ran_ms > BLAME_WINDOW_MS {
+    let blamed = match progress {
+        Progress::Begun => true,
+        Progress::Sent | Progress::Written => ran_ms <= BLAME_WINDOW_MS,
+    };
+    if !blamed {
         // No evidence against the request, but used to detect that many endpoints end together.
         let (node, endpoint) = (node.clone(), endpoint.clone());
         tokio::spawn(async move {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -182,10 +182,10 @@
         self.last_endpoint.clone_from(&answer.endpoint.id);
         if let Some(silent) = self.answer.replace(answer) {
             let Generation { node, call, .. } = &self.generation;
-            let (endpoint, started_at) = (silent.endpoint.clone(), silent.started_at);
+            let (endpoint, run) = (silent.endpoint.clone(), (silent.started_at, silent.progress));
             // Ends the silent run before the check, which takes a while.
             drop(silent);
-            quarantine::check_for_crash(node, call, &endpoint, started_at).await;
+            quarantine::check_for_crash(node, call, &endpoint, run).await;
         }
     }
 
@@ -197,9 +197,9 @@
 
     /// Drops a response that broke off, and checks whether its engine crashed while running the request.
     async fn drop_broken(&mut self) {
-        if let Some(Answer { endpoint, started_at, .. }) = self.answer.take() {
+        if let Some(Answer { endpoint, started_at, progress, .. }) = self.answer.take() {
             let Generation { node, call, .. } = &self.generation;
-            quarantine::check_for_crash(node, call, &endpoint, started_at).await;
+            quarantine::check_for_crash(node, call, &endpoint, (started_at, progress)).await;
         }
     }
 
