A request is not shut out for crashes that prompt segments of others explain

The quarantine of requests excuses a bystander only by another request that was present at the same crashes, and of those that share a segment each was present at one. What the segments explain is now asked before a request is shut out; it is tried alone meanwhile. a_request_is_not_shut_out_for_what_segments_of_others_explain failed before (shut out).

--- a/crates/coordination/src/quarantine.rs
+++ b/crates/coordination/src/quarantine.rs
@@ -128,6 +128,9 @@
     /// Whether other suspects may have caused the crashes under a request: all of them, or all but one if only suspects count
     /// that were present at as many crashes. With several culprits, each causes a part.
     pub(crate) fn is_explained_by_suspects(&self, request: Fingerprint, suspect: &Suspect) -> bool {
+        if suspect.explained_by_segments {
+            return true;
+        }
         let unexplained = |least: usize| {
             let others = || self.suspects.iter().filter(|(other, _)| **other != request);
             let may_cause =
@@ -140,6 +143,14 @@
         unexplained(0) == 0 || unexplained(suspect.strikes.len()) <= 1
     }
 
+    /// Records for each request with enough strikes whether segments of other requests explain these.
+    pub fn update_explanations(&mut self, explain: impl Fn(Fingerprint, &[Tag]) -> bool) {
+        let undecided = self.suspects.iter_mut().filter(|(_, suspect)| suspect.ruling.is_none());
+        for (request, suspect) in undecided.filter(|(_, suspect)| suspect.has_enough_strikes()) {
+            suspect.explained_by_segments = explain(*request, &suspect.strikes);
+        }
+    }
+
     /// Begins a trial of a suspect at an endpoint, if the request is one.
     pub fn begin_trial(&mut self, request: Fingerprint, endpoint: Tag, now: Millis) {
         if let Some(suspect) = self.suspects.get_mut(&request) {
--- a/crates/coordination/src/segments.rs
+++ b/crates/coordination/src/segments.rs
@@ -22,7 +22,7 @@
 use crate::quarantine::INNOCENT_AFTER_MS;
 use crate::ruling::{Ruling, SHUT_OUT_MS, Verdict};
 use crate::soundness::Soundness;
-use crate::suspect::{JOINT_CRASH_WINDOW_MS, STRIKES_TO_SHUT_OUT};
+use crate::suspect::{CRASHES_TO_EXPLAIN, JOINT_CRASH_WINDOW_MS, STRIKES_TO_SHUT_OUT};
 use crosslane_state::endpoint::Tag;
 use crosslane_state::fingerprint::Fingerprint;
 use crosslane_state::hash;
@@ -453,6 +453,32 @@
         })
     }
 
+    /// Whether segments of other requests explain the crashes under a request: one that is suspected was present at all of them,
+    /// or at all but one, beside those that are explained by what is shut out.
+    pub fn explain(&self, request: Fingerprint, crashes: &[Tag]) -> bool {
+        let prompts_beside = |endpoint: &Tag| {
+            let crash = self.crashes.get(endpoint);
+            let reports = crash.into_iter().flat_map(|crash| &crash.reports);
+            reports.filter(|report| report.request != request).map(|report| &report.segments)
+        };
+        let shut = || self.ruled.values().filter(|ruled| ruled.ruling.verdict == Verdict::Shut);
+        let by_ruling = |endpoint: &&Tag| {
+            shut().any(|ruled| prompts_beside(endpoint).any(|prompt| ruled.pattern.matches(prompt)))
+        };
+        let (explained, left): (Vec<&Tag>, Vec<&Tag>) = crashes.iter().partition(by_ruling);
+        let mut presences: BTreeMap<Segment, usize> = BTreeMap::new();
+        for endpoint in left {
+            let beside: BTreeSet<Segment> = prompts_beside(endpoint).flatten().copied().collect();
+            beside.into_iter().for_each(|segment| *presences.entry(segment).or_default() += 1);
+        }
+        let suspected = presences.iter().filter(|(segment, _)| {
+            !self.sound_before.contains(segment)
+                && self.strikes(**segment).len() >= CRASHES_TO_EXPLAIN
+        });
+        let most = suspected.map(|(_, count)| *count).max().unwrap_or_default();
+        explained.len() + most + 1 >= crashes.len() && explained.len() + most > 0
+    }
+
     /// Makes rulings on what is to be shut out, after the time in which other reports of the same crashes may arrive. Until
     /// then it is refused without a ruling. Returns the patterns that are newly shut out.
     pub fn make_rulings(&mut self, now: Millis, unix_ms: u64) -> Vec<Pattern> {
--- a/crates/coordination/src/suspect.rs
+++ b/crates/coordination/src/suspect.rs
@@ -11,7 +11,7 @@
 
 /// Number of crashes that a request must have been present at to be a possible cause of crashes
 /// under another one. Being present at one is coincidence where many requests run.
-const CRASHES_TO_EXPLAIN: usize = 2;
+pub(crate) const CRASHES_TO_EXPLAIN: usize = 2;
 
 /// Time within which endpoints count as going down together, in milliseconds. Without the rule on
 /// joint crashes, innocent requests are shut out where 40 % of the engines crash every 600 ms.
@@ -67,6 +67,8 @@
     /// When the last strike was recorded.
     pub last_strike_at: Millis,
     pub trial: Option<Trial>,
+    /// Whether segments of other requests explain its strikes.
+    pub explained_by_segments: bool,
     pub ruling: Option<Ruling>,
     /// Whether other nodes were told of it.
     pub announced: bool,
--- a/crates/coordination/tests/quarantine.rs
+++ b/crates/coordination/tests/quarantine.rs
@@ -480,3 +480,20 @@
     let status = quarantine.status(request("culprit"), Millis(503_000), UNIX_MS);
     assert_eq!(status, Status::ShutOut(SHUT_OUT_MS));
 }
+
+/// A request whose strikes are explained by segments of others is tried again, and shut out by crashes that they don't explain.
+#[rstest]
+fn a_request_is_not_shut_out_for_what_segments_of_others_explain() {
+    let mut quarantine = quarantine();
+    let explained = |_, crashes: &[Tag]| crashes.iter().all(|endpoint| *endpoint < Tag(20));
+    for (second, endpoint) in [11, 12, 13].into_iter().enumerate() {
+        let at = Millis(second as u64 * 1_000);
+        quarantine.record_strike(request("a"), Tag(endpoint), at);
+        quarantine.update_explanations(explained);
+        assert!(quarantine.shut_out_due(at + JOINT_CRASH_WINDOW_MS, UNIX_MS).is_empty());
+    }
+    assert_eq!(status_of(&quarantine, "a"), Status::Suspect);
+    quarantine.record_strike(request("a"), Tag(30), Millis(4_000));
+    quarantine.update_explanations(explained);
+    assert_eq!(quarantine.shut_out_due(Millis(5_000), UNIX_MS), [request("a")]);
+}
--- a/crates/coordination/tests/segments.rs
+++ b/crates/coordination/tests/segments.rs
@@ -297,3 +297,63 @@
     segments.mark_saved(&ruled, ruling);
     assert!(segments.rulings_to_save(Millis(4_000), Some(0)).is_empty());
 }
+
+struct Explanation {
+    name: &'static str,
+    happens: &'static [Happens],
+    /// Seconds at which an endpoint crashed under the request as well.
+    crashes: &'static [u64],
+    explained: bool,
+}
+
+/// A stream that was resumed next to three different requests with a poison segment was shut out, since none of these was
+/// present at two of its crashes.
+#[rstest]
+#[case(Explanation {
+    name: "a suspected segment was at all crashes",
+    happens: &[Crash(&["a", "x"]), Crash(&["b", "x"]), Crash(&["c", "x"])],
+    crashes: &[0, 1, 2],
+    explained: true,
+})]
+#[case(Explanation {
+    name: "at all but one",
+    happens: &[Crash(&["a", "x"]), Crash(&["b", "x"]), Crash(&["c"])],
+    crashes: &[0, 1, 2],
+    explained: true,
+})]
+#[case(Explanation {
+    name: "at one of three",
+    happens: &[Crash(&["a", "x"]), Crash(&["b", "y"]), Crash(&["c", "x"])],
+    crashes: &[0, 50, 51],
+    explained: false,
+})]
+#[case(Explanation {
+    name: "requests run well with the segment",
+    happens: &[Sound(&["x"]), Crash(&["x"]), Crash(&["x"]), Crash(&["x"])],
+    crashes: &[1, 2, 3],
+    explained: false,
+})]
+#[case(Explanation {
+    name: "two segments that are shut out",
+    happens: &[
+        Crash(&["x"]), Crash(&["x"]), Crash(&["x"]),
+        Crash(&["y"]), Crash(&["y"]), Crash(&["y"]),
+    ],
+    crashes: &[1, 2, 4],
+    explained: true,
+})]
+#[case(Explanation { name: "no segment at all", happens: &[], crashes: &[0, 1, 2], explained: false })]
+fn segments_explain_crashes_under_other_requests(#[case] case: Explanation) {
+    let mut segments = segments();
+    play(&mut segments, 0, case.happens);
+    let crashes: Vec<Tag> = case.crashes.iter().map(|second| Tag(100 + second)).collect();
+    assert_eq!(segments.explain(request(999), &crashes), case.explained, "{}", case.name);
+}
+
+/// What a request's own segments did at its own crashes is no excuse for it.
+#[rstest]
+fn a_request_is_not_excused_by_its_own_segments() {
+    let mut segments = segments();
+    play(&mut segments, 0, &[Crash(&["x"]), CrashAgain(&["x"]), CrashAgain(&["x"])]);
+    assert!(!segments.explain(request(0), &[Tag(100), Tag(101), Tag(102)]));
+}
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -100,12 +100,16 @@
 /// would get a strike.
 async fn start_trial(node: &Arc<Node>, call: &Call, endpoint: &Endpoint) -> Result<Trial, Failure> {
     let (request, tag) = (call.fingerprint(), endpoint.tag());
-    {
+    let taken = {
         let mut quarantine = node.quarantine();
-        if quarantine.other_trials(request, node.now()).contains(&tag) {
-            return Err(beside_another(node, call));
+        let taken = quarantine.other_trials(request, node.now()).contains(&tag);
+        if !taken {
+            quarantine.begin_trial(request, tag, node.now());
         }
-        quarantine.begin_trial(request, tag, node.now());
+        taken
+    };
+    if taken {
+        return Err(beside_another(node, call));
     }
     node.suspicions_changed.notify_one();
     let trial =
@@ -211,6 +215,7 @@
     let segment_strikes =
         node.segments().record_crash(endpoint.tag(), fingerprint, &call.segments, now);
     let result = node.quarantine().record_strike(fingerprint, endpoint.tag(), now);
+    update_explanations(node);
     node.suspicions_changed.notify_one();
     let (request, to) = (call.metadata.id.as_str(), endpoint.id.as_str());
     let strikes = match result {
@@ -233,6 +238,12 @@
     }
 }
 
+/// Has the quarantine of requests know what segments explain. The only place that holds both locks.
+fn update_explanations(node: &Node) {
+    let segments = node.segments();
+    node.quarantine().update_explanations(|request, crashes| segments.explain(request, crashes));
+}
+
 /// Records that a request with these segments in its prompt ran well.
 pub fn record_sound(node: &Node, segments: &[Segment]) {
     if segments.is_empty() {
@@ -248,6 +259,7 @@
 /// Shuts out requests with enough strikes, and lifts the rulings on those whose strikes another request that is shut out
 /// explains.
 fn make_rulings(node: &Node) {
+    update_explanations(node);
     let (now, unix) = (node.now(), clock::unix());
     let (shut_out, lifted) = {
         let mut quarantine = node.quarantine();
@@ -284,6 +296,7 @@
             info!(fingerprint:%, verdict, source = "peer"; "{}", event::RULED);
         }
     }
+    update_explanations(node);
 }
 
 /// Applies another node's updates on segments.
