Segments: strikes are found by an index, and expiry works only when something expires

A completed request asked for the strikes of each of its segments by a scan over all crashes (128 x 16 requests at most); it is now one lookup, as long as a segment was at no crash.

--- a/crates/coordination/src/segments.rs
+++ b/crates/coordination/src/segments.rs
@@ -152,6 +152,8 @@
 pub struct Segments {
     node: Tag,
     crashes: BTreeMap<Tag, Crash>,
+    /// Endpoints of `crashes` by segment.
+    endpoints: BTreeMap<Segment, BTreeSet<Tag>>,
     soundness: Soundness,
     /// Segments of `crashes` with which requests ran well, and when that last became known; only crashes after it count.
     sound_since: BTreeMap<Segment, Millis>,
@@ -171,6 +173,7 @@
         Self {
             node,
             crashes: BTreeMap::new(),
+            endpoints: BTreeMap::new(),
             soundness: Soundness::default(),
             sound_since: BTreeMap::new(),
             sound_before: BTreeSet::new(),
@@ -225,19 +228,33 @@
             let oldest = self.crashes.iter().min_by_key(|(_, crash)| crash.at);
             let oldest = oldest.map(|(endpoint, _)| *endpoint);
             oldest.map(|endpoint| self.crashes.remove(&endpoint));
+            self.index();
         }
         let crash = self.crashes.entry(endpoint).or_insert(Crash { at: now, reports: Vec::new() });
         let known = crash.reports.iter().any(|report| report.request == request);
         if known || crash.reports.len() >= MAX_REPORTS {
             return false;
         }
-        let ids = segments.iter().map(|(segment, _)| *segment).collect();
+        let ids: Vec<Segment> = segments.iter().map(|(segment, _)| *segment).collect();
+        for segment in &ids {
+            self.endpoints.entry(*segment).or_default().insert(endpoint);
+        }
         crash.reports.push(Report { request, segments: ids });
         let before = segments.iter().filter(|(_, before)| *before);
         self.sound_before.extend(before.map(|(segment, _)| *segment));
         true
     }
 
+    /// Rebuilds the index after crashes were dropped.
+    fn index(&mut self) {
+        self.endpoints.clear();
+        for (endpoint, crash) in &self.crashes {
+            for segment in crash.reports.iter().flat_map(|report| &report.segments) {
+                self.endpoints.entry(*segment).or_default().insert(*endpoint);
+            }
+        }
+    }
+
     /// Records that a request ran well, or goes on for long enough.
     pub fn record_sound(&mut self, prompt: &[Segment], now: Millis, unix_ms: u64) {
         for segment in prompt {
@@ -321,13 +338,13 @@
     /// Crashes that count as strikes against a segment.
     fn strikes(&self, segment: Segment) -> Vec<(Tag, &Crash)> {
         let since = self.sound_since.get(&segment);
+        let endpoints = self.endpoints.get(&segment).into_iter().flatten();
+        let crashes =
+            endpoints.filter_map(|endpoint| Some((*endpoint, self.crashes.get(endpoint)?)));
         let counts = |crash: &Crash| {
-            crash.has(segment)
-                && since.is_none_or(|since| crash.at > *since)
-                && !self.is_explained(segment, crash)
+            since.is_none_or(|since| crash.at > *since) && !self.is_explained(segment, crash)
         };
-        let strikes = self.crashes.iter().filter(|(_, crash)| counts(crash));
-        strikes.map(|(endpoint, crash)| (*endpoint, crash)).collect()
+        crashes.filter(|(_, crash)| counts(crash)).collect()
     }
 
     /// Whether a crash is explained by a pattern that is shut out, to which a segment does not belong.
@@ -349,14 +366,9 @@
 
     /// Patterns to shut out by the evidence, other than those that are.
     fn suspected_patterns(&self) -> BTreeSet<Pattern> {
-        let mut reports: BTreeMap<Segment, usize> = BTreeMap::new();
-        for report in self.crashes.values().flat_map(|crash| &crash.reports) {
-            for segment in &report.segments {
-                *reports.entry(*segment).or_default() += 1;
-            }
-        }
-        let candidates = reports.into_iter().filter(|(_, count)| *count >= STRIKES_TO_SHUT_OUT);
-        let patterns = candidates.filter_map(|(segment, _)| self.pattern_of(segment));
+        let candidates = self.endpoints.iter();
+        let candidates = candidates.filter(|(_, endpoints)| endpoints.len() >= STRIKES_TO_SHUT_OUT);
+        let patterns = candidates.filter_map(|(segment, _)| self.pattern_of(*segment));
         let again = |(pattern, at): &&(Pattern, Millis)| {
             self.crashes.values().any(|crash| crash.at > *at && crash.is_explained_by(pattern))
         };
@@ -626,16 +638,18 @@
     pub fn expire(&mut self, now: Millis, unix_ms: u64) {
         self.lapsed.retain(|_, (_, at)| now.since(*at) < SHUT_OUT_MS);
         let expired = self.ruled.extract_if(.., |_, ruled| ruled.ruling.is_expired(unix_ms));
-        for (name, ruled) in expired {
-            if ruled.ruling.verdict == Verdict::Shut {
-                self.lapsed.insert(name, (ruled.pattern, now));
-            }
-        }
+        let expired: Vec<(Fingerprint, Ruled)> = expired.collect();
+        let crashes = self.crashes.len();
         self.crashes.retain(|_, crash| now.since(crash.at) < CRASH_TTL_MS);
-        let crashes = &self.crashes;
-        let named = |segment: &Segment| crashes.values().any(|crash| crash.has(*segment));
-        self.sound_since.retain(|segment, _| named(segment));
-        self.sound_before.retain(named);
+        if expired.is_empty() && crashes == self.crashes.len() {
+            return;
+        }
+        let shut = expired.into_iter().filter(|(_, ruled)| ruled.ruling.verdict == Verdict::Shut);
+        self.lapsed.extend(shut.map(|(name, ruled)| (name, (ruled.pattern, now))));
+        self.index();
+        let endpoints = &self.endpoints;
+        self.sound_since.retain(|segment, _| endpoints.contains_key(segment));
+        self.sound_before.retain(|segment| endpoints.contains_key(segment));
         self.update_digest();
         self.reconsider(false, now);
     }
