--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -26,6 +26,8 @@
 pub mod limits;
 pub mod node;
 pub mod pattern;
+mod pattern_rulings;
+mod patterns;
 pub mod placement;
 pub mod pool;
 pub mod prefiller;
