--- a/crates/coordination/src/pattern_rulings.rs
+++ b/crates/coordination/src/pattern_rulings.rs
@@ -53,6 +53,9 @@
     /// Makes rulings on what is to be shut out, after the time in which other reports of the same crashes may arrive. Until
     /// then it is refused without a ruling. Returns the patterns that are newly shut out.
     pub fn make_rulings(&mut self, now: Millis, unix_ms: u64) -> Vec<Pattern> {
+        if self.outdated {
+            self.reconsider_all(now);
+        }
         let delay =
             |due: &Due| if due.witnessed { JOINT_CRASH_WINDOW_MS } else { BYSTANDER_DELAY_MS };
         let ripe = self.due.iter().filter(|(_, due)| now.since(due.since) >= delay(due));
@@ -116,7 +119,8 @@
         self.ruled.insert(name, Ruled { pattern, ruling, unsaved });
         self.lapsed.remove(&name);
         self.update_digest();
-        self.reconsider(false, now);
+        let pattern = self.ruled.get(&name).map(|ruled| ruled.pattern.clone());
+        self.reconsider(pattern.as_ref().map_or(&[], Pattern::segments), false, now);
         true
     }
 
--- a/crates/coordination/src/patterns.rs
+++ b/crates/coordination/src/patterns.rs
@@ -47,11 +47,12 @@
 const MAX_JOINT_STRIKES: usize = 2;
 
 impl Segments {
-    /// Patterns to shut out by the evidence, other than those that are.
-    pub(crate) fn suspected_patterns(&self) -> BTreeSet<Pattern> {
-        let candidates = self.endpoints.iter();
-        let candidates = candidates.filter(|(_, endpoints)| endpoints.len() >= STRIKES_TO_SHUT_OUT);
-        let patterns = candidates.filter_map(|(segment, _)| self.pattern_of(*segment));
+    /// Patterns to shut out by the evidence, other than those that are, if one of these segments is the cause.
+    pub(crate) fn suspected_patterns(&self, candidates: BTreeSet<Segment>) -> BTreeSet<Pattern> {
+        let crashes = |segment: &Segment| self.endpoints.get(segment).map_or(0, BTreeSet::len);
+        let candidates = candidates.into_iter();
+        let candidates = candidates.filter(|segment| crashes(segment) >= STRIKES_TO_SHUT_OUT);
+        let patterns = candidates.filter_map(|segment| self.pattern_of(segment));
         let again = |(pattern, at): &&(Pattern, Millis)| {
             self.crashes.values().any(|crash| crash.at > *at && crash.is_explained_by(pattern))
         };
--- a/crates/coordination/src/segments.rs
+++ b/crates/coordination/src/segments.rs
@@ -102,6 +102,8 @@
     /// Patterns whose ruling expired: the next crash under one shuts it out again.
     pub(crate) lapsed: BTreeMap<Fingerprint, (Pattern, Millis)>,
     pub(crate) due: BTreeMap<Pattern, Due>,
+    /// Whether `due` may lack patterns.
+    pub(crate) outdated: bool,
     pub(crate) outbox: Vec<Update>,
     pub(crate) digest: u64,
 }
@@ -119,6 +121,7 @@
             ruled: BTreeMap::new(),
             lapsed: BTreeMap::new(),
             due: BTreeMap::new(),
+            outdated: false,
             outbox: Vec::new(),
             digest: 0,
         }
@@ -151,7 +154,7 @@
             return 0;
         }
         self.outbox.push(Update::Crashed { endpoint, request, segments });
-        self.reconsider(true, now);
+        self.reconsider(prompt, true, now);
         prompt.iter().map(|segment| self.strikes(*segment).len()).max().unwrap_or_default()
     }
 
@@ -220,7 +223,7 @@
     fn clear(&mut self, segment: Segment, now: Millis) {
         self.sound_since.insert(segment, now);
         self.sound_before.insert(segment);
-        self.reconsider(false, now);
+        self.reconsider(&[segment], false, now);
     }
 
     /// Applies an update from another node, of `nodes` in all. Returns whether it was a new ruling.
@@ -229,13 +232,15 @@
             Update::Crashed { endpoint, request, segments } => {
                 if self.add_crash(endpoint, request, &segments, now) {
                     self.vouch(endpoint, &segments, nodes, now);
-                    self.reconsider(false, now);
+                    let changed: Vec<Segment> =
+                        segments.iter().map(|(segment, _)| *segment).collect();
+                    self.reconsider(&changed, false, now);
                 }
             }
             Update::Sound(segment) => self.clear(segment, now),
             Update::SoundBefore(segment) => {
                 self.sound_before.insert(segment);
-                self.reconsider(false, now);
+                self.reconsider(&[segment], false, now);
             }
             Update::Ruled(pattern, ruling) => {
                 return self.merge_ruling(pattern, ruling, now, unix_ms);
@@ -278,9 +283,24 @@
         others.any(|pattern| crash.is_explained_by(pattern))
     }
 
+    /// Works out again which patterns are to be shut out, as far as some segments, or what is due, decide it. The others follow
+    /// in `reconsider_all`: a flood of crashes would take much processor time otherwise.
+    pub(crate) fn reconsider(&mut self, changed: &[Segment], witnessed: bool, now: Millis) {
+        let due = self.due.keys().flat_map(Pattern::segments).copied();
+        let candidates: BTreeSet<Segment> = changed.iter().copied().chain(due).collect();
+        let due = self.suspected_patterns(candidates);
+        self.set_due(due, witnessed, now);
+        self.outdated = true;
+    }
+
     /// Works out again which patterns are to be shut out.
-    pub(crate) fn reconsider(&mut self, witnessed: bool, now: Millis) {
-        let due = self.suspected_patterns();
+    pub(crate) fn reconsider_all(&mut self, now: Millis) {
+        let due = self.suspected_patterns(self.endpoints.keys().copied().collect());
+        self.set_due(due, false, now);
+        self.outdated = false;
+    }
+
+    fn set_due(&mut self, due: BTreeSet<Pattern>, witnessed: bool, now: Millis) {
         self.due.retain(|pattern, _| due.contains(pattern));
         for pattern in due {
             let entry = self.due.entry(pattern).or_insert(Due { since: now, witnessed });
@@ -346,6 +366,6 @@
         self.sound_since.retain(|segment, _| endpoints.contains_key(segment));
         self.sound_before.retain(|segment| endpoints.contains_key(segment));
         self.update_digest();
-        self.reconsider(false, now);
+        self.reconsider_all(now);
     }
 }
