--- a/crates/coordination/src/pattern_rulings.rs
+++ b/crates/coordination/src/pattern_rulings.rs
@@ -53,8 +53,8 @@
     /// Makes rulings on what is to be shut out, after the time in which other reports of the same crashes may arrive. Until
     /// then it is refused without a ruling. Returns the patterns that are newly shut out.
     pub fn make_rulings(&mut self, now: Millis, unix_ms: u64) -> Vec<Pattern> {
-        if self.outdated {
-            self.reconsider_all(now);
+        if self.unweighed > 0 {
+            self.reconsider_next(now);
         }
         let delay =
             |due: &Due| if due.witnessed { JOINT_CRASH_WINDOW_MS } else { BYSTANDER_DELAY_MS };
--- a/crates/coordination/src/segments.rs
+++ b/crates/coordination/src/segments.rs
@@ -30,15 +30,19 @@
 use crosslane_state::time::Millis;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound;
 
 /// Time for which crashes count, in milliseconds.
 const CRASH_TTL_MS: u64 = 600_000;
 
 /// Maximum number of crashes that are remembered, and of requests at each. The latest ones are kept, so
 /// that a flood of others leaves room for those under the next culprit.
-const MAX_CRASHES: usize = 128;
+const MAX_CRASHES: usize = 64;
 const MAX_REPORTS: usize = 16;
 
+/// Maximum number of segments that are weighed at a time, besides those of new reports and of what is due.
+const MAX_WEIGHED: usize = 32;
+
 /// Number of nodes that tell the others of a segment with which requests ran well before.
 const WITNESSES: u64 = 8;
 
@@ -103,8 +107,9 @@
     /// Patterns whose ruling expired: the next crash under one shuts it out again.
     pub(crate) lapsed: BTreeMap<Fingerprint, (Pattern, Millis)>,
     pub(crate) due: BTreeMap<Pattern, Due>,
-    /// Whether `due` may lack patterns.
-    pub(crate) outdated: bool,
+    /// Number of segments that are still to be weighed since the last change, and the one after which they follow.
+    pub(crate) unweighed: usize,
+    next: Option<Segment>,
     pub(crate) outbox: Vec<Update>,
     pub(crate) digest: u64,
 }
@@ -122,7 +127,8 @@
             ruled: BTreeMap::new(),
             lapsed: BTreeMap::new(),
             due: BTreeMap::new(),
-            outdated: false,
+            unweighed: 0,
+            next: None,
             outbox: Vec::new(),
             digest: 0,
         }
@@ -285,20 +291,28 @@
     }
 
     /// Works out again which patterns are to be shut out, as far as some segments, or what is due, decide it. The others follow
-    /// in `reconsider_all`: a flood of crashes would take much processor time otherwise.
+    /// by and by in `reconsider_next`: a flood of crashes would take much processor time otherwise.
     pub(crate) fn reconsider(&mut self, changed: &[Segment], witnessed: bool, now: Millis) {
-        let due = self.due.keys().flat_map(Pattern::segments).copied();
-        let candidates: BTreeSet<Segment> = changed.iter().copied().chain(due).collect();
-        let due = self.suspected_patterns(candidates);
-        self.set_due(due, witnessed, now);
-        self.outdated = true;
+        self.weigh(changed.iter().copied().collect(), witnessed, now);
+        self.unweighed = self.endpoints.len();
     }
 
-    /// Works out again which patterns are to be shut out.
-    pub(crate) fn reconsider_all(&mut self, now: Millis) {
-        let due = self.suspected_patterns(self.endpoints.keys().copied().collect());
-        self.set_due(due, false, now);
-        self.outdated = false;
+    /// Works out again which patterns are to be shut out, as far as the next segments decide it.
+    pub(crate) fn reconsider_next(&mut self, now: Millis) {
+        let from = self.next.map_or(Bound::Unbounded, Bound::Excluded);
+        let next = self.endpoints.range((from, Bound::Unbounded)).map(|(segment, _)| *segment);
+        let next: BTreeSet<Segment> = next.take(MAX_WEIGHED).collect();
+        // Begins again at the first one after the last.
+        self.next = next.last().copied().filter(|_| next.len() == MAX_WEIGHED);
+        self.unweighed = self.unweighed.saturating_sub(MAX_WEIGHED);
+        self.weigh(next, false, now);
+    }
+
+    /// Weighs the evidence for some segments, and again for those of what is due.
+    fn weigh(&mut self, mut candidates: BTreeSet<Segment>, witnessed: bool, now: Millis) {
+        candidates.extend(self.due.keys().flat_map(Pattern::segments));
+        let due = self.suspected_patterns(candidates);
+        self.set_due(due, witnessed, now);
     }
 
     fn set_due(&mut self, due: BTreeSet<Pattern>, witnessed: bool, now: Millis) {
@@ -367,6 +381,6 @@
         self.sound_since.retain(|segment, _| endpoints.contains_key(segment));
         self.sound_before.retain(|segment| endpoints.contains_key(segment));
         self.update_digest();
-        self.reconsider_all(now);
+        self.reconsider(&[], false, now);
     }
 }
