--- a/crates/coordination/src/segments.rs
+++ b/crates/coordination/src/segments.rs
@@ -37,7 +37,7 @@
 
 /// Maximum number of crashes that are remembered, and of requests at each. The latest ones are kept, so
 /// that a flood of others leaves room for those under the next culprit.
-const MAX_CRASHES: usize = 64;
+const MAX_CRASHES: usize = 128;
 const MAX_REPORTS: usize = 16;
 
 /// Maximum number of segments that are weighed at a time, besides those of new reports and of what is due.
