Log what an engine answers when it is asked to continue a stopped run

The line of a cut stream says 'move failed' whatever happened after the run was stopped, and a send to an engine that is no longer listed left no line, so the hypotheses on runs lost in moves could not be told apart.

--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -68,6 +68,8 @@
 pub const FORWARD: &str = "forward";
 /// A run was moved away from a leaving engine, or could not be.
 pub const MOVE: &str = "move";
+/// An engine was asked to continue a run that was stopped for a move.
+pub const CONTINUE: &str = "continue";
 /// A request ended.
 pub const REQUEST: &str = "request";
 /// Data that can't be decoded was skipped.
@@ -78,7 +80,7 @@
 pub const PANICKED: &str = "panicked";
 
 /// All events.
-pub const EVENTS: [&str; 37] = [
+pub const EVENTS: [&str; 38] = [
     START,
     STOP,
     SUSPENDED,
@@ -112,6 +114,7 @@
     HELD_BACK,
     FORWARD,
     MOVE,
+    CONTINUE,
     REQUEST,
     SKIPPED,
     DROPPED,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -5,7 +5,7 @@
 
 use crate::cut::{Cut, Side};
 use crate::event;
-use crate::exchange::{self, Answer, Slot};
+use crate::exchange::{self, Answer, Failure, Slot};
 use crate::metrics::{Metrics, Retry};
 use crate::migration;
 use crate::node::ResponseBody;
@@ -265,13 +265,16 @@
             Slot::acquire(&self.generation.node, (key, 0.0), self.generation.expected_tokens());
         stopped.skip_rate_limit();
         let (handle, slots) = match outcome {
-            MoveOutcome::Copied { handle } => (handle, vec![slot, stopped]),
-            MoveOutcome::Stopped { handle } => (handle, vec![stopped]),
+            MoveOutcome::Copied { handle } => {
+                (handle, vec![(slot, target), (stopped, source.clone())])
+            }
+            MoveOutcome::Stopped { handle } => (handle, vec![(stopped, source.clone())]),
             MoveOutcome::UnderWay | MoveOutcome::Ended | MoveOutcome::Refused => return None,
         };
+        let stopped_at = Instant::now();
         self.move_at = None;
         let drained = self.drain().await;
-        self.continue_run(&source, &handle, slots).await;
+        self.continue_run(&source, &handle, slots, stopped_at).await;
         drained
     }
 
@@ -289,14 +292,22 @@
     }
 
     /// Continues a stopped run from its KV cache, at the first engine that does not refuse it.
-    async fn continue_run(&mut self, source: &Endpoint, handle: &str, slots: Vec<Slot>) {
+    async fn continue_run(
+        &mut self,
+        source: &Endpoint,
+        handle: &str,
+        slots: Vec<(Slot, Endpoint)>,
+        stopped_at: Instant,
+    ) {
         let last_event = self.last_event();
         let source = Some((source.address, handle));
         let purpose = Purpose::Decode { reservation: None, source, last_event };
         let until = self.generation.call.deadline.instant();
         self.answer = None;
-        for slot in slots {
-            match exchange::send(&self.generation.call, slot, &purpose, until).await {
+        for (slot, engine) in slots {
+            let sent = exchange::send(&self.generation.call, slot, &purpose, until).await;
+            self.log_continuation(&engine, &sent, stopped_at);
+            match sent {
                 Ok(answer) => self.answer = Some(answer),
                 Err(failure) if !failure.may_have_run() => continue,
                 Err(_) => {}
@@ -372,6 +383,25 @@
         None
     }
 
+    /// Logs what an engine that may continue a stopped run answered.
+    fn log_continuation(
+        &self,
+        engine: &Endpoint,
+        sent: &Result<Answer, Failure>,
+        stopped_at: Instant,
+    ) {
+        let Generation { node, call, .. } = &self.generation;
+        let (request, to) = (call.metadata.id.as_str(), engine.id.as_str());
+        let outcome = match sent {
+            Ok(answer) => answer.parts.status.to_string(),
+            Err(failure) => failure.to_string(),
+        };
+        let listed = node.pool().key(engine.tag()).is_some();
+        let (after, stopped_ms) =
+            (self.last_event().unwrap_or_default(), stopped_at.elapsed().as_millis() as u64);
+        info!(request, to, outcome, listed, after, stopped_ms; "{}", event::CONTINUE);
+    }
+
     fn log_resume(&self, why: &str, outcome: &str) {
         let request = self.generation.call.metadata.id.as_str();
         let after = self.last_event().unwrap_or_default();
