A run stays at an engine whose record came back

Callers: none seen. Cause, by reading: an endpoint whose record lapses and returns has another key in the pool, and a run is known by the key it was placed with. So the engine counted as gone for good, and after a second its healthy runs were stopped and moved, perhaps to itself. Whether it has left now goes by its id, birth and build, and the delay before a move starts anew. The table's test calls a new function, so it was not run on the old code.

--- a/crates/coordination/src/pool.rs
+++ b/crates/coordination/src/pool.rs
@@ -292,6 +292,15 @@
         self.entries.get(key).is_none_or(|entry| entry.endpoint.draining)
     }
 
+    /// Whether an endpoint that was listed before is draining or gone. If its record disappeared and came back, it has another
+    /// key.
+    pub fn has_left(&self, endpoint: &Endpoint) -> bool {
+        let key = self.tags.get(&endpoint.tag());
+        let entry = key.and_then(|key| self.entries.get(*key));
+        let entry = entry.filter(|entry| entry.build == endpoint.build());
+        entry.is_none_or(|entry| entry.endpoint.draining)
+    }
+
     /// Engines that are neither draining, lapsed nor evacuated, by service.
     pub fn engines(&self) -> HashMap<&str, Vec<(Key, &Endpoint)>> {
         let mut services: HashMap<&str, Vec<(Key, &Endpoint)>> = HashMap::new();
--- a/crates/coordination/tests/pool.rs
+++ b/crates/coordination/tests/pool.rs
@@ -85,6 +85,43 @@
     assert_eq!(kept, case.kept, "{}", case.name);
 }
 
+struct Left {
+    name: &'static str,
+    /// Endpoint under the same id once its record changes; none if the record goes.
+    later: Option<fn(Endpoint) -> Endpoint>,
+    /// Whether the record then returns as it was.
+    returns: bool,
+    left: bool,
+}
+
+/// An engine whose record lapsed and came back counted as gone for the runs that it had, which were moved away from it.
+#[rstest]
+#[case(Left { name: "draining", later: Some(|e| Endpoint { draining: true, ..e }), returns: false, left: true })]
+#[case(Left { name: "draining, then not", later: Some(|e| Endpoint { draining: true, ..e }), returns: true, left: false })]
+#[case(Left { name: "gone", later: None, returns: false, left: true })]
+#[case(Left { name: "gone, then back", later: None, returns: true, left: false })]
+#[case(Left {
+    name: "started again",
+    later: Some(|e| Endpoint { started_unix_ms: BORN + 1, ..e }), returns: false, left: true,
+})]
+#[case(Left {
+    name: "another version",
+    later: Some(|e| Endpoint { software: "v2".into(), ..e }), returns: false, left: true,
+})]
+#[case(Left { name: "changed", later: Some(|e| Endpoint { sequence: 1, ..e }), returns: false, left: false })]
+fn an_endpoint_whose_record_came_back_has_not_left(#[case] case: Left) {
+    let mut pool = pool(&["e1", "e2"]);
+    let before = endpoint("e1", false);
+    match case.later {
+        Some(change) => pool.update(change(before.clone()), Millis(0)),
+        None => pool.withdraw("e1", false, Millis(0)),
+    }
+    if case.returns {
+        pool.update(before.clone(), Millis(500));
+    }
+    assert_eq!(pool.has_left(&before), case.left, "{}", case.name);
+}
+
 #[rstest]
 fn a_lapsed_endpoint_that_is_listed_again_stays() {
     let mut pool = pool(&["a"]);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -232,14 +232,15 @@
 
     /// Whether the engine is leaving and `MOVE_DELAY`, or the interval since the last attempt, has passed.
     fn must_move(&mut self) -> bool {
-        let Some(key) = self.answer.as_ref().map(Answer::key) else {
+        let Some(answer) = &self.answer else {
             return false;
         };
-        if self.moves_left == 0 || !self.generation.node.pool().is_leaving(key) {
+        if !self.generation.node.pool().has_left(&answer.endpoint) {
+            self.move_at = None;
             return false;
         }
         let now = Instant::now();
-        now >= *self.move_at.get_or_insert(now + MOVE_DELAY)
+        self.moves_left > 0 && now >= *self.move_at.get_or_insert(now + MOVE_DELAY)
     }
 
     /// Moves the run with its KV cache to another engine. Returns events that arrived meanwhile.
