A run stopped for a move is continued by any engine that keeps it, while it is kept

Cause: stopping a run can't be undone, and all that followed was one try at each engine that keeps its KV cache. Any response of the first counted as the stream, one that broke off or was silent ended the search, a refusal by both was final, and the engine it came from was not asked if its record was gone. While the call to move was not answered, events waited, also if the run had not been stopped.

Now the other engine must accept a connection, and quarantine and limits the request, before the run is stopped. Both engines are asked until one answers with success or the time for which handles are kept (kv-ttl-s) is over; the first one also if it is not listed any more. A silent one is waited for while the other is asked. This can't run a request twice, since a handle serves once. Events go on to the caller beside the call, in a task that does not depend on whether the caller reads. A caller who leaves frees the handle at once. Moves are counted anew at each engine.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -177,6 +177,8 @@
     load: f64,
     /// Grant from the endpoint's rate limit, once acquired.
     permit: Option<Grant>,
+    /// Connection on which to send the request, if it was opened before.
+    connection: Option<Connection>,
 }
 
 impl Slot {
@@ -184,7 +186,7 @@
     pub fn acquire(node: &Arc<Node>, (key, load): (Key, f64), tokens: u32) -> Self {
         node.pool().add_request(key, tokens);
         node.usage_changed.notify_one();
-        Self { node: node.clone(), key, tokens, load, permit: None }
+        Self { node: node.clone(), key, tokens, load, permit: None, connection: None }
     }
 
     /// Acquires a permit from the endpoint's rate limit, if it has one.
@@ -195,6 +197,14 @@
         Ok(())
     }
 
+    /// Opens the connection on which the request will be sent.
+    pub async fn connect(&mut self, endpoint: &Endpoint) -> Result<(), Failure> {
+        let ack_timeout = self.node.ack_timeout();
+        let opened = self.node.dialer.open(endpoint, CONNECT_TIMEOUT, ack_timeout).await;
+        self.connection = Some(opened.map_err(|error| Failure::from(&error))?);
+        Ok(())
+    }
+
     /// Skips the rate limit: the endpoint has the run already, so it is not a new request there.
     pub fn skip_rate_limit(&mut self) {
         self.permit = Some(Grant::unlimited(&self.node));
@@ -348,7 +358,38 @@
         log_failure(call, &endpoint, Failure::Unsent, "no longer meets the terms");
         return Err(Failure::Unsent);
     }
-    let mut trial = quarantine::admit(&node, call, &endpoint, purpose).await?;
+    let trial = quarantine::admit(&node, call, &endpoint, purpose).await?;
+    transmit(call, slot, endpoint, purpose, until, trial).await
+}
+
+/// Sends a call to the engine at which it ran until it was stopped there. The engine need not be listed any more, nor meet the
+/// terms of new requests. With `proven`, quarantine does not keep the call from it, since the run went well there.
+pub async fn send_back(
+    call: &Call,
+    mut slot: Slot,
+    engine: &Endpoint,
+    purpose: &Purpose<'_>,
+    until: Instant,
+    proven: bool,
+) -> Result<Answer, Failure> {
+    slot.skip_rate_limit();
+    let trial = match quarantine::admit(&slot.node, call, engine, purpose).await {
+        Err(_) if proven => None,
+        admitted => admitted?,
+    };
+    transmit(call, slot, engine.clone(), purpose, until, trial).await
+}
+
+/// Sends a call to an endpoint that may run it.
+async fn transmit(
+    call: &Call,
+    mut slot: Slot,
+    endpoint: Endpoint,
+    purpose: &Purpose<'_>,
+    until: Instant,
+    mut trial: Option<Trial>,
+) -> Result<Answer, Failure> {
+    let node = slot.node.clone();
     log_placement(&node, call, &slot, &endpoint, purpose);
     let sent_at = node.now();
     let runs = !matches!(purpose, Purpose::Prefill);
@@ -362,7 +403,8 @@
     slot.permit.iter().for_each(|permit| {
         permit.mark_sent();
     });
-    let result = connect_and_send(&node, call, &endpoint, purpose, until).await;
+    let opened = slot.connection.take();
+    let result = connect_and_send(&node, call, &endpoint, purpose, until, opened).await;
     let (connection, parts, body) = match result {
         Ok(received) => received,
         Err(error) => {
@@ -455,9 +497,18 @@
     endpoint: &Endpoint,
     purpose: &Purpose<'_>,
     until: Instant,
+    opened: Option<Connection>,
 ) -> Result<(Connection, Parts, Incoming), Error> {
     let to = endpoint.address;
     call.connected.store(false, Ordering::Relaxed);
+    if let Some(connection) = opened {
+        call.connected.store(true, Ordering::Relaxed);
+        match send_over(connection, build_request(call, endpoint, purpose), until).await {
+            // The endpoint closed the connection before anything was sent.
+            Err(error) if !error.may_have_been_sent() => {}
+            sent => return sent,
+        }
+    }
     while matches!(purpose, Purpose::Run)
         && let Some(connection) = node.idle_connections.take(to)
     {
--- a/crates/gateway/src/migration.rs
+++ b/crates/gateway/src/migration.rs
@@ -1,18 +1,31 @@
 //! Moves a run away from a leaving engine.
 //!
-//! The engine stops the run before it answers. Without an answer the run may be stopped, and only the engine can tell: it is
-//! asked again until it does.
+//! Stopping a run can't be undone, so all that can be known before is made sure of first: that another engine has room, accepts
+//! a connection and may be sent the request. Then the engine stops the run and copies its KV cache. From there on, both engines
+//! can continue the run, and its handle serves only once. They are asked until one does or the KV cache is gone.
 
 use crate::control::Control;
 use crate::event;
-use crate::exchange::Call;
+use crate::exchange::{self, Answer, Call, Failure, Slot};
 use crate::liveness;
+use crate::metrics::Retry;
+use crate::node::Node;
+use crate::quarantine;
+use crate::reservation::Handle;
+use crate::stream::Generation;
+use crosslane_coordination::admission::FULL_UTILIZATION;
+use crosslane_coordination::health::Outcome;
 use crosslane_platform::engine::{self, MoveOutcome};
-use crosslane_state::endpoint::Endpoint;
+use crosslane_platform::request::Purpose;
+use crosslane_state::endpoint::{Endpoint, Key};
 use crosslane_transport::connection::Error;
 use log::info;
+use std::pin::pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
-use tokio::time::sleep;
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep, timeout};
 
 /// Timeout of one call: 100 MB over the engines' links take some 10 ms, queued behind other moves.
 const CALL_TIMEOUT: Duration = Duration::from_millis(600);
@@ -20,9 +33,197 @@
 /// Interval between calls while the outcome is unknown.
 const RETRY_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Pause before the engines are asked again to continue a stopped run; it doubles each time.
+const MIN_PAUSE: Duration = Duration::from_millis(25);
+
+/// A move that is about to begin.
+pub struct Move {
+    node: Arc<Node>,
+    call: Call,
+    service: String,
+    source: Endpoint,
+    source_key: Key,
+    target: Endpoint,
+    slot: Slot,
+}
+
+impl Move {
+    /// Plans to move a run from an engine to another one with room for it, if there is one.
+    pub fn plan(generation: &Generation, source: &Endpoint, source_key: Key) -> Option<Self> {
+        let Generation { node, call, service, .. } = generation;
+        let choice = generation.choose_decode(FULL_UTILIZATION, &[source_key])?;
+        let target = node.pool().get(choice.0).cloned().filter(|to| to.tag() != source.tag())?;
+        let slot = Slot::acquire(node, choice, generation.expected_tokens());
+        Some(Self {
+            node: node.clone(),
+            call: call.clone(),
+            service: service.clone(),
+            source: source.clone(),
+            source_key,
+            target,
+            slot,
+        })
+    }
+
+    /// Stops the run if the other engine can be sent the request. Returns it if it was stopped.
+    pub async fn stop(mut self) -> Option<Stopped> {
+        quarantine::check(&self.node, &self.call).ok()?;
+        self.slot.acquire_permit(&self.call.metadata.id).await.ok()?;
+        self.slot.connect(&self.target).await.ok()?;
+        if !self.node.take_retry(&self.service).await {
+            self.node.metrics.count_retry(Retry::DeniedBudget);
+            return None;
+        }
+        let Self { node, call, source, source_key, target, slot, .. } = self;
+        let (id, copied) = match stop_and_copy(&node.control, &call, &source, &target).await {
+            MoveOutcome::Copied { handle } => (handle, true),
+            MoveOutcome::Stopped { handle } => (handle, false),
+            MoveOutcome::UnderWay | MoveOutcome::Ended | MoveOutcome::Refused => return None,
+        };
+        let handle = Handle::new(&node, source.clone(), id);
+        let source = Holder { engine: source, key: source_key, is_source: true };
+        let target = Holder { engine: target, key: slot.key, is_source: false };
+        let target = copied.then_some((target, slot));
+        Some(Stopped { handle, source, target, at: Instant::now() })
+    }
+}
+
+/// A run that was stopped, with the engines that keep its KV cache.
+pub struct Stopped {
+    /// KV cache; freed at both engines if it is dropped unused.
+    handle: Handle,
+    source: Holder,
+    /// Engine to which the KV cache was copied, if it was, and the slot that was acquired there.
+    target: Option<(Holder, Slot)>,
+    at: Instant,
+}
+
+/// An engine that keeps the KV cache of a stopped run.
+struct Holder {
+    engine: Endpoint,
+    key: Key,
+    is_source: bool,
+}
+
+/// The attempts to continue a stopped run.
+struct Continuation<'a> {
+    generation: &'a Generation,
+    purpose: Purpose<'a>,
+    stopped_at: Instant,
+    /// Signals that an attempt at the target failed.
+    failed: Notify,
+    /// Whether an engine broke off an attempt.
+    broke: AtomicBool,
+}
+
+impl Stopped {
+    /// Engine that is asked first.
+    pub fn first_key(&self) -> Key {
+        self.target.as_ref().map_or(self.source.key, |(target, _)| target.key)
+    }
+
+    /// Continues the run after an event at one of the engines that keep its KV cache; none if all fail until it has expired.
+    pub async fn resume(self, generation: &Generation, last_event: Option<u64>) -> Option<Answer> {
+        let Self { mut handle, source, target, at: stopped_at } = self;
+        let purpose = Purpose::Decode { reservation: None, source: handle.source(), last_event };
+        let (failed, broke) = (Notify::new(), AtomicBool::new(false));
+        let continuation = Continuation { generation, purpose, stopped_at, failed, broke };
+        let answer = match target {
+            Some((target, slot)) => continuation.ask_both(&target, slot, &source).await,
+            None => continuation.ask(&source, None).await,
+        };
+        if answer.is_some() {
+            handle.id = None;
+        }
+        answer
+    }
+}
+
+impl Continuation<'_> {
+    /// Asks the target, and the source too once the target has failed or not answered within the longest gap on time.
+    async fn ask_both(&self, target: &Holder, slot: Slot, source: &Holder) -> Option<Answer> {
+        let patience = Duration::from_millis(self.generation.route.target_gap_ms);
+        let mut at_target = pin!(self.ask(target, Some(slot)));
+        let mut at_source = pin!(async {
+            // Either way, the source is asked.
+            let _ = timeout(patience, self.failed.notified()).await;
+            self.ask(source, None).await
+        });
+        tokio::select! {
+            biased;
+            answer = at_target.as_mut() => match answer {
+                Some(answer) => Some(answer),
+                None => at_source.await,
+            },
+            answer = at_source.as_mut() => match answer {
+                Some(answer) => Some(answer),
+                None => at_target.await,
+            },
+        }
+    }
+
+    /// Asks an engine again and again until the KV cache has expired.
+    async fn ask(&self, holder: &Holder, mut slot: Option<Slot>) -> Option<Answer> {
+        let Generation { call, engine, .. } = self.generation;
+        let ttl = Duration::from_millis(engine.handle_ttl_ms);
+        let mut pause = MIN_PAUSE;
+        loop {
+            let is_last = self.stopped_at.elapsed() >= ttl || call.remaining().is_zero();
+            match self.attempt(holder, slot.take()).await {
+                Ok(answer) => return Some(answer),
+                Err(_) if is_last => return None,
+                Err(failure) => self.record(failure, holder),
+            }
+            sleep(pause).await;
+            pause *= 2;
+        }
+    }
+
+    fn record(&self, failure: Failure, holder: &Holder) {
+        self.broke.fetch_or(failure.may_have_run(), Ordering::Relaxed);
+        if !holder.is_source {
+            self.failed.notify_one();
+        }
+    }
+
+    /// Sends the request to an engine once. An error response counts as a failure.
+    async fn attempt(&self, holder: &Holder, slot: Option<Slot>) -> Result<Answer, Failure> {
+        let Generation { node, call, .. } = self.generation;
+        let until = call.deadline.instant();
+        let tokens = self.generation.expected_tokens();
+        let slot = slot.unwrap_or_else(|| Slot::acquire(node, (holder.key, 0.0), tokens));
+        let sent = if holder.is_source {
+            let proven = !self.broke.load(Ordering::Relaxed);
+            exchange::send_back(call, slot, &holder.engine, &self.purpose, until, proven).await
+        } else {
+            exchange::send(call, slot, &self.purpose, until).await
+        };
+        self.log(&holder.engine, &sent);
+        let answer = sent?;
+        if !answer.parts.status.is_success() {
+            answer.record_outcome(Outcome::Error);
+            return Err(Failure::Broken);
+        }
+        Ok(answer)
+    }
+
+    /// Logs what an engine answered.
+    fn log(&self, engine: &Endpoint, sent: &Result<Answer, Failure>) {
+        let Generation { node, call, .. } = self.generation;
+        let (request, to) = (call.metadata.id.as_str(), engine.id.as_str());
+        let outcome = match sent {
+            Ok(answer) => answer.parts.status.to_string(),
+            Err(failure) => failure.to_string(),
+        };
+        let listed = node.pool().key(engine.tag()).is_some();
+        let stopped_ms = self.stopped_at.elapsed().as_millis() as u64;
+        info!(request, to, outcome, listed, stopped_ms; "{}", event::CONTINUE);
+    }
+}
+
 /// Stops a run at its engine and copies its KV cache to another one. Waits until the outcome is known, the engine is gone,
 /// or the deadline of the request.
-pub async fn stop_and_copy(
+async fn stop_and_copy(
     control: &Control,
     call: &Call,
     from: &Endpoint,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -5,20 +5,16 @@
 
 use crate::cut::{Cut, Side};
 use crate::event;
-use crate::exchange::{self, Answer, Failure, Slot};
+use crate::exchange::Answer;
 use crate::metrics::{Metrics, Retry};
-use crate::migration;
+use crate::migration::{Move, Stopped};
 use crate::node::ResponseBody;
 use crate::quarantine;
 use crate::resume;
 use crate::sse::Splitter;
 use crate::stream::Generation;
-use bytes::{Bytes, BytesMut};
-use crosslane_coordination::admission::FULL_UTILIZATION;
+use bytes::Bytes;
 use crosslane_coordination::health::Outcome;
-use crosslane_platform::engine::MoveOutcome;
-use crosslane_platform::request::Purpose;
-use crosslane_state::endpoint::Endpoint;
 use crosslane_state::route::Kind;
 use crosslane_transport::connection::{self, Closer};
 use crosslane_transport::http::BodyError;
@@ -26,8 +22,11 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use log::info;
+use std::pin::pin;
 use std::time::Duration;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::time::{Instant, timeout_at};
+use tokio_util::task::AbortOnDropHandle;
 
 /// Time from an engine's announced departure until its runs are moved: short runs end by themselves, and the engine
 /// goes on serving for at least 2 s.
@@ -36,11 +35,11 @@
 /// Interval between attempts to move a run, when other engines have no room.
 const MOVE_RETRY_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Attempts to move a run: as many as fit into the time for which a leaving engine serves.
+/// Attempts to move a run away from an engine: as many as fit into the time for which a leaving engine serves.
 const MAX_MOVES: u32 = 4;
 
-/// Timeout to read what a stopped run had already sent.
-const DRAIN_TIMEOUT: Duration = Duration::from_millis(600);
+/// One part in this many of the time for which the KV cache of a stopped run is kept may go into reading what it had sent.
+const DRAIN_DIVISOR: u64 = 4;
 
 /// Relays the events of one stream.
 pub struct Relay {
@@ -81,7 +80,61 @@
     Replaced(Box<Answer>),
 }
 
-type Item = (Result<Frame<Bytes>, BodyError>, Relay);
+type Item = Result<Frame<Bytes>, BodyError>;
+
+/// What a relay does next.
+enum Next {
+    Item(Item, Relay),
+    Move(Relay),
+    End,
+}
+
+/// A stream to the caller. A move goes on whether or not the caller reads, since a stopped run is kept only briefly.
+enum State {
+    Relaying(Box<Relay>),
+    Moving {
+        task: AbortOnDropHandle<Relay>,
+        events: UnboundedReceiver<Bytes>,
+    },
+    /// The task of a move panicked.
+    Cut,
+}
+
+impl State {
+    async fn next(mut self) -> Option<(Item, Self)> {
+        loop {
+            self = match self {
+                Self::Relaying(relay) => match relay.next().await {
+                    Next::Item(item, relay) => {
+                        return Some((item, Self::Relaying(Box::new(relay))));
+                    }
+                    Next::Move(relay) => Self::begin_move(relay),
+                    Next::End => return None,
+                },
+                Self::Cut => return None,
+                Self::Moving { task, mut events } => match events.recv().await {
+                    Some(whole) => {
+                        return Some((Ok(Frame::data(whole)), Self::Moving { task, events }));
+                    }
+                    // The task dropped its sender, so it ends at once.
+                    None => match task.await {
+                        Ok(relay) => Self::Relaying(Box::new(relay)),
+                        Err(error) => return Some((Err(error.into()), Self::Cut)),
+                    },
+                },
+            }
+        }
+    }
+
+    fn begin_move(mut relay: Relay) -> Self {
+        let (sender, events) = unbounded_channel();
+        let task = AbortOnDropHandle::new(tokio::spawn(async move {
+            relay.move_run(&sender).await;
+            relay
+        }));
+        Self::Moving { task, events }
+    }
+}
 
 impl Relay {
     /// Starts to relay an engine's response.
@@ -101,44 +154,51 @@
 
     /// Response body for the caller.
     pub fn body(self) -> ResponseBody {
-        BoxBody::new(StreamBody::new(futures::stream::unfold(self, Self::next)))
+        let relaying = State::Relaying(Box::new(self));
+        BoxBody::new(StreamBody::new(futures::stream::unfold(relaying, State::next)))
     }
 
-    async fn next(mut self) -> Option<Item> {
+    async fn next(mut self) -> Next {
         loop {
             if let Some(broken) = self.broken.take() {
-                return Some((Err(broken.why.into()), self));
+                return Next::Item(Err(broken.why.into()), self);
+            }
+            // A stream has no response once it was completed or cut.
+            if self.answer.is_none() {
+                return Next::End;
             }
-            // A stream has no response only after it was cut by an error.
-            self.answer.as_ref()?;
             if self.must_move() {
-                match self.move_run().await {
-                    Some(events) => return Some((Ok(Frame::data(events)), self)),
-                    None => continue,
-                }
+                return Next::Move(self);
             }
             match self.next_chunk().await {
                 Chunk::Data(bytes) => {
                     if let Some(events) = self.events.push(&bytes) {
                         self.begin();
                         self.answer.iter_mut().for_each(Answer::record_progress);
-                        return Some((Ok(Frame::data(events)), self));
+                        return Next::Item(Ok(Frame::data(events)), self);
                     }
                 }
-                Chunk::End => {
-                    self.record_outcome(Outcome::Good);
-                    self.answer.iter_mut().for_each(Answer::complete);
-                    return None;
-                }
+                Chunk::End => self.complete(),
                 Chunk::Replaced(answer) => self.replace_answer(*answer).await,
-                Chunk::Broken(broken) => {
-                    self.record_outcome(Outcome::Failed);
-                    self.fail_over(broken).await;
-                }
+                Chunk::Broken(broken) => self.fail(broken).await,
             }
         }
     }
 
+    /// Ends the stream with the whole response.
+    fn complete(&mut self) {
+        self.record_outcome(Outcome::Good);
+        if let Some(mut answer) = self.answer.take() {
+            answer.complete();
+        }
+    }
+
+    /// Resumes the stream after its engine broke it off, or marks it to be cut.
+    async fn fail(&mut self, broken: Break) {
+        self.record_outcome(Outcome::Failed);
+        self.fail_over(broken).await;
+    }
+
     /// Binds the stream to the build of its engine, before its first event leaves or its KV cache moves.
     fn begin(&mut self) {
         if let Some(answer) = self.answer.as_ref().filter(|_| !self.begun) {
@@ -179,8 +239,9 @@
         self.events.discard();
         self.generation.node.metrics.count_retry(Retry::Resumed);
         self.log_resume("engine silent", "resumed");
-        self.last_endpoint.clone_from(&answer.endpoint.id);
-        if let Some(silent) = self.answer.replace(answer) {
+        let silent = self.answer.take();
+        self.run_at(answer);
+        if let Some(silent) = silent {
             let Generation { node, call, .. } = &self.generation;
             let (endpoint, run) = (silent.endpoint.clone(), (silent.started_at, silent.progress));
             // Ends the silent run before the check, which takes a while.
@@ -243,84 +304,90 @@
         self.moves_left > 0 && now >= *self.move_at.get_or_insert(now + MOVE_DELAY)
     }
 
-    /// Moves the run with its KV cache to another engine. Returns events that arrived meanwhile.
-    async fn move_run(&mut self) -> Option<Bytes> {
+    /// Moves the run with its KV cache to another engine. Events that arrive meanwhile are passed on.
+    async fn move_run(&mut self, events: &UnboundedSender<Bytes>) {
         self.moves_left -= 1;
         self.move_at = Some(Instant::now() + MOVE_RETRY_INTERVAL);
         self.begin();
-        let (source, key) =
-            self.answer.as_ref().map(|answer| (answer.endpoint.clone(), answer.key()))?;
-        let choice = self.generation.choose_decode(FULL_UTILIZATION, &[key])?;
-        let target = self.generation.node.pool().get(choice.0).cloned()?;
-        let mut slot =
-            Slot::acquire(&self.generation.node, choice, self.generation.expected_tokens());
-        // Before the run is stopped, since the target's rate limit must have room for it.
-        slot.acquire_permit(&self.generation.call.metadata.id).await.ok()?;
-        if !self.generation.node.take_retry(&self.generation.service).await {
-            return None;
-        }
-        let Generation { node, call, .. } = &self.generation;
-        let outcome = migration::stop_and_copy(&node.control, call, &source, &target).await;
-        // The source keeps the KV cache until the run continues, so a run that the target refuses is not lost.
-        let mut stopped =
-            Slot::acquire(&self.generation.node, (key, 0.0), self.generation.expected_tokens());
-        stopped.skip_rate_limit();
-        let (handle, slots) = match outcome {
-            MoveOutcome::Copied { handle } => {
-                (handle, vec![(slot, target), (stopped, source.clone())])
+        let planned = self
+            .answer
+            .as_ref()
+            .and_then(|answer| Move::plan(&self.generation, &answer.endpoint, answer.key()));
+        let Some(planned) = planned else {
+            return;
+        };
+        let mut stopping = pin!(planned.stop());
+        let (last, stopped) = loop {
+            tokio::select! {
+                biased;
+                stopped = stopping.as_mut() => break (None, stopped),
+                chunk = self.next_chunk() => match chunk {
+                    Chunk::Data(bytes) => self.pass_on(&bytes, events),
+                    Chunk::Replaced(answer) => return self.replace_answer(*answer).await,
+                    // The engine closes the response of a run that it stops.
+                    Chunk::End | Chunk::Broken(_) => break (Some(chunk), stopping.await),
+                },
             }
-            MoveOutcome::Stopped { handle } => (handle, vec![(stopped, source.clone())]),
-            MoveOutcome::UnderWay | MoveOutcome::Ended | MoveOutcome::Refused => return None,
         };
-        let stopped_at = Instant::now();
-        self.move_at = None;
-        let drained = self.drain().await;
-        self.continue_run(&source, &handle, slots, stopped_at).await;
-        drained
+        match (stopped, last) {
+            (Some(stopped), None) => {
+                self.drain(events).await;
+                self.continue_run(stopped).await;
+            }
+            (Some(stopped), Some(_)) => self.continue_run(stopped).await,
+            (None, Some(Chunk::Broken(broken))) => self.fail(broken).await,
+            (None, Some(_)) => self.complete(),
+            (None, None) => {}
+        }
     }
 
-    /// Reads the events that a stopped run had already sent.
-    async fn drain(&mut self) -> Option<Bytes> {
-        let answer = self.answer.as_mut()?;
-        let until = Instant::now() + DRAIN_TIMEOUT;
-        let mut drained = BytesMut::new();
-        while let Ok(Some(Ok(frame))) = timeout_at(until, answer.body.frame()).await {
-            let bytes = frame.into_data().unwrap_or_default();
-            drained.extend(self.events.push(&bytes).into_iter().flatten());
+    /// Passes the whole events of a chunk on.
+    fn pass_on(&mut self, bytes: &Bytes, events: &UnboundedSender<Bytes>) {
+        if let Some(whole) = self.events.push(bytes) {
+            self.answer.iter_mut().for_each(Answer::record_progress);
+            // Fails only while the stream is being dropped.
+            let _ = events.send(whole);
+        }
+    }
+
+    /// Passes on the events that a stopped run had already sent. Those that come too late are generated again.
+    async fn drain(&mut self, events: &UnboundedSender<Bytes>) {
+        let limit = Duration::from_millis(self.generation.engine.handle_ttl_ms / DRAIN_DIVISOR);
+        let until = Instant::now() + limit;
+        while let Some(answer) = &mut self.answer
+            && let Ok(Some(Ok(frame))) = timeout_at(until, answer.body.frame()).await
+        {
+            self.pass_on(&frame.into_data().unwrap_or_default(), events);
         }
-        self.events.discard();
-        (!drained.is_empty()).then(|| drained.freeze())
     }
 
-    /// Continues a stopped run from its KV cache, at the first engine that does not refuse it.
-    async fn continue_run(
-        &mut self,
-        source: &Endpoint,
-        handle: &str,
-        slots: Vec<(Slot, Endpoint)>,
-        stopped_at: Instant,
-    ) {
+    /// Continues a stopped run from its KV cache.
+    async fn continue_run(&mut self, stopped: Stopped) {
         let last_event = self.last_event();
-        let source = Some((source.address, handle));
-        let purpose = Purpose::Decode { reservation: None, source, last_event };
-        let until = self.generation.call.deadline.instant();
+        self.events.discard();
         self.answer = None;
-        for (slot, engine) in slots {
-            let sent = exchange::send(&self.generation.call, slot, &purpose, until).await;
-            self.log_continuation(&engine, &sent, stopped_at);
-            match sent {
-                Ok(answer) => self.answer = Some(answer),
-                Err(failure) if !failure.may_have_run() => continue,
-                Err(_) => {}
+        let at = stopped.first_key();
+        let continuing = stopped.resume(&self.generation, last_event);
+        let continued =
+            self.generation.unless_stalled(&[at], last_event, continuing, Option::is_none).await;
+        match continued {
+            Ok(Some(answer)) | Err(answer) => self.run_at(answer),
+            // The stream is resumed or cut like one that broke off.
+            Ok(None) => {
+                if let Err(bound) = self.resume("move failed").await {
+                    self.cut(Break::new(Side::Node, "move failed"), bound);
+                }
             }
-            break;
         }
-        // Without a response, the stream is resumed or cut like one that broke off.
-        if self.answer.is_none()
-            && let Err(bound) = self.resume("move failed").await
-        {
-            self.cut(Break::new(Side::Node, "move failed"), bound);
+    }
+
+    /// Goes on with the response of an engine. Moves are counted anew at another one.
+    fn run_at(&mut self, answer: Answer) {
+        if self.last_endpoint != answer.endpoint.id {
+            (self.move_at, self.moves_left) = (None, MAX_MOVES);
         }
+        self.last_endpoint.clone_from(&answer.endpoint.id);
+        self.answer = Some(answer);
     }
 
     /// Id of the last event that the caller has, relayed here or in the response that it resumes.
@@ -343,8 +410,7 @@
             let resumed = match resumed {
                 Ok(answer) if answer.parts.status.is_success() => {
                     self.log_resume(why, "resumed");
-                    self.last_endpoint.clone_from(&answer.endpoint.id);
-                    self.answer = Some(answer);
+                    self.run_at(answer);
                     return Ok(());
                 }
                 resumed => resumed,
@@ -384,25 +450,6 @@
         None
     }
 
-    /// Logs what an engine that may continue a stopped run answered.
-    fn log_continuation(
-        &self,
-        engine: &Endpoint,
-        sent: &Result<Answer, Failure>,
-        stopped_at: Instant,
-    ) {
-        let Generation { node, call, .. } = &self.generation;
-        let (request, to) = (call.metadata.id.as_str(), engine.id.as_str());
-        let outcome = match sent {
-            Ok(answer) => answer.parts.status.to_string(),
-            Err(failure) => failure.to_string(),
-        };
-        let listed = node.pool().key(engine.tag()).is_some();
-        let (after, stopped_ms) =
-            (self.last_event().unwrap_or_default(), stopped_at.elapsed().as_millis() as u64);
-        info!(request, to, outcome, listed, after, stopped_ms; "{}", event::CONTINUE);
-    }
-
     fn log_resume(&self, why: &str, outcome: &str) {
         let request = self.generation.call.metadata.id.as_str();
         let after = self.last_event().unwrap_or_default();
--- a/crates/state/src/route.rs
+++ b/crates/state/src/route.rs
@@ -93,6 +93,8 @@
     pub kv_capacity_tokens: u64,
     /// Longest time for which an engine reserves KV cache, in milliseconds.
     pub max_hold_ms: u64,
+    /// Time for which an engine keeps KV cache that has a handle, in milliseconds.
+    pub handle_ttl_ms: u64,
 }
 
 /// A service.
