Stand-ins and soak: engines are asked to move runs, and leave around reloads

The engines of the soak refused every call to move a run, so no soak ever moved one. Some engines leave without saying so: their record goes.

--- a/crates/crosslane/examples/soak.rs
+++ b/crates/crosslane/examples/soak.rs
@@ -78,6 +78,7 @@
         callers: get(matches, "callers") as usize,
         time: Duration::from_secs(get(matches, "seconds")),
         partitions: true,
+        leaving: true,
         versions: get(matches, "versions").max(1) as usize,
         program: Binaries::beside(&std::env::current_exe()?).node,
     })
--- a/crates/crosslane/tests/soak.rs
+++ b/crates/crosslane/tests/soak.rs
@@ -12,16 +12,23 @@
     seconds: u64,
     /// What the seed once showed, or why it is run.
     cause: &'static str,
+    /// Whether engines leave all the time.
+    leaving: bool,
 }
 
 /// Two streams broke off, met errors where they were to go on, and were cut: their nodes had no attempt or no
 /// repeat left, which they say in their logs.
-const CUT: Case = Case { seed: 4038, seconds: 15, cause: "streams that were made whole were cut" };
+const CUT: Case = Case {
+    seed: 4038,
+    seconds: 15,
+    cause: "streams that were made whole were cut",
+    leaving: false,
+};
 
 #[rstest]
-#[case(Case { seed: 1, seconds: 8, cause: "a short run for CI" })]
-#[case(Case { seed: 15, seconds: 15, cause: "an engine's error in place of a stream was cut off" })]
-#[case(Case { seed: 45, seconds: 15, cause: "an engine's error in place of a stream was cut off" })]
+#[case(Case { seed: 1, seconds: 8, cause: "a short run for CI", leaving: false })]
+#[case(Case { seed: 15, seconds: 15, cause: "an engine's error in place of a stream was cut off", leaving: false })]
+#[case(Case { seed: 45, seconds: 15, cause: "an engine's error in place of a stream was cut off", leaving: false })]
 fn promises_hold_under_faults(#[case] case: Case) {
     hold(&case);
 }
@@ -31,6 +38,11 @@
     hold(&CUT);
 }
 
+#[rstest]
+fn streams_are_not_cut_while_engines_leave_around_reloads() {
+    hold(&Case { seed: 66, seconds: 15, cause: "engines leave around reloads", leaving: true });
+}
+
 /// Held by the test that plays: two sites at once would take the processors from each other.
 static PLAYING: Mutex<()> = Mutex::new(());
 
@@ -45,6 +57,7 @@
         time: Duration::from_secs(case.seconds),
         // Those have tests of their own, in `partition.rs`; the seeds are kept as they were.
         partitions: false,
+        leaving: case.leaving,
         versions: 1,
         program: PathBuf::from(env!("CARGO_BIN_EXE_crosslaned")),
     };
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -42,7 +42,7 @@
     /// An endpoint ends without notice, and starts again under its id.
     #[display("endpoint born again")]
     Rebirth,
-    /// An endpoint announces that it leaves, and ends; another one comes first.
+    /// An endpoint announces that it leaves, or its record goes, and it ends; another one comes first.
     #[display("endpoint released")]
     Release,
     /// Some requests at an endpoint meet a fault.
@@ -107,6 +107,10 @@
 /// Kinds of a fourth series: a partition beside all others.
 pub const PARTITIONED: [Fault; 1] = [Fault::Partition];
 
+/// Kinds of a fifth series beside the others: engines leave, so that their runs are moved, while settings and configurations
+/// change.
+pub const LEAVING: [Fault; 4] = [Fault::Release, Fault::Release, Fault::Reload, Fault::Configure];
+
 /// Time for which a partition lasts, in milliseconds: seconds beyond the time after which the promise holds.
 const PARTITION_LASTS: std::ops::Range<u64> = 5_000..9_000;
 
@@ -133,6 +137,9 @@
 /// too late.
 const LEAVES: Duration = Duration::from_millis(8_500);
 
+/// Part of the leaving endpoints whose record goes in place of an announcement.
+const LEAVES_UNANNOUNCED: f64 = 0.3;
+
 /// Time for a process to end once it was killed.
 const DIES: Duration = Duration::from_secs(20);
 
@@ -270,7 +277,7 @@
         return Ok(());
     };
     site.add(place, stage, site.software(random.random_range(0..usize::MAX))).await?;
-    site.leave(&id);
+    site.leave(&id, random.random_bool(LEAVES_UNANNOUNCED));
     sleep(LEAVES).await;
     site.remove(&id);
     site.forget(&id);
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,12 +1,12 @@
 //! One run of the soak, and its report.
 
-use crate::fault::{self, BESIDE, DRAWN, Fault, IN_NEED, PARTITIONED};
+use crate::fault::{self, BESIDE, DRAWN, Fault, IN_NEED, LEAVING, PARTITIONED};
 use crate::innocence;
 use crate::keys;
 use crate::site::{Plan, Site};
 use crate::traffic::{self, Endings};
 use crosslane_platform_standins::caller;
-use crosslane_platform_standins::ledger::{Effect, Poison, Violation};
+use crosslane_platform_standins::ledger::{Effect, Moved, Poison, Violation};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::collections::BTreeMap;
@@ -52,6 +52,8 @@
     pub megabytes: u64,
     /// What made endpoints crash, and its effects.
     pub crashing: Vec<(Poison, Effect)>,
+    /// Runs that were stopped to be moved, and those that went on.
+    pub moved: Moved,
     /// Broken promises.
     pub violations: Vec<Violation>,
 }
@@ -93,6 +95,8 @@
                 "  {poison:?}: {ended} ended, {reached} sends, {late} of them late"
             )?;
         }
+        let Moved { stopped, continued } = self.moved;
+        writeln!(formatter, "  {stopped} runs stopped for a move, {continued} continued")?;
         for Violation { invariant: promise, request, observed: seen } in &self.violations {
             writeln!(formatter, "  BROKEN {promise}: {request} {seen}")?;
         }
@@ -114,14 +118,16 @@
     let segments = tokio::spawn(traffic::crash_by_segment(site.clone(), plan.seed, over.clone()));
     let keyed = tokio::spawn(keys::call(site.clone(), plan.seed, over.clone()));
     let beats = tokio::spawn(beat(site.clone()));
-    let (drawn, beside, in_need, partitioned) = tokio::join!(
+    let leaving: &[Fault] = if plan.leaving { &LEAVING } else { &[] };
+    let (drawn, beside, in_need, leaving, partitioned) = tokio::join!(
         disturb(&site, plan, plan.seed, &DRAWN),
         disturb(&site, plan, !plan.seed, &BESIDE),
         disturb(&site, plan, plan.seed.rotate_left(17), &IN_NEED),
+        disturb(&site, plan, plan.seed.rotate_left(53), leaving),
         disturb_in_turn(&site, plan, plan.seed.rotate_left(29))
     );
     let mut faults = drawn?;
-    for (fault, count) in beside?.into_iter().chain(in_need?).chain(partitioned?) {
+    for (fault, count) in beside?.into_iter().chain(in_need?).chain(leaving?).chain(partitioned?) {
         *faults.entry(fault).or_default() += count;
     }
     beats.abort();
@@ -147,7 +153,8 @@
         megabytes = megabytes.max(node.peak_megabytes());
     }
     let (crashing, violations) = (site.ledger.effects(), site.ledger.violations());
-    Ok(Report { seed: plan.seed, faults, endings, megabytes, crashing, violations })
+    let moved = site.ledger.moved();
+    Ok(Report { seed: plan.seed, faults, endings, megabytes, crashing, moved, violations })
 }
 
 /// Begins faults, one after the other, and waits until all have ended.
@@ -161,7 +168,7 @@
     let mut counts = BTreeMap::new();
     let mut running = JoinSet::new();
     let end = Instant::now() + plan.time;
-    while Instant::now() < end {
+    while !kinds.is_empty() && Instant::now() < end {
         let fault = kinds[random.random_range(0..kinds.len())];
         *counts.entry(fault).or_default() += 1;
         let own = SmallRng::seed_from_u64(random.random());
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -61,6 +61,8 @@
     pub time: Duration,
     /// Whether nodes are partitioned from all endpoints.
     pub partitions: bool,
+    /// Whether engines leave all the time, so that their runs are moved.
+    pub leaving: bool,
     /// Software versions that endpoints run side by side.
     pub versions: usize,
     /// `crosslaned`.
@@ -84,6 +86,8 @@
     address: SocketAddr,
     _server: Server,
     leaving: bool,
+    /// Whether it leaves without saying so: its record is gone.
+    unannounced: bool,
 }
 
 /// Everything.
@@ -230,8 +234,17 @@
         let port = ways.first().map_or(0, |way| way.address.port());
         let address = SocketAddr::new(Ipv4Addr::UNSPECIFIED.into(), port);
         self.engines.add(address.to_string(), endpoint.clone());
-        let served_now =
-            Served { endpoint, born, place, proxy, ways, address, _server: server, leaving: false };
+        let served_now = Served {
+            endpoint,
+            born,
+            place,
+            proxy,
+            ways,
+            address,
+            _server: server,
+            leaving: false,
+            unannounced: false,
+        };
         self.announce(&served_now);
         served.push(served_now);
         Ok(())
@@ -268,7 +281,8 @@
         let Served { address, leaving, born, .. } = served;
         let software = &served.endpoint.software;
         let record = texts::record(*address, stage, domain, software, *leaving, *born);
-        self.store.put(ENDPOINTS, &served.endpoint.id, Some(record));
+        let record = (!served.unannounced).then_some(record);
+        self.store.put(ENDPOINTS, &served.endpoint.id, record);
     }
 
     /// Renews the records of endpoints whose stage may have changed, or that the store lost.
@@ -311,11 +325,12 @@
         served.iter().find(|it| it.endpoint.id == id).map(look)
     }
 
-    /// Announces an endpoint as leaving; it takes requests until it is removed.
-    pub fn leave(&self, id: &str) {
+    /// Announces an endpoint as leaving, or drops its record; it takes requests until it is removed.
+    pub fn leave(&self, id: &str, unannounced: bool) {
         let mut served = lock(&self.served);
         if let Some(served) = served.iter_mut().find(|it| it.endpoint.id == id) {
             served.leaving = true;
+            served.unannounced = unannounced;
             served.endpoint.forbid_work_from(Some(Instant::now() + SETTLED));
             self.announce(served);
         }
