--- a/crates/crosslane/examples/soak.rs
+++ b/crates/crosslane/examples/soak.rs
@@ -4,9 +4,10 @@
 //!
 //! A seed that breaks a promise keeps its logs, and tells the story of each request concerned.
 
-use clap::{Arg, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use crosslane::explain::Story;
 use crosslane_harness::site::Binaries;
+use crosslane_soak::fault::Mix;
 use crosslane_soak::run::{self, Report};
 use crosslane_soak::site::Plan;
 use std::fs::File;
@@ -33,8 +34,10 @@
         arg.default_value(usual).value_parser(value_parser!(u64))
     };
     let folder = Arg::new("logs").long("logs").value_name("FOLDER").default_value("target/soak");
+    let planned = Arg::new("planned").long("planned").action(ArgAction::SetTrue);
+    let planned = planned.help("Planned work only, which must cut off nothing");
     let command = Command::new("soak").about("Random faults on a site of real nodes");
-    let matches = command.args(NUMBERS.map(number)).arg(folder).get_matches();
+    let matches = command.args(NUMBERS.map(number)).arg(folder).arg(planned).get_matches();
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
     let first = get(&matches, "seed");
     let mut broken = Vec::new();
@@ -78,7 +81,7 @@
         callers: get(matches, "callers") as usize,
         time: Duration::from_secs(get(matches, "seconds")),
         partitions: true,
-        leaving: true,
+        mix: if matches.get_flag("planned") { Mix::Planned } else { Mix::All },
         versions: get(matches, "versions").max(1) as usize,
         program: Binaries::beside(&std::env::current_exe()?).node,
     })
--- a/crates/crosslane/tests/soak.rs
+++ b/crates/crosslane/tests/soak.rs
@@ -1,5 +1,6 @@
 //! A short soak of real nodes, and every seed that ever broke a promise.
 
+use crosslane_soak::fault::Mix;
 use crosslane_soak::run;
 use crosslane_soak::site::Plan;
 use rstest::rstest;
@@ -12,8 +13,8 @@
     seconds: u64,
     /// What the seed once showed, or why it is run.
     cause: &'static str,
-    /// Whether engines leave all the time.
-    leaving: bool,
+    /// Faults that are played.
+    mix: Mix,
 }
 
 /// Two streams broke off, met errors where they were to go on, and were cut: their nodes had no attempt or no
@@ -22,13 +23,13 @@
     seed: 4038,
     seconds: 15,
     cause: "streams that were made whole were cut",
-    leaving: false,
+    mix: Mix::Former,
 };
 
 #[rstest]
-#[case(Case { seed: 1, seconds: 8, cause: "a short run for CI", leaving: false })]
-#[case(Case { seed: 15, seconds: 15, cause: "an engine's error in place of a stream was cut off", leaving: false })]
-#[case(Case { seed: 45, seconds: 15, cause: "an engine's error in place of a stream was cut off", leaving: false })]
+#[case(Case { seed: 1, seconds: 8, cause: "a short run for CI", mix: Mix::Former })]
+#[case(Case { seed: 15, seconds: 15, cause: "an engine's error in place of a stream was cut off", mix: Mix::Former })]
+#[case(Case { seed: 45, seconds: 15, cause: "an engine's error in place of a stream was cut off", mix: Mix::Former })]
 fn promises_hold_under_faults(#[case] case: Case) {
     hold(&case);
 }
@@ -40,7 +41,7 @@
 
 #[rstest]
 fn streams_are_not_cut_while_engines_leave_around_reloads() {
-    hold(&Case { seed: 66, seconds: 15, cause: "engines leave around reloads", leaving: true });
+    hold(&Case { seed: 66, seconds: 15, cause: "engines leave around reloads", mix: Mix::Planned });
 }
 
 /// Held by the test that plays: two sites at once would take the processors from each other.
@@ -57,7 +58,7 @@
         time: Duration::from_secs(case.seconds),
         // Those have tests of their own, in `partition.rs`; the seeds are kept as they were.
         partitions: false,
-        leaving: case.leaving,
+        mix: case.mix,
         versions: 1,
         program: PathBuf::from(env!("CARGO_BIN_EXE_crosslaned")),
     };
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -74,8 +74,30 @@
     Compact,
 }
 
+/// Which faults a run plays.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mix {
+    /// Those that the seeds kept for CI were found with.
+    Former,
+    /// All.
+    All,
+    /// Planned work only, at engines some of which fail part of their requests.
+    Planned,
+}
+
+impl Mix {
+    /// Kinds of each series; the series overlap.
+    pub fn series(self) -> [&'static [Fault]; 4] {
+        match self {
+            Self::Former => [&DRAWN, &BESIDE, &IN_NEED, &[]],
+            Self::All => [&DRAWN, &BESIDE, &IN_NEED, &LEAVING],
+            Self::Planned => [&PLANNED, &[], &[], &LEAVING],
+        }
+    }
+}
+
 /// Every kind; those twice are drawn twice as often.
-pub const DRAWN: [Fault; 20] = [
+const DRAWN: [Fault; 20] = [
     Fault::Kill,
     Fault::Kill,
     Fault::Freeze,
@@ -99,17 +121,29 @@
 ];
 
 /// Kinds of a second series, which overlaps the first: what may come near a silence without a part in it.
-pub const BESIDE: [Fault; 4] = [Fault::Silence, Fault::Silence, Fault::Reload, Fault::Configure];
+const BESIDE: [Fault; 4] = [Fault::Silence, Fault::Silence, Fault::Reload, Fault::Configure];
 
 /// Kinds of a third series beside both.
-pub const IN_NEED: [Fault; 1] = [Fault::Need];
+const IN_NEED: [Fault; 1] = [Fault::Need];
 
 /// Kinds of a fourth series: a partition beside all others.
 pub const PARTITIONED: [Fault; 1] = [Fault::Partition];
 
 /// Kinds of a fifth series beside the others: engines leave, so that their runs are moved, while settings and configurations
 /// change.
-pub const LEAVING: [Fault; 4] = [Fault::Release, Fault::Release, Fault::Reload, Fault::Configure];
+const LEAVING: [Fault; 4] = [Fault::Release, Fault::Release, Fault::Reload, Fault::Configure];
+
+/// Kinds of a run with planned work only, which must cut off nothing, at engines some of which fail part of their requests.
+const PLANNED: [Fault; 8] = [
+    Fault::Stop,
+    Fault::Rolling,
+    Fault::Reload,
+    Fault::Configure,
+    Fault::Storm,
+    Fault::Release,
+    Fault::Release,
+    Fault::Grey,
+];
 
 /// Time for which a partition lasts, in milliseconds: seconds beyond the time after which the promise holds.
 const PARTITION_LASTS: std::ops::Range<u64> = 5_000..9_000;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,6 +1,6 @@
 //! One run of the soak, and its report.
 
-use crate::fault::{self, BESIDE, DRAWN, Fault, IN_NEED, LEAVING, PARTITIONED};
+use crate::fault::{self, Fault, Mix, PARTITIONED};
 use crate::innocence;
 use crate::keys;
 use crate::site::{Plan, Site};
@@ -114,15 +114,19 @@
         callers.spawn(traffic::call(site.clone(), name, plan.seed, over.clone()));
     }
     let probe = tokio::spawn(traffic::probe(site.clone(), plan.seed, over.clone()));
-    let culprits = tokio::spawn(traffic::crash(site.clone(), plan.seed, over.clone()));
-    let segments = tokio::spawn(traffic::crash_by_segment(site.clone(), plan.seed, over.clone()));
+    let poisonous = (plan.mix != Mix::Planned).then(|| {
+        let culprits = tokio::spawn(traffic::crash(site.clone(), plan.seed, over.clone()));
+        let segments =
+            tokio::spawn(traffic::crash_by_segment(site.clone(), plan.seed, over.clone()));
+        [culprits, segments]
+    });
     let keyed = tokio::spawn(keys::call(site.clone(), plan.seed, over.clone()));
     let beats = tokio::spawn(beat(site.clone()));
-    let leaving: &[Fault] = if plan.leaving { &LEAVING } else { &[] };
+    let [drawn, beside, in_need, leaving] = plan.mix.series();
     let (drawn, beside, in_need, leaving, partitioned) = tokio::join!(
-        disturb(&site, plan, plan.seed, &DRAWN),
-        disturb(&site, plan, !plan.seed, &BESIDE),
-        disturb(&site, plan, plan.seed.rotate_left(17), &IN_NEED),
+        disturb(&site, plan, plan.seed, drawn),
+        disturb(&site, plan, !plan.seed, beside),
+        disturb(&site, plan, plan.seed.rotate_left(17), in_need),
         disturb(&site, plan, plan.seed.rotate_left(53), leaving),
         disturb_in_turn(&site, plan, plan.seed.rotate_left(29))
     );
@@ -135,8 +139,9 @@
     until_ready(&site).await?;
     over.store(true, Ordering::Relaxed);
     probe.await?;
-    culprits.await?;
-    segments.await?;
+    for culprits in poisonous.into_iter().flatten() {
+        culprits.await?;
+    }
     keyed.await?;
     keys::check(&site).await;
     traffic::check_crashes(&site);
@@ -190,7 +195,7 @@
     let mut random = SmallRng::seed_from_u64(seed);
     let mut counts = BTreeMap::new();
     let end = Instant::now() + plan.time;
-    while plan.partitions && Instant::now() < end {
+    while plan.partitions && plan.mix != Mix::Planned && Instant::now() < end {
         sleep(Duration::from_millis(random.random_range(PAUSE))).await;
         let fault = PARTITIONED[random.random_range(0..PARTITIONED.len())];
         *counts.entry(fault).or_default() += 1;
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -1,5 +1,6 @@
 //! The site under soak: store, endpoints and nodes, and what is disturbed.
 
+use crate::fault::Mix;
 use crate::node::Node;
 use crate::proxy::{Mode, Proxy};
 use crate::reach::Reach;
@@ -61,8 +62,8 @@
     pub time: Duration,
     /// Whether nodes are partitioned from all endpoints.
     pub partitions: bool,
-    /// Whether engines leave all the time, so that their runs are moved.
-    pub leaving: bool,
+    /// Which faults are played.
+    pub mix: Mix,
     /// Software versions that endpoints run side by side.
     pub versions: usize,
     /// `crosslaned`.
