--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -372,8 +372,12 @@
     until: Instant,
     proven: bool,
 ) -> Result<Answer, Failure> {
-    slot.skip_rate_limit();
-    let trial = match quarantine::admit(&slot.node, call, engine, purpose).await {
+    let node = slot.node.clone();
+    // Limits of endpoints that are not listed are forgotten.
+    if node.pool().get(slot.key).is_some() {
+        slot.acquire_permit(&call.metadata.id).await?;
+    }
+    let trial = match quarantine::admit(&node, call, engine, purpose).await {
         Err(_) if proven => None,
         admitted => admitted?,
     };
--- a/crates/gateway/src/migration.rs
+++ b/crates/gateway/src/migration.rs
@@ -33,8 +33,13 @@
 /// Interval between calls while the outcome is unknown.
 const RETRY_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Pause before the engines are asked again to continue a stopped run; it doubles each time.
-const MIN_PAUSE: Duration = Duration::from_millis(25);
+/// Requests to each engine that keeps the KV cache of a stopped run.
+const MAX_ASKS: u32 = 3;
+
+/// One part in this many of the time for which KV cache is kept is the first pause between two such requests, which doubles, and
+/// the longest wait for the target's response before the source is asked too.
+const PAUSE_DIVISOR: u32 = 6;
+const PATIENCE_DIVISOR: u32 = 4;
 
 /// A move that is about to begin.
 pub struct Move {
@@ -45,13 +50,35 @@
     source_key: Key,
     target: Endpoint,
     slot: Slot,
+    called: Called,
+}
+
+/// Whether the engine may have been told to stop the run.
+#[derive(Clone, Debug, Default)]
+pub struct Called(Arc<AtomicBool>);
+
+impl Called {
+    fn set(&self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether it may have been told.
+    pub fn get(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
 }
 
 impl Move {
-    /// Plans to move a run from an engine to another one with room for it, if there is one.
-    pub fn plan(generation: &Generation, source: &Endpoint, source_key: Key) -> Option<Self> {
+    /// Plans to move a run from an engine to another one with room for it, if there is one besides those to exclude.
+    pub fn plan(
+        generation: &Generation,
+        source: &Endpoint,
+        source_key: Key,
+        exclude: &[Key],
+    ) -> Option<Self> {
         let Generation { node, call, service, .. } = generation;
-        let choice = generation.choose_decode(FULL_UTILIZATION, &[source_key])?;
+        let exclude = [exclude, &[source_key]].concat();
+        let choice = generation.choose_decode(FULL_UTILIZATION, &exclude)?;
         let target = node.pool().get(choice.0).cloned().filter(|to| to.tag() != source.tag())?;
         let slot = Slot::acquire(node, choice, generation.expected_tokens());
         Some(Self {
@@ -62,9 +89,15 @@
             source_key,
             target,
             slot,
+            called: Called::default(),
         })
     }
 
+    /// Whether the engine may have been told to stop the run, now and later.
+    pub fn called(&self) -> Called {
+        self.called.clone()
+    }
+
     /// Stops the run if the other engine can be sent the request. Returns it if it was stopped.
     pub async fn stop(mut self) -> Option<Stopped> {
         quarantine::check(&self.node, &self.call).ok()?;
@@ -74,6 +107,7 @@
             self.node.metrics.count_retry(Retry::DeniedBudget);
             return None;
         }
+        self.called.set();
         let Self { node, call, source, source_key, target, slot, .. } = self;
         let (id, copied) = match stop_and_copy(&node.control, &call, &source, &target).await {
             MoveOutcome::Copied { handle } => (handle, true),
@@ -110,16 +144,21 @@
     generation: &'a Generation,
     purpose: Purpose<'a>,
     stopped_at: Instant,
-    /// Signals that an attempt at the target failed.
+    /// Signals that a request to the target failed.
     failed: Notify,
     /// Whether an engine broke off an attempt.
     broke: AtomicBool,
 }
 
 impl Stopped {
-    /// Engine that is asked first.
-    pub fn first_key(&self) -> Key {
-        self.target.as_ref().map_or(self.source.key, |(target, _)| target.key)
+    /// Engine to which the KV cache was copied.
+    pub fn target(&self) -> Option<Key> {
+        self.target.as_ref().map(|(target, _)| target.key)
+    }
+
+    /// Engines that keep the KV cache.
+    pub fn holders(&self) -> Vec<Key> {
+        self.target().into_iter().chain([self.source.key]).collect()
     }
 
     /// Continues the run after an event at one of the engines that keep its KV cache; none if all fail until it has expired.
@@ -140,9 +179,10 @@
 }
 
 impl Continuation<'_> {
-    /// Asks the target, and the source too once the target has failed or not answered within the longest gap on time.
+    /// Asks the target, and the source too once the target has failed or not responded for a while.
     async fn ask_both(&self, target: &Holder, slot: Slot, source: &Holder) -> Option<Answer> {
-        let patience = Duration::from_millis(self.generation.route.target_gap_ms);
+        let gap = Duration::from_millis(self.generation.route.target_gap_ms);
+        let patience = gap.min(self.handle_ttl() / PATIENCE_DIVISOR);
         let mut at_target = pin!(self.ask(target, Some(slot)));
         let mut at_source = pin!(async {
             // Either way, the source is asked.
@@ -162,21 +202,32 @@
         }
     }
 
-    /// Asks an engine again and again until the KV cache has expired.
+    fn handle_ttl(&self) -> Duration {
+        Duration::from_millis(self.generation.engine.handle_ttl_ms)
+    }
+
+    /// Asks an engine a few times while the KV cache is kept. Each time but the first takes a retry from the budget.
     async fn ask(&self, holder: &Holder, mut slot: Option<Slot>) -> Option<Answer> {
-        let Generation { call, engine, .. } = self.generation;
-        let ttl = Duration::from_millis(engine.handle_ttl_ms);
-        let mut pause = MIN_PAUSE;
-        loop {
-            let is_last = self.stopped_at.elapsed() >= ttl || call.remaining().is_zero();
-            match self.attempt(holder, slot.take()).await {
+        let Generation { node, call, service, .. } = self.generation;
+        let ttl = self.handle_ttl();
+        let mut pause = ttl / PAUSE_DIVISOR;
+        for number in 1..=MAX_ASKS {
+            match self.attempt(holder, slot.take(), number).await {
                 Ok(answer) => return Some(answer),
-                Err(_) if is_last => return None,
                 Err(failure) => self.record(failure, holder),
             }
+            let is_over = self.stopped_at.elapsed() + pause >= ttl || call.remaining().is_zero();
+            if number == MAX_ASKS || is_over {
+                break;
+            }
             sleep(pause).await;
             pause *= 2;
+            if !node.take_retry(service).await {
+                node.metrics.count_retry(Retry::DeniedBudget);
+                break;
+            }
         }
+        None
     }
 
     fn record(&self, failure: Failure, holder: &Holder) {
@@ -187,11 +238,20 @@
     }
 
     /// Sends the request to an engine once. An error response counts as a failure.
-    async fn attempt(&self, holder: &Holder, slot: Option<Slot>) -> Result<Answer, Failure> {
+    async fn attempt(
+        &self,
+        holder: &Holder,
+        slot: Option<Slot>,
+        number: u32,
+    ) -> Result<Answer, Failure> {
         let Generation { node, call, .. } = self.generation;
         let until = call.deadline.instant();
         let tokens = self.generation.expected_tokens();
-        let slot = slot.unwrap_or_else(|| Slot::acquire(node, (holder.key, 0.0), tokens));
+        let mut slot = slot.unwrap_or_else(|| Slot::acquire(node, (holder.key, 0.0), tokens));
+        if holder.is_source && number == 1 {
+            // The engine has the run already, so it is no new request there.
+            slot.skip_rate_limit();
+        }
         let sent = if holder.is_source {
             let proven = !self.broke.load(Ordering::Relaxed);
             exchange::send_back(call, slot, &holder.engine, &self.purpose, until, proven).await
@@ -222,7 +282,7 @@
 }
 
 /// Stops a run at its engine and copies its KV cache to another one. Waits until the outcome is known, the engine is gone,
-/// or the deadline of the request.
+/// or the deadline of the request. After a call without a response, a refusal does not say that the run goes on.
 async fn stop_and_copy(
     control: &Control,
     call: &Call,
@@ -231,6 +291,7 @@
 ) -> MoveOutcome {
     let run = &call.metadata.id;
     let mut sent = false;
+    let mut is_unclear = false;
     loop {
         let request = engine::move_run(from, run, to.address);
         let response = control.call(from, request, CALL_TIMEOUT).await;
@@ -243,13 +304,19 @@
         };
         log(run, from, to, outcome.as_ref(), &why);
         sent |= response.as_ref().map_or_else(Error::may_have_been_sent, |_| true);
-        match outcome {
-            Some(outcome) if outcome != MoveOutcome::UnderWay => return outcome,
-            _ if !sent || call.remaining().is_zero() => return MoveOutcome::Refused,
-            _ if liveness::refuses_connections(control.dialer(), from).await => {
+        is_unclear |= sent && outcome.is_none();
+        let is_final = |outcome: &MoveOutcome| match outcome {
+            MoveOutcome::Copied { .. } | MoveOutcome::Stopped { .. } | MoveOutcome::Ended => true,
+            MoveOutcome::UnderWay => false,
+            MoveOutcome::Refused => !is_unclear,
+        };
+        match outcome.filter(is_final) {
+            Some(outcome) => return outcome,
+            None if !sent || call.remaining().is_zero() => return MoveOutcome::Refused,
+            None if liveness::refuses_connections(control.dialer(), from).await => {
                 return MoveOutcome::Ended;
             }
-            _ => sleep(RETRY_INTERVAL).await,
+            None => sleep(RETRY_INTERVAL).await,
         }
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -12,20 +12,22 @@
 use crate::quarantine;
 use crate::resume;
 use crate::sse::Splitter;
-use crate::stream::Generation;
+use crate::stream::{Generation, Watched};
 use bytes::Bytes;
 use crosslane_coordination::health::Outcome;
+use crosslane_state::endpoint::Key;
 use crosslane_state::route::Kind;
 use crosslane_transport::connection::{self, Closer};
 use crosslane_transport::http::BodyError;
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use log::info;
 use std::pin::pin;
 use std::time::Duration;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 use tokio_util::task::AbortOnDropHandle;
 
 /// Time from an engine's announced departure until its runs are moved: short runs end by themselves, and the engine
@@ -41,6 +43,12 @@
 /// One part in this many of the time for which the KV cache of a stopped run is kept may go into reading what it had sent.
 const DRAIN_DIVISOR: u64 = 4;
 
+/// What keeps a stream from being resumed for a while only.
+const BUDGET_SPENT: &str = "retry budget spent";
+const NO_MEMORY: &str = "no memory elsewhere";
+const QUARANTINED: &str = "quarantined";
+const TEMPORARY_BOUNDS: [&str; 3] = [BUDGET_SPENT, NO_MEMORY, QUARANTINED];
+
 /// Relays the events of one stream.
 pub struct Relay {
     generation: Generation,
@@ -50,6 +58,8 @@
     move_at: Option<Instant>,
     /// Remaining attempts to move the run.
     moves_left: u32,
+    /// Engines that did not continue the run when it was moved to them.
+    failed_targets: Vec<Key>,
     /// Endpoint of the last attempt.
     last_endpoint: String,
     /// Error with which to cut the stream.
@@ -147,6 +157,7 @@
             events,
             move_at: None,
             moves_left: MAX_MOVES,
+            failed_targets: Vec::new(),
             broken: None,
             begun: false,
         }
@@ -273,7 +284,8 @@
         let until = self.generation.call.deadline.instant();
         let frame = timeout_at(until, answer.body.frame());
         let broke = |frame: &Result<Option<Result<_, _>>, _>| matches!(frame, Ok(Some(Err(_))));
-        let frame = self.generation.unless_stalled(&[at], last_event, frame, broke).await;
+        let watched = Watched { engines: &[at], is_first: true };
+        let frame = self.generation.unless_stalled(watched, last_event, frame, broke).await;
         Metrics::observe(&self.generation.node.metrics.event_gap, started_at.elapsed());
         match frame {
             Err(answer) => Chunk::Replaced(Box::new(answer)),
@@ -309,38 +321,67 @@
         self.moves_left -= 1;
         self.move_at = Some(Instant::now() + MOVE_RETRY_INTERVAL);
         self.begin();
-        let planned = self
-            .answer
-            .as_ref()
-            .and_then(|answer| Move::plan(&self.generation, &answer.endpoint, answer.key()));
+        let planned = self.answer.as_ref().and_then(|answer| {
+            Move::plan(&self.generation, &answer.endpoint, answer.key(), &self.failed_targets)
+        });
         let Some(planned) = planned else {
             return;
         };
+        let called = planned.called();
         let mut stopping = pin!(planned.stop());
-        let (last, stopped) = loop {
+        let last = loop {
             tokio::select! {
                 biased;
-                stopped = stopping.as_mut() => break (None, stopped),
+                stopped = stopping.as_mut() => {
+                    if let Some(stopped) = stopped {
+                        self.drain(events).await;
+                        self.continue_run(stopped).await;
+                    }
+                    return;
+                }
                 chunk = self.next_chunk() => match chunk {
                     Chunk::Data(bytes) => self.pass_on(&bytes, events),
                     Chunk::Replaced(answer) => return self.replace_answer(*answer).await,
-                    // The engine closes the response of a run that it stops.
-                    Chunk::End | Chunk::Broken(_) => break (Some(chunk), stopping.await),
+                    Chunk::End | Chunk::Broken(_) => break chunk,
                 },
             }
         };
-        match (stopped, last) {
-            (Some(stopped), None) => {
-                self.drain(events).await;
-                self.continue_run(stopped).await;
+        // The engine closes the response of a run that it stops, before it answers the call.
+        let is_whole = matches!(last, Chunk::End) && self.is_delimited();
+        if called.get() && !is_whole {
+            let limit = self.stop_patience();
+            if let Ok(Some(stopped)) = timeout(limit, stopping).await {
+                return self.continue_run(stopped).await;
+            }
+        }
+        match last {
+            Chunk::Broken(broken) if called.get() => {
+                self.fail(Break::new(Side::Node, format!("told to stop: {}", broken.why))).await;
             }
-            (Some(stopped), Some(_)) => self.continue_run(stopped).await,
-            (None, Some(Chunk::Broken(broken))) => self.fail(broken).await,
-            (None, Some(_)) => self.complete(),
-            (None, None) => {}
+            Chunk::Broken(broken) => self.fail(broken).await,
+            _ => self.complete(),
         }
     }
 
+    /// Whether the end of the response can be told from the end of its connection.
+    fn is_delimited(&self) -> bool {
+        let headers = self.answer.as_ref().map(|answer| &answer.parts.headers);
+        headers.is_some_and(|headers| {
+            headers.contains_key(TRANSFER_ENCODING) || headers.contains_key(CONTENT_LENGTH)
+        })
+    }
+
+    /// Time to wait for the response to a call that may have stopped the run, once the run has ended: as long as the KV cache is kept
+    /// if the stream can be resumed, as long as the caller waits otherwise.
+    fn stop_patience(&self) -> Duration {
+        let Generation { engine, route, caller, call, .. } = &self.generation;
+        let millis = match route.kind {
+            Kind::Stream { resumable: true } => engine.handle_ttl_ms,
+            _ => caller.max_silence_ms,
+        };
+        Duration::from_millis(millis).min(call.remaining())
+    }
+
     /// Passes the whole events of a chunk on.
     fn pass_on(&mut self, bytes: &Bytes, events: &UnboundedSender<Bytes>) {
         if let Some(whole) = self.events.push(bytes) {
@@ -366,24 +407,38 @@
         let last_event = self.last_event();
         self.events.discard();
         self.answer = None;
-        let at = stopped.first_key();
+        let (target, holders) = (stopped.target(), stopped.holders());
         let continuing = stopped.resume(&self.generation, last_event);
+        let watched = Watched { engines: &holders, is_first: true };
         let continued =
-            self.generation.unless_stalled(&[at], last_event, continuing, Option::is_none).await;
+            self.generation.unless_stalled(watched, last_event, continuing, Option::is_none).await;
         match continued {
-            Ok(Some(answer)) | Err(answer) => self.run_at(answer),
-            // The stream is resumed or cut like one that broke off.
-            Ok(None) => {
-                if let Err(bound) = self.resume("move failed").await {
-                    self.cut(Break::new(Side::Node, "move failed"), bound);
-                }
+            Ok(Some(answer)) | Err(answer) => {
+                self.failed_targets.extend(target.filter(|key| *key != answer.key()));
+                self.run_at(answer);
+            }
+            Ok(None) => self.resume_stopped().await,
+        }
+    }
+
+    /// Resumes a stream whose stopped run could not be continued, or marks it to be cut. What only stands in the way for a while is
+    /// waited for as long as the caller waits: it was this node that stopped the run.
+    async fn resume_stopped(&mut self) {
+        let patience = Duration::from_millis(self.generation.caller.max_silence_ms);
+        let until = self.generation.call.deadline.instant().min(Instant::now() + patience);
+        while let Err(bound) = self.resume("move failed").await {
+            if !TEMPORARY_BOUNDS.contains(&bound) || Instant::now() >= until {
+                return self.cut(Break::new(Side::Node, "move failed"), bound);
             }
+            sleep(MOVE_RETRY_INTERVAL).await;
         }
     }
 
     /// Goes on with the response of an engine. Moves are counted anew at another one.
     fn run_at(&mut self, answer: Answer) {
-        if self.last_endpoint != answer.endpoint.id {
+        if self.last_endpoint == answer.endpoint.id {
+            self.move_at = Some(Instant::now() + MOVE_RETRY_INTERVAL);
+        } else {
             (self.move_at, self.moves_left) = (None, MAX_MOVES);
         }
         self.last_endpoint.clone_from(&answer.endpoint.id);
@@ -424,8 +479,8 @@
                 Err(None) if self.generation.has_no_version() => {
                     return Err("no engine of its version");
                 }
-                Err(None) => return Err("no memory elsewhere"),
-                Err(Some(failure)) if failure.quarantined() => return Err("quarantined"),
+                Err(None) => return Err(NO_MEMORY),
+                Err(Some(failure)) if failure.quarantined() => return Err(QUARANTINED),
                 Err(Some(_)) => {}
             }
         }
@@ -445,7 +500,7 @@
         }
         if !node.take_retry(service).await {
             node.metrics.count_retry(Retry::DeniedBudget);
-            return Some("retry budget spent");
+            return Some(BUDGET_SPENT);
         }
         None
     }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -55,6 +55,15 @@
 /// so that refused callers don't all return at once.
 const RETRY_AFTER_MS: std::ops::Range<u64> = 2_000..4_400;
 
+/// Engines of an attempt that may stall.
+#[derive(Clone, Copy, Debug)]
+pub struct Watched<'a> {
+    /// Engines that may run the request, the one that is waited for last.
+    pub engines: &'a [Key],
+    /// Whether the attempt replaces no stalled one.
+    pub is_first: bool,
+}
+
 /// One streaming request, from reservation to relay; it may run at several engines in turn.
 pub struct Generation {
     /// Node.
@@ -289,7 +298,8 @@
     ) -> Result<Answer, Failure> {
         let at = reservation.key;
         let sending = self.send(reservation, handle, last_event);
-        self.unless_stalled(&[at], last_event, sending, Result::is_err).await.unwrap_or_else(Ok)
+        let watched = Watched { engines: &[at], is_first: true };
+        self.unless_stalled(watched, last_event, sending, Result::is_err).await.unwrap_or_else(Ok)
     }
 
     /// Sends the request to the engine that granted the reservation.
@@ -325,20 +335,18 @@
         answer
     }
 
-    /// Waits for the last of some engines, the others of which stalled. If it stalls too, it is abandoned only for a
-    /// response of another one, which is returned as the error.
+    /// Waits for an attempt. If it stalls, it is abandoned only for a response of another engine, which is returned as the error.
     pub async fn unless_stalled<T>(
         &self,
-        engines: &[Key],
+        watched: Watched<'_>,
         last_event: Option<u64>,
         attempt: impl Future<Output = T>,
         broke: impl Fn(&T) -> bool,
     ) -> Result<T, Answer> {
+        let Watched { engines, is_first } = watched;
         let Some(at) = engines.last().copied() else {
             return Ok(attempt.await);
         };
-        // Those behind the first one are replacements themselves.
-        let is_first = engines.len() == 1;
         if is_first {
             self.stalled_run_broke.store(false, Ordering::Relaxed);
         }
@@ -373,7 +381,8 @@
             }
             let engines = [stalled, &[reservation.key]].concat();
             let sending = self.send(&mut reservation, handle.as_mut(), last_event);
-            let sent = self.unless_stalled(&engines, last_event, sending, Result::is_err);
+            let watched = Watched { engines: &engines, is_first: false };
+            let sent = self.unless_stalled(watched, last_event, sending, Result::is_err);
             let answer = tokio::select! {
                 answer = sent => answer.unwrap_or_else(Ok).ok()?,
                 () = self.overlap_ends(stalled) => return None,
--- a/crates/soak/src/excuse.rs
+++ b/crates/soak/src/excuse.rs
@@ -14,6 +14,20 @@
     began && !whole && runs.len() >= 2 && last_failed && !given_up
 }
 
+/// A run whose answer a sound node has to deliver, if there is one. One that was stopped for a move is none if its engine broke it
+/// off where it went on, unless the request may run again.
+pub fn deliverable(runs: &[Run], idempotent: bool) -> Option<&Run> {
+    let is_sound =
+        |run: &Run| !run.disturbed && run.ended.is_some_and(|ended| ended != Ended::Faulty);
+    let index = runs.iter().position(is_sound)?;
+    let is_moved = |run: &Run| run.ended == Some(Ended::Moved);
+    let last = runs[index..].iter().find(|run| !is_moved(run)).filter(|_| is_moved(&runs[index]));
+    let broke = last.is_some_and(|run| {
+        run.disturbed || matches!(run.ended, Some(Ended::Faulty | Ended::Erred))
+    });
+    (idempotent || !broke).then_some(&runs[index])
+}
+
 /// Whether the node closed a sound run before another one ran in its place.
 fn is_given_up(run: &Run, later: &[Run]) -> bool {
     let closed_at = run.closed_at.filter(|_| run.ended == Some(Ended::Closed) && !run.disturbed);
--- a/crates/soak/src/traffic.rs
+++ b/crates/soak/src/traffic.rs
@@ -291,8 +291,7 @@
             return;
         }
         let runs = self.runs(site).await;
-        let sound = |it: &&Run| !it.disturbed && it.ended.is_some_and(|it| it != Ended::Faulty);
-        let Some(run) = runs.iter().find(sound) else {
+        let Some(run) = excuse::deliverable(&runs, self.kind.idempotent()) else {
             return;
         };
         let seen = format!("{:?} after {:?}, {:?}: {run:?}", self.ending, self.took, self.kind);
--- a/crates/soak/tests/excuse.rs
+++ b/crates/soak/tests/excuse.rs
@@ -1,7 +1,7 @@
 //! Which streams that ended early the soak excuses.
 
 use crosslane_platform_standins::ledger::{Ended, Run};
-use crosslane_soak::excuse::endpoints_failed;
+use crosslane_soak::excuse::{deliverable, endpoints_failed};
 use rstest::rstest;
 use std::time::{Duration, Instant};
 
@@ -47,6 +47,59 @@
     excused: false,
 })]
 fn streams_that_ended_early(#[case] case: Case) {
+    assert_eq!(endpoints_failed(&runs(case.runs)), case.excused, "{}", case.name);
+}
+
+struct Delivered {
+    name: &'static str,
+    runs: &'static [Row],
+    idempotent: bool,
+    /// Place of the run whose answer has to be delivered.
+    deliverable: Option<usize>,
+}
+
+#[rstest]
+#[case(Delivered {
+    name: "stopped, and never continued",
+    runs: &[(0, 9, Ended::Moved, false)], idempotent: false, deliverable: Some(0),
+})]
+#[case(Delivered {
+    name: "broke off where it went on",
+    runs: &[(0, 9, Ended::Moved, false), (10, 11, Ended::Faulty, false)], idempotent: false, deliverable: None,
+})]
+#[case(Delivered {
+    name: "failed where it went on",
+    runs: &[(0, 9, Ended::Moved, false), (10, 11, Ended::Erred, false)], idempotent: false, deliverable: None,
+})]
+#[case(Delivered {
+    name: "broke off after two moves",
+    runs: &[(0, 9, Ended::Moved, false), (10, 19, Ended::Moved, false), (20, 21, Ended::Faulty, false)],
+    idempotent: false, deliverable: None,
+})]
+#[case(Delivered {
+    name: "broke off where it went on, but may be resumed",
+    runs: &[(0, 9, Ended::Moved, false), (10, 11, Ended::Faulty, false)], idempotent: true, deliverable: Some(0),
+})]
+#[case(Delivered {
+    name: "closed by the node where it went on",
+    runs: &[(0, 9, Ended::Moved, false), (10, 11, Ended::Closed, false)], idempotent: false, deliverable: Some(0),
+})]
+#[case(Delivered {
+    name: "broke off",
+    runs: &[(0, 9, Ended::Faulty, false)], idempotent: false, deliverable: None,
+})]
+#[case(Delivered {
+    name: "broke off, then whole",
+    runs: &[(0, 9, Ended::Faulty, false), (10, 11, Ended::Whole, false)], idempotent: true, deliverable: Some(1),
+})]
+fn runs_that_have_to_be_delivered(#[case] case: Delivered) {
+    let runs = runs(case.runs);
+    let found = deliverable(&runs, case.idempotent);
+    let place = found.and_then(|found| runs.iter().position(|run| std::ptr::eq(run, found)));
+    assert_eq!(place, case.deliverable, "{}", case.name);
+}
+
+fn runs(rows: &[Row]) -> Vec<Run> {
     let start = Instant::now();
     let at = |millis: u64| start + Duration::from_millis(millis);
     let run = |&(began, ended, how, disturbed): &Row| Run {
@@ -58,6 +111,5 @@
         closed_at: Some(at(ended)),
         disturbed,
     };
-    let runs: Vec<Run> = case.runs.iter().map(run).collect();
-    assert_eq!(endpoints_failed(&runs), case.excused, "{}", case.name);
+    rows.iter().map(run).collect()
 }
