The acknowledgement timeout of callers' connections follows the configuration in force

Callers: a stream without its end, status sent, connection closed, if they took nothing for a while. Cause: the kernel's limit was set once, when the connection was accepted. One accepted before the first configuration kept 1.5 s for its whole life, one under a configuration with shorter waits kept those, although callers of the routes in force wait longer. Connections to endpoints are opened for each stream, so they are not older than it.

--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -20,6 +20,7 @@
 use crosslane_state::residency::Residency;
 use crosslane_state::route::{Engine, Kind, Limits, Route, Table};
 use crosslane_state::segment::Segment;
+use crosslane_transport::ack;
 use crosslane_transport::clock::Deadline;
 use crosslane_transport::connection::{self, Closer};
 use crosslane_transport::http::{self, ReadError};
@@ -87,9 +88,10 @@
 type ConnectionError = Arc<OnceLock<hyper::Error>>;
 
 async fn serve(node: Arc<Node>, stream: TcpStream, caller: IpAddr, origin: Origin) {
-    if let Err(error) = connection::set_socket_options(&stream, node.ack_timeout()) {
-        debug!("can't set the options of a caller's connection: {error}");
-    }
+    let stream = ack::Stream::new(stream, {
+        let node = node.clone();
+        move || node.ack_timeout()
+    });
     let limits = node.table().map_or(DEFAULT_LIMITS, |table| table.limits);
     let mut stop = node.stopping.subscribe();
     let stopping = stop.borrow_and_update().is_some();
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -1,5 +1,6 @@
 //! Network servers and clients, actor tasks and clocks of a crosslane node.
 
+pub mod ack;
 pub mod buffer;
 pub mod call;
 pub mod claims;
