--- a/crates/crosslane/tests/soak.rs
+++ b/crates/crosslane/tests/soak.rs
@@ -66,6 +66,7 @@
     let runtime = tokio::runtime::Runtime::new().unwrap();
     let report = runtime.block_on(run::run(&plan, folder.path())).unwrap();
     assert!(report.requests() > 0, "nothing was asked");
+    assert!(case.mix != Mix::Planned || report.moved.continued > 0, "no run was moved");
     let kept = folder.keep();
     let cause = case.cause;
     assert!(report.violations.is_empty(), "{cause}; logs in {}\n{report}", kept.display());
