A run that its node told to stop is resumed as long as its caller waits

The call's answer is now waited for half as long as the caller waits, and a denial of the budget, memory or quarantine is waited for, as for a run that could not be continued.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -356,7 +356,9 @@
         }
         match last {
             Chunk::Broken(broken) if called.get() => {
-                self.fail(Break::new(Side::Node, format!("told to stop: {}", broken.why))).await;
+                self.drop_broken().await;
+                let why = format!("told to stop: {}", broken.why);
+                self.resume_stopped(Break::new(Side::Node, why)).await;
             }
             Chunk::Broken(broken) => self.fail(broken).await,
             _ => self.complete(),
@@ -371,14 +373,12 @@
         })
     }
 
-    /// Time to wait for the response to a call that may have stopped the run, once the run has ended: as long as the KV cache is kept
-    /// if the stream can be resumed, as long as the caller waits otherwise.
+    /// Time to wait for the response to a call that may have stopped the run, once the run has ended: as long as the caller waits,
+    /// or half as long if the stream can be resumed without it.
     fn stop_patience(&self) -> Duration {
-        let Generation { engine, route, caller, call, .. } = &self.generation;
-        let millis = match route.kind {
-            Kind::Stream { resumable: true } => engine.handle_ttl_ms,
-            _ => caller.max_silence_ms,
-        };
+        let Generation { route, caller, call, .. } = &self.generation;
+        let resumable = route.kind == (Kind::Stream { resumable: true });
+        let millis = caller.max_silence_ms / if resumable { 2 } else { 1 };
         Duration::from_millis(millis).min(call.remaining())
     }
 
@@ -417,18 +417,18 @@
                 self.failed_targets.extend(target.filter(|key| *key != answer.key()));
                 self.run_at(answer);
             }
-            Ok(None) => self.resume_stopped().await,
+            Ok(None) => self.resume_stopped(Break::new(Side::Node, "move failed")).await,
         }
     }
 
     /// Resumes a stream whose stopped run could not be continued, or marks it to be cut. What only stands in the way for a while is
     /// waited for as long as the caller waits: it was this node that stopped the run.
-    async fn resume_stopped(&mut self) {
+    async fn resume_stopped(&mut self, broken: Break) {
         let patience = Duration::from_millis(self.generation.caller.max_silence_ms);
         let until = self.generation.call.deadline.instant().min(Instant::now() + patience);
-        while let Err(bound) = self.resume("move failed").await {
+        while let Err(bound) = self.resume(&broken.why).await {
             if !TEMPORARY_BOUNDS.contains(&bound) || Instant::now() >= until {
-                return self.cut(Break::new(Side::Node, "move failed"), bound);
+                return self.cut(broken, bound);
             }
             sleep(MOVE_RETRY_INTERVAL).await;
         }
