A reload applies the settings that can change, and names those that need a restart

Operators saw: a `reload` line after SIGHUP, and nothing else. The grace period of a stop, the retry budget, tolerances, regions, seeds and the link stayed as they were at the start, and nothing said so. Cause: SIGHUP only checked the file.

Now the settings are two structs, those that a node keeps until it ends and those that may change, and the node holds the second one behind a lock. A reload compares both with the file, puts the changed ones of the second kind in force and names the others, in `applied` and `restart`. Zones, seeds, the link's capacity and all bounds but the lease are applied; name, addresses, ports, zone, store and lease need a restart. A file that can't be used changes nothing, as before. Requests in flight go on. What was used of a retry budget within its former window still counts.

The other new tests call new functions, so they were not run on the code before. Tests that build settings name the two parts; what they check is unchanged. That a node limits cold endpoints by the tolerance in force is not tested.

Run: all tests of gateway, platform and coordination, at a load of 25 to 28.

--- a/crates/coordination/src/allowance.rs
+++ b/crates/coordination/src/allowance.rs
@@ -73,6 +73,11 @@
         Self { budget, services: HashMap::new() }
     }
 
+    /// Replaces the budget. Requests and retries within the former window still count.
+    pub fn set_budget(&mut self, budget: Budget) {
+        self.budget = budget;
+    }
+
     /// Counts a request for a service.
     pub fn record_request(&mut self, service: &str, now: Millis) {
         let window = self.budget.window_ms;
--- a/crates/coordination/src/pool.rs
+++ b/crates/coordination/src/pool.rs
@@ -104,6 +104,11 @@
         Self { regions, ..self }
     }
 
+    /// Replaces the regions of the failure domains. Requests that run go on.
+    pub fn set_regions(&mut self, regions: HashMap<String, String>) {
+        self.regions = regions;
+    }
+
     /// Sets the failure domains whose endpoints get no new requests. Requests that run there go on.
     pub fn set_evacuated(&mut self, domains: BTreeSet<String>) {
         self.evacuated = domains;
--- a/crates/coordination/src/quota.rs
+++ b/crates/coordination/src/quota.rs
@@ -164,6 +164,11 @@
         Self { tolerance, buckets: HashMap::new() }
     }
 
+    /// Replaces the tolerance. Buckets keep their levels, up to their new capacity.
+    pub fn set_tolerance(&mut self, tolerance: Tolerance) {
+        self.tolerance = tolerance;
+    }
+
     /// Creates a limit's bucket if there is none, so that it fills from now on and not only from
     /// the first request.
     pub fn open_bucket(&mut self, subject: Tag, now: Millis) {
--- a/crates/coordination/src/throttle.rs
+++ b/crates/coordination/src/throttle.rs
@@ -24,14 +24,15 @@
         Self { rate, burst, level: burst, refilled_at: Millis::default() }
     }
 
+    /// Changes the rate from now on.
+    pub fn set_rate(&mut self, rate: u64, now: Millis) {
+        self.refill(now);
+        self.rate = rate;
+    }
+
     /// Refills the bucket; true if a piece may be sent now.
     pub fn is_ready(&mut self, now: Millis) -> bool {
-        let gained = self.rate.saturating_mul(now.since(self.refilled_at)) / 1_000;
-        // Time that has not yet earned a whole byte is kept for the next call.
-        if gained > 0 {
-            self.level = self.level.saturating_add_unsigned(gained).min(self.burst);
-            self.refilled_at = now;
-        }
+        self.refill(now);
         self.level > 0
     }
 
@@ -39,4 +40,13 @@
     pub fn consume(&mut self, bytes: usize) {
         self.level -= i64::try_from(bytes).unwrap_or(i64::MAX);
     }
+
+    fn refill(&mut self, now: Millis) {
+        let gained = self.rate.saturating_mul(now.since(self.refilled_at)) / 1_000;
+        // Time that has not yet earned a whole byte is kept for the next call.
+        if gained > 0 {
+            self.level = self.level.saturating_add_unsigned(gained).min(self.burst);
+            self.refilled_at = now;
+        }
+    }
 }
--- a/crates/coordination/tests/allowance.rs
+++ b/crates/coordination/tests/allowance.rs
@@ -97,3 +97,29 @@
         assert!(retried >= lent.min(case.broken), "{}: {retried} of {}", case.name, case.broken);
     }
 }
+
+struct Change {
+    name: &'static str,
+    budget: Budget,
+    /// Retries of one node alone, after some under the former budget, once it has changed.
+    retries: usize,
+}
+
+/// After 100 requests and 10 retries 2 s ago.
+#[rstest]
+#[case(Change { name: "the same", budget: BUDGET, retries: 20 })]
+#[case(Change { name: "a higher ratio", budget: Budget { ratio: 0.3, ..BUDGET }, retries: 27 })]
+#[case(Change { name: "less slack", budget: Budget { slack: 5.0, ..BUDGET }, retries: 5 })]
+#[case(Change { name: "less than was used", budget: Budget { ratio: 0.0, slack: 0.0, ..BUDGET }, retries: 0 })]
+#[case(Change { name: "a window that is over", budget: Budget { window_ms: 1_000, ..BUDGET }, retries: 16 })]
+fn a_budget_that_changes_holds_for_what_was_used(#[case] case: Change) {
+    let mut node = Allowance::new(BUDGET);
+    (0..100).for_each(|_| node.record_request("s", Millis(20_000)));
+    assert!((0..10).all(|_| node.take_retry("s", 1, Millis(20_000))));
+    node.set_budget(case.budget);
+    let mut retries = 0;
+    while node.take_retry("s", 1, Millis(22_000)) {
+        retries += 1;
+    }
+    assert_eq!(retries, case.retries, "{}", case.name);
+}
--- a/crates/coordination/tests/pool.rs
+++ b/crates/coordination/tests/pool.rs
@@ -516,6 +516,32 @@
     }
 }
 
+struct Regions {
+    name: &'static str,
+    /// Regions of the domains from then on.
+    regions: &'static [(&'static str, &'static str)],
+    /// Domains whose engines may be chosen for `ch`.
+    chosen: &'static [&'static str],
+}
+
+#[rstest]
+#[case(Regions { name: "the same", regions: &ZONES, chosen: &["aarau", "olten"] })]
+#[case(Regions { name: "one moves", regions: &[("aarau", "ch"), ("olten", "at"), ("wien", "at")], chosen: &["aarau"] })]
+#[case(Regions { name: "one is no longer known", regions: &[("olten", "ch")], chosen: &["olten"] })]
+#[case(Regions { name: "none is known", regions: &[], chosen: &[] })]
+fn regions_that_change(#[case] case: Regions) {
+    let mut pool = pool_of_zones();
+    let regions = case.regions.iter().map(|(domain, region)| ((*domain).into(), (*region).into()));
+    pool.set_regions(regions.collect());
+    let residency = Residency::within(names(&["ch"]));
+    let terms = Terms { residency: &residency, build: None };
+    for (domain, _) in ZONES {
+        let key = pool.key(tag(domain)).unwrap();
+        let expected = case.chosen.contains(&domain);
+        assert_eq!(pool.may_receive(key, terms), expected, "{}: {domain}", case.name);
+    }
+}
+
 #[rstest]
 fn a_domain_that_is_taken_back_is_used_again() {
     let mut pool = pool(&["a"]);
--- a/crates/coordination/tests/throttle.rs
+++ b/crates/coordination/tests/throttle.rs
@@ -29,3 +29,31 @@
     }
     assert_eq!(sent, case.sent, "{}", case.name);
 }
+
+struct Change {
+    name: &'static str,
+    /// Rates, and from when on they apply.
+    rates: &'static [(u64, u64)],
+    /// Bytes sent within three seconds.
+    sent: usize,
+}
+
+#[rstest]
+#[case(Change { name: "never", rates: &[], sent: 3_250 })]
+#[case(Change { name: "raised", rates: &[(2_000, 1_000)], sent: 5_250 })]
+#[case(Change { name: "lowered", rates: &[(100, 2_000)], sent: 2_350 })]
+#[case(Change { name: "raised and taken back", rates: &[(2_000, 1_000), (1_000, 2_000)], sent: 4_250 })]
+fn a_rate_that_changes_counts_from_then_on(#[case] case: Change) {
+    let mut throttle = Throttle::new(1_000, 250);
+    let mut sent = 0;
+    for now in (0..=3_000).step_by(50).map(Millis) {
+        for (rate, _) in case.rates.iter().filter(|(_, at)| Millis(*at) == now) {
+            throttle.set_rate(*rate, now);
+        }
+        while throttle.is_ready(now) {
+            throttle.consume(10);
+            sent += 10;
+        }
+    }
+    assert_eq!(sent, case.sent, "{}", case.name);
+}
--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -149,7 +149,7 @@
         self.uninitialised = !self.answered && node.mirror().read_offset(topic) == 0;
         if self.uninitialised {
             let parts = node.pulled_parts.load(Ordering::Relaxed);
-            let (is_seed, others) = (node.settings.is_seed(), node.known_others());
+            let (is_seed, others) = (node.is_seed(), node.known_others());
             let situation = Situation { is_seed, others, announced: announced > 0, parts };
             return self.first_read.is_due(situation, now).then_some(Reason::Uninitialised);
         }
--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -104,7 +104,7 @@
 fn cold_limit(node: &Node, endpoint: Tag) -> Option<Limit> {
     let service = node.pool().cold_service(endpoint, node.now())?.to_owned();
     let rate = node.table()?.services.get(&service)?.cold_rate?;
-    Some(limits::cold_limit(rate, node.settings.cold))
+    Some(limits::cold_limit(rate, node.adjustable().cold))
 }
 
 /// Takes a request's cost from the limit of an endpoint, if it names one.
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -13,7 +13,7 @@
 use crosslane_coordination::streams::{Knowledge, Name, Record};
 use crosslane_coordination::suspicion;
 use crosslane_coordination::usage::Usage;
-use crosslane_platform::settings::Settings;
+use crosslane_platform::settings::{Adjustable, Settings};
 use crosslane_state::endpoint::{Stage, Tag};
 use crosslane_state::fingerprint::Fingerprint;
 use crosslane_state::time::Millis;
@@ -293,20 +293,27 @@
 impl Members {
     /// Creates the membership from the seeds in the settings, all silent as yet.
     pub fn new(settings: &Settings) -> Self {
+        let Settings { fixed, adjustable } = settings;
         let mut members = Self {
-            own_ip: settings.ip,
-            vm: settings.vm.clone(),
-            domain: settings.domain.clone(),
-            retry_window_ms: settings.retry_budget.window_ms,
+            own_ip: fixed.ip,
+            vm: fixed.vm.clone(),
+            domain: fixed.domain.clone(),
+            retry_window_ms: adjustable.retry_budget.window_ms,
             members: HashMap::new(),
             ring: Ring::default(),
             unannounced: false,
             readers_missing_since: None,
         };
-        settings.seeds.iter().for_each(|ip| members.add(*ip));
+        members.adjust(adjustable);
         members
     }
 
+    /// Applies settings: adds the nodes among their seeds that are not known yet, and keeps all others.
+    pub fn adjust(&mut self, settings: &Adjustable) {
+        self.retry_window_ms = settings.retry_budget.window_ms;
+        settings.seeds.iter().for_each(|ip| self.add(*ip));
+    }
+
     /// Adds a node that has sent no heartbeat yet.
     pub fn add(&mut self, ip: IpAddr) {
         if ip != self.own_ip && !self.members.contains_key(&ip) {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -28,7 +28,7 @@
 use crosslane_coordination::streams::Streams;
 use crosslane_coordination::throttle::Throttle;
 use crosslane_platform::configuration;
-use crosslane_platform::settings::Settings;
+use crosslane_platform::settings::{Adjustable, Fixed, Settings};
 use crosslane_state::endpoint::{Key, Stage, Tag};
 use crosslane_state::route::Table;
 use crosslane_state::time::Millis;
@@ -81,8 +81,10 @@
 /// State that the tasks of a node share.
 #[derive(Debug)]
 pub struct Node {
-    /// Node settings.
-    pub settings: Settings,
+    /// Settings that stay as they were at the start.
+    pub settings: Fixed,
+    /// Settings in force that may change.
+    adjustable: Mutex<Arc<Adjustable>>,
     /// Clock that also counts while the machine is suspended.
     pub clock: Clock,
     /// Metrics.
@@ -183,6 +185,8 @@
     /// Creates a node that has read nothing yet.
     pub fn new(settings: Settings) -> prometheus::Result<Self> {
         let metrics = Arc::new(Metrics::new()?);
+        let members = Members::new(&settings);
+        let Settings { fixed: settings, adjustable } = settings;
         let dialer = Dialer::new(settings.ip, metrics.clone());
         Ok(Self {
             clock: Clock::start(),
@@ -192,7 +196,7 @@
             dialer,
             idle_connections: Connections::new(IDLE_TIMEOUT, MAX_IDLE_CONNECTIONS),
             prefix_caches: Listings::default(),
-            members: Mutex::new(Members::new(&settings)),
+            members: Mutex::new(members),
             heartbeat_due: Notify::new(),
             usage_changed: Notify::new(),
             peer_offsets: watch::Sender::default(),
@@ -204,7 +208,7 @@
             rulings_changed: Notify::new(),
             liveness_checks: Checks::default(),
             rulings_read_tried: AtomicBool::new(false),
-            organisation_limiter: Limiter::new(settings.quota),
+            organisation_limiter: Limiter::new(adjustable.quota),
             endpoint_limiter: Limiter::new(limits::TOLERANCE),
             retry_limiter: Limiter::new(limits::TOLERANCE),
             socket: OnceLock::new(),
@@ -216,15 +220,15 @@
             table_text: Mutex::default(),
             pool: Mutex::new(
                 Pool::new(settings.domain.clone(), SmallRng::from_os_rng())
-                    .with_regions(settings.regions.clone()),
+                    .with_regions(adjustable.regions.clone()),
             ),
-            allowance: Mutex::new(Allowance::new(settings.retry_budget)),
+            allowance: Mutex::new(Allowance::new(adjustable.retry_budget)),
             store_recovered_at: Mutex::default(),
             store_read_at: Mutex::default(),
             last_store_call_failed: AtomicBool::new(false),
             resumed_at: Mutex::default(),
             peer_bandwidth: Mutex::new(Throttle::new(
-                settings.link_bytes_per_second / LINK_SHARE_DIVISOR,
+                adjustable.link_bytes_per_second / LINK_SHARE_DIVISOR,
                 BURST_BYTES,
             )),
             timeouts: Mutex::default(),
@@ -237,9 +241,33 @@
             stream_queries: Queries::default(),
             recorded_builds: builds::Cache::default(),
             settings,
+            adjustable: Mutex::new(Arc::new(adjustable)),
         })
     }
 
+    /// The settings in force that may change.
+    pub fn adjustable(&self) -> Arc<Adjustable> {
+        lock(&self.adjustable).clone()
+    }
+
+    /// Puts settings in force. Requests that run go on.
+    pub fn adjust(&self, settings: Adjustable) {
+        let rate = settings.link_bytes_per_second / LINK_SHARE_DIVISOR;
+        lock(&self.peer_bandwidth).set_rate(rate, self.now());
+        lock(&self.allowance).set_budget(settings.retry_budget);
+        lock(&self.members).adjust(&settings);
+        self.organisation_limiter.set_tolerance(settings.quota);
+        self.pool().set_regions(settings.regions.clone());
+        *lock(&self.adjustable) = Arc::new(settings);
+        // Nodes that were added are sent a heartbeat.
+        self.heartbeat_due.notify_one();
+    }
+
+    /// Whether this VM is one of those for discovery.
+    pub fn is_seed(&self) -> bool {
+        self.adjustable().seeds.contains(&self.settings.ip)
+    }
+
     /// Records the start of a request for a service that expects some tokens; zero if unknown.
     pub fn begin_request(&self, service: &str, tokens: u32) -> InFlight {
         let mut durations = lock(&self.durations);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -578,7 +578,7 @@
         pool.merge_stage_orders(&heartbeat.stage_changes, receipt.expires_at);
     }
     // Who can't read the store knows the seeds only.
-    let lost = receipt.silent && lacks_data && node.settings.is_seed() && !node.mirror().is_empty();
+    let lost = receipt.silent && lacks_data && node.is_seed() && !node.mirror().is_empty();
     if receipt.newcomer || lost {
         send(node, socket, &Message::Heartbeat(current_heartbeat(node)), &[from]).await;
         send_rulings_digest(node, socket, &[from]).await;
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -81,6 +81,12 @@
         }
     }
 
+    /// Replaces the tolerance of the limits.
+    pub fn set_tolerance(&self, tolerance: Tolerance) {
+        lock(&self.owned).set_tolerance(tolerance);
+        lock(&self.shares).set_tolerance(tolerance);
+    }
+
     /// Registers a query to an owner; returns its number and the receiver of the reply.
     pub fn register(
         &self,
@@ -195,7 +201,7 @@
 /// Takes a retry from the part of a service's budget that its owner lends. It counts as used even if nothing is sent.
 pub async fn borrow_retry(node: &Arc<Node>, service: &str) -> bool {
     let subject = Subject::Retries(Tag::of(service));
-    let borrowed = acquire(node, subject, node.settings.retry_budget.lent(), RETRY_COST).await;
+    let borrowed = acquire(node, subject, node.adjustable().retry_budget.lent(), RETRY_COST).await;
     borrowed.is_ok_and(|grant| {
         grant.mark_sent();
         true
@@ -330,7 +336,7 @@
         Subject::Organisation(organisation) => {
             (configured(node, organisation), Decision::Undecided)
         }
-        Subject::Retries(_) => (Some(node.settings.retry_budget.lent()), Decision::Undecided),
+        Subject::Retries(_) => (Some(node.adjustable().retry_budget.lent()), Decision::Undecided),
         Subject::Endpoint(endpoint) => {
             // The endpoint no longer names a limit, and the querying node gets that update separately; or this node does
             // not know yet that the endpoint is cold.
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -5,8 +5,8 @@
 use crate::node::Node;
 use crate::shutdown::ACCEPT_TIME;
 use crate::{
-    builds, event, follower, frontend, limit, orders, peers, quarantine, reach, resume, rulings,
-    suspension,
+    builds, event, follower, frontend, limit, orders, peers, quarantine, reach, reload, resume,
+    rulings, suspension,
 };
 use crosslane_platform::settings::Settings;
 use derive_more::{Display, Error, From};
@@ -41,14 +41,14 @@
     Metrics(prometheus::Error),
 }
 
-/// Runs a node until its stop is announced and its last request has ended. Each reload signal makes it check the settings
+/// Runs a node until its stop is announced and its last request has ended. Each reload signal makes it read the settings
 /// file again.
 pub async fn run(
     settings: Settings,
     path: &str,
     metrics_port: u16,
     announced: impl Future<Output = ()>,
-    mut reload: Signal,
+    mut reload_signal: Signal,
 ) -> Result<(), Error> {
     let node = Arc::new(Node::new(settings)?);
     let connections = TaskTracker::new();
@@ -57,7 +57,7 @@
     loop {
         tokio::select! {
             () = &mut announced => break,
-            _ = reload.recv() => check_settings(path),
+            _ = reload_signal.recv() => reload::run(&node, path),
         }
     }
     stop(&node, &connections).await;
@@ -115,14 +115,6 @@
     }
 }
 
-/// Checks the settings file and logs the result; changes take effect at the next start.
-fn check_settings(path: &str) {
-    match Settings::read(path) {
-        Ok(settings) => info!(vm = settings.vm; "{}", event::RELOAD),
-        Err(error) => warn!(why:% = error; "{}", event::RELOAD),
-    }
-}
-
 /// Drains requests in flight. The platform kills the process at the end of its grace period.
 async fn stop(node: &Arc<Node>, connections: &TaskTracker) {
     let started_at = Instant::now();
--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -57,7 +57,7 @@
     };
     let arrival = Arrival {
         since_announcement: Duration::from_millis(node.now().since(announced_at)),
-        grace: Duration::from_millis(node.settings.grace_ms),
+        grace: Duration::from_millis(node.adjustable().grace_ms),
         remaining,
         longest: node
             .longest_duration(service, tokens)
--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -13,7 +13,7 @@
 use crosslane_coordination::usage::Usage;
 use crosslane_gateway::members::{Heartbeat, Members};
 use crosslane_gateway::mirror::Offsets;
-use crosslane_platform::settings::Settings;
+use crosslane_platform::settings::{Fixed, Settings};
 use crosslane_state::endpoint::{Endpoint, Stage, Tag};
 use crosslane_state::time::Millis;
 use rand::rngs::SmallRng;
@@ -144,8 +144,9 @@
     let engines = engines(case.engines, case.domains);
     let mut pool = Pool::new(domain(0, case.domains), SmallRng::seed_from_u64(1));
     pool.replace(engines.clone(), false, Millis(0));
-    let settings =
-        Settings { vm: "n0".into(), domain: domain(0, case.domains), ..node::settings() };
+    let Settings { fixed, adjustable } = node::settings();
+    let fixed = Fixed { vm: "n0".into(), domain: domain(0, case.domains), ..fixed };
+    let settings = Settings { fixed, adjustable };
     let mut members = Members::new(&settings);
     let interval = Interval::for_peers(case.nodes - 1);
     let mut nodes: Vec<Node> = (1..case.nodes)
@@ -256,7 +257,9 @@
     let mut nodes: Vec<Members> = (0..case.nodes)
         .map(|index| {
             let (vm, domain) = (name(index), domain(index, case.domains));
-            Members::new(&Settings { vm, domain, ip: ip(index), ..node::settings() })
+            let Settings { fixed, adjustable } = node::settings();
+            let fixed = Fixed { vm, domain, ip: ip(index), ..fixed };
+            Members::new(&Settings { fixed, adjustable })
         })
         .collect();
     let interval = Interval::for_peers(case.nodes - 1);
