Strikes against requests outlive all nodes

Callers saw: a request that crashes engines was sent again too often, so more of their streams broke off.

Cause: the store keeps rulings only. Strikes before a ruling are known to running nodes, so if all of them are killed or stopped between two crashes the request counts anew and ends three more engines.

Evidence: strikes_outlive_all_nodes, which kills all nodes between the second and the third strike, failed before: the store never held anything ("the condition never held", 60 s). With the fix it passes, three ended.

Now each node keeps one record in the topic of the rulings (key strikes-VM, which nodes of the version before skip): the requests with two strikes or more that it saw, 64 at most. It is written 60 ms after a strike at the earliest, once in 250 ms at most, and only while it lacks something or holds what was cleared or expired. If the node that saw a strike does not write it within 2 s, a reader of the store does, as for rulings. A node that starts counts them like those that peers tell, before the rulings, which take some back. Nobody writes another node's record, so there is nothing to agree on. A first strike is not saved: each crash strikes what ran beside the culprit. Strikes against segments of prompts are still in no store.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -48,6 +48,7 @@
 pub mod stages;
 pub mod stall;
 pub mod streams;
+pub mod strikes;
 pub mod suspect;
 pub mod suspicion;
 pub mod throttle;
--- a/crates/coordination/src/quarantine.rs
+++ b/crates/coordination/src/quarantine.rs
@@ -34,7 +34,7 @@
 use crosslane_state::endpoint::Tag;
 use crosslane_state::fingerprint::Fingerprint;
 use crosslane_state::time::Millis;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Time from the start of a run in which a crash counts as a strike against its request, in
 /// milliseconds. Culprits crash their engine 34 to 115 ms after the start. With twice this time,
@@ -46,7 +46,7 @@
 
 /// Time for which strikes count, in milliseconds. Callers retry within their deadline of seconds,
 /// and people who try again do so within minutes.
-const STRIKE_TTL_MS: u64 = 600_000;
+pub(crate) const STRIKE_TTL_MS: u64 = 600_000;
 
 /// Time for which excused crashes are kept if nothing else is known of a request, in milliseconds:
 /// other nodes still report the same crashes. While any entry is kept, the fingerprint of each
@@ -82,6 +82,8 @@
     pub(crate) outbox: Vec<(Fingerprint, Update)>,
     /// Rulings that the store may lack.
     pub(crate) unsaved_rulings: BTreeMap<Fingerprint, Unsaved>,
+    /// Requests in this node's record of strikes in the store, once that was read.
+    pub(crate) own_record: Option<BTreeSet<Fingerprint>>,
     /// Combined digest of all rulings.
     pub(crate) digest: u64,
     pub(crate) ruling_count: usize,
@@ -92,7 +94,16 @@
     pub fn new(node: Tag) -> Self {
         let (suspects, unsaved_rulings) = (BTreeMap::new(), BTreeMap::new());
         let (recent_crashes, outbox, digest, ruling_count) = (Vec::new(), Vec::new(), 0, 0);
-        Self { node, suspects, recent_crashes, outbox, unsaved_rulings, digest, ruling_count }
+        Self {
+            node,
+            suspects,
+            recent_crashes,
+            outbox,
+            unsaved_rulings,
+            own_record: None,
+            digest,
+            ruling_count,
+        }
     }
 
     /// Whether there are no entries at all, so that no request has to be looked up.
@@ -344,7 +355,7 @@
         false
     }
 
-    fn apply_strikes(&mut self, request: Fingerprint, endpoints: &[Tag], now: Millis) {
+    pub(crate) fn apply_strikes(&mut self, request: Fingerprint, endpoints: &[Tag], now: Millis) {
         if !self.suspects.contains_key(&request) && !self.make_room() {
             return;
         }
--- a/crates/coordination/src/suspect.rs
+++ b/crates/coordination/src/suspect.rs
@@ -4,6 +4,7 @@
 use crate::ruling::{Ruling, Verdict};
 use crosslane_state::endpoint::Tag;
 use crosslane_state::time::Millis;
+use std::collections::BTreeSet;
 
 /// Number of strikes that shut a request out. A second crash may be coincidence; with 40 engines of
 /// which 30 crash within 10 s, three in a row hit one request in 150,000.
@@ -56,6 +57,8 @@
 pub(crate) struct Suspect {
     /// Incarnations whose crash counts as a strike against it.
     pub strikes: Vec<Tag>,
+    /// Those of them that are in a record of the store.
+    pub saved: BTreeSet<Tag>,
     /// Incarnations that crashed under it by coincidence.
     pub excused: Vec<Tag>,
     /// Incarnations that crashed under it and under another request, which is shut out for it.
--- a/crates/crosslane/tests/crashing.rs
+++ b/crates/crosslane/tests/crashing.rs
@@ -15,6 +15,7 @@
 
 mod fixture;
 
+use crosslane_coordination::suspect::STRIKES_TO_SHUT_OUT;
 use crosslane_platform_standins::caller::{Caller, Ending, POISON_ID_PREFIX};
 use crosslane_platform_standins::endpoint::POISON_SEGMENT_PREFIX;
 use crosslane_platform_standins::ledger::{Effect, Kind, Poison};
@@ -128,6 +129,43 @@
     }
 }
 
+/// Requests of which each copy ends one endpoint.
+const RUN_ONCE: [Case; 2] = [
+    Case { kind: Kind::Draft, path: "crashing", name: "stream that runs once" },
+    Case { kind: Kind::Confirm, path: "crashing", name: "call that runs once" },
+];
+
+/// Guards against strikes that only running nodes know: if all nodes restart between two crashes, each restart lets the request
+/// end three more endpoints.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn strikes_outlive_all_nodes() {
+    for Case { kind, path, name } in RUN_ONCE {
+        let fixture = Fixture::start(1).await;
+        let path = format!("{}{path}", kind.prefix());
+        let poison = Poison::Request(path.clone());
+        let ended = || fixture.site.ledger.effect(&poison).ended;
+        let nodes = fixture.site.nodes.len();
+        for copy in 0..STRIKES_TO_SHUT_OUT - 1 {
+            fixture.until_served(kind).await;
+            let crashed = ended() + 1;
+            let crash = || async {
+                fixture.ask(copy % nodes, &format!("{POISON_ID_PREFIX}{copy}"), kind, &path).await;
+                ended() >= crashed
+            };
+            fixture.until(crash).await;
+        }
+        fixture.until(|| async { !fixture.site.store.values(RULINGS).is_empty() }).await;
+        fixture.kill_all().await;
+        for copy in 0..COPIES {
+            fixture.until_served(kind).await;
+            let id = format!("{POISON_ID_PREFIX}killed-{copy}");
+            fixture.ask(copy % nodes, &id, kind, &path).await;
+        }
+        assert_eq!(ended() as usize, STRIKES_TO_SHUT_OUT, "{name}: endpoints that ended");
+    }
+}
+
 /// Segments of a prompt that different requests share, by their place in the prompt.
 struct SegmentCase {
     name: &'static str,
--- a/crates/gateway/src/rulings.rs
+++ b/crates/gateway/src/rulings.rs
@@ -3,15 +3,18 @@
 //! A ruling says that a request under which endpoints crashed is rejected by all nodes, or that it
 //! is allowed again. Nodes send rulings to each other at once; the store serves nodes behind a
 //! network partition, and keeps rulings while no node runs. The readers of a failure domain follow
-//! it by long polling, with one call in 10 s each.
+//! it by long polling, with one call in 10 s each. The topic also holds the strikes that precede rulings, in one record of each
+//! node that saw some (`coordination::strikes`).
 
 use crate::event;
 use crate::node::{Node, lock};
 use crosslane_coordination::pattern::Pattern;
 use crosslane_coordination::ruling::{Ruling, Verdict};
 use crosslane_coordination::segments;
+use crosslane_coordination::strikes::Saved;
 use crosslane_coordination::suspicion::Update;
 use crosslane_platform::store::{Client, Error, Page, Record};
+use crosslane_state::endpoint::Tag;
 use crosslane_state::fingerprint::Fingerprint;
 use crosslane_state::segment::Segment;
 use crosslane_transport::clock;
@@ -41,14 +44,17 @@
 /// milliseconds.
 const ORPHANED_MS: u64 = 2_000;
 
-/// Error for a record without a ruling.
+/// Error for a record without a ruling or strikes.
 #[derive(Clone, Copy, Debug, Display, StdError, PartialEq, Eq)]
-#[display("not a ruling")]
+#[display("neither ruling nor strikes")]
 pub struct Malformed;
 
 /// Begins the keys of rulings on segments, which earlier versions skip.
 const SEGMENTS_PREFIX: &str = "segments-";
 
+/// Begins the keys of the nodes' records of strikes, which earlier versions skip too.
+const STRIKES_PREFIX: &str = "strikes-";
+
 /// What a ruling is on.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Subject {
@@ -77,6 +83,30 @@
     segments: Vec<String>,
 }
 
+/// Strikes against one request in a node's record.
+#[derive(Serialize, Deserialize)]
+struct StrikesValue {
+    request: String,
+    endpoints: Vec<Tag>,
+    at: u64,
+}
+
+impl From<&Saved> for StrikesValue {
+    fn from(saved: &Saved) -> Self {
+        let (request, endpoints) = (saved.request.to_string(), saved.endpoints.clone());
+        Self { request, endpoints, at: saved.at }
+    }
+}
+
+impl TryFrom<StrikesValue> for Saved {
+    type Error = Malformed;
+
+    fn try_from(value: StrikesValue) -> Result<Self, Malformed> {
+        let StrikesValue { request, endpoints, at } = value;
+        Ok(Self { request: request.parse().map_err(|_| Malformed)?, endpoints, at })
+    }
+}
+
 impl Subject {
     /// Key in the store.
     pub fn key(&self) -> String {
@@ -152,7 +182,7 @@
     }
 }
 
-/// Reads the rulings from the store at the start, and follows them forever while this node is a
+/// Reads rulings and strikes from the store at the start, and follows them forever while this node is a
 /// reader.
 pub async fn follow(node: Arc<Node>) {
     let mut client = Client::new(node.settings.store_address);
@@ -168,6 +198,7 @@
         let page = read(&mut client, known).await;
         match page {
             Ok(page) => {
+                apply_strikes(&node, &page, initialised);
                 (known, failures, initialised) = (Some(page.end), 0, true);
                 apply(&node, &page);
             }
@@ -189,9 +220,43 @@
     }
 }
 
+/// Strikes in a node's record.
+fn read_strikes(record: &Record) -> Result<Vec<Saved>, Malformed> {
+    let value = record.value.as_deref().ok_or(Malformed)?;
+    let values: Vec<StrikesValue> = serde_json::from_slice(value).map_err(|_| Malformed)?;
+    values.into_iter().map(Saved::try_from).collect()
+}
+
+/// Records which strikes the store has, and counts them when this node starts. They come before the rulings, which take some back.
+fn apply_strikes(node: &Node, page: &Page, initialised: bool) {
+    let (now, unix) = (node.now(), clock::unix());
+    let mut quarantine = node.quarantine();
+    let mut own = Vec::new();
+    for record in &page.records {
+        let Some(author) = record.key.strip_prefix(STRIKES_PREFIX) else {
+            continue;
+        };
+        let Ok(strikes) = read_strikes(record) else {
+            node.metrics.skipped_records.inc();
+            warn!(why = "no strikes", key = record.key; "{}", event::SKIPPED);
+            continue;
+        };
+        if !initialised {
+            quarantine.restore_strikes(&strikes, now, unix);
+        }
+        quarantine.mark_strikes_saved(&strikes);
+        if author == node.settings.vm {
+            own = strikes;
+        }
+    }
+    if !initialised {
+        quarantine.set_own_record(&own);
+    }
+}
+
 /// Applies rulings, and sends new ones to the other nodes.
 fn apply(node: &Node, page: &Page) {
-    for record in &page.records {
+    for record in page.records.iter().filter(|record| !record.key.starts_with(STRIKES_PREFIX)) {
         let Ok(entry) = Entry::try_from(record) else {
             node.metrics.skipped_records.inc();
             warn!(why = "not a ruling", key = record.key; "{}", event::SKIPPED);
@@ -206,7 +271,7 @@
     }
 }
 
-/// Writes rulings that the store lacks, forever.
+/// Writes rulings and strikes that the store lacks, forever.
 pub async fn save(node: Arc<Node>) {
     let mut client = Client::new(node.settings.store_address);
     let mut failures = 0_u32;
@@ -214,7 +279,8 @@
         // A new ruling is written at once, since all nodes may be killed at the next moment.
         let _ = timeout(CHECK_INTERVAL, node.rulings_changed.notified()).await;
         let reader = lock(&node.members).is_store_reader(node.now());
-        for entry in unsaved(&node, reader.then_some(ORPHANED_MS)) {
+        let after = reader.then_some(ORPHANED_MS);
+        for entry in unsaved(&node, after) {
             match entry.write(&mut client).await {
                 Ok(()) => {
                     failures = 0;
@@ -227,9 +293,32 @@
                 }
             }
         }
+        let strikes = node.quarantine().strikes_to_save(node.now(), after, clock::unix());
+        if let Some(strikes) = strikes {
+            match write_strikes(&node, &mut client, &strikes).await {
+                Ok(()) => {
+                    failures = 0;
+                    node.quarantine().set_own_record(&strikes);
+                }
+                Err(error) => {
+                    debug!("writing strikes failed: {error}");
+                    sleep(RETRY_PAUSE * (1 << failures.min(MAX_DOUBLINGS))).await;
+                    failures += 1;
+                }
+            }
+        }
     }
 }
 
+/// Writes this node's record of strikes.
+async fn write_strikes(node: &Node, client: &mut Client, strikes: &[Saved]) -> Result<(), Error> {
+    let values: Vec<StrikesValue> = strikes.iter().map(StrikesValue::from).collect();
+    let value = serde_json::to_vec(&values).unwrap_or_default();
+    let key = format!("{STRIKES_PREFIX}{}", node.settings.vm);
+    client.append(TOPIC, &key, &value, None).await?;
+    Ok(())
+}
+
 /// Rulings that this node is to write to the store, those of other nodes `after` a time in milliseconds.
 fn unsaved(node: &Node, after: Option<u64>) -> Vec<Entry> {
     let requests = node.quarantine().rulings_to_save(node.now(), after);
