A check of an endpoint that is not answered in time shows nothing

Two causes, both supposed: a check that timed out counted as 'accepts connections', so the endpoint counted as alive and nobody looked again; and the ports that refuse connections in the test were free for other processes. A check without an answer now leaves it open, and the looks go on for some seconds, as when all others are out of reach.

--- a/crates/gateway/src/liveness.rs
+++ b/crates/gateway/src/liveness.rs
@@ -41,10 +41,21 @@
     Alive,
     /// Its process has ended or is just ending.
     Gone,
-    /// It refuses connections, but so do all others: this node's own links may be gone.
+    /// It refuses connections, but so do all others: this node's own links may be gone. Or it did not answer in time.
     Unknown,
 }
 
+/// What came of a connection to an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Look {
+    /// It was accepted.
+    Accepted,
+    /// It was refused: no process listens.
+    Refused,
+    /// Neither, or it failed in another way.
+    Unanswered,
+}
+
 /// Liveness checks of endpoints that broke off responses; all requests that ran there share one check.
 #[derive(Debug, Default)]
 pub struct Checks(Mutex<HashMap<Tag, Arc<OnceCell<Liveness>>>>);
@@ -71,10 +82,12 @@
 
 /// Whether an endpoint refuses connections while another one accepts them.
 async fn probe(node: &Node, endpoint: &Endpoint) -> Liveness {
-    if !refuses_connections(&node.dialer, endpoint).await {
+    if look(&node.dialer, endpoint).await != Look::Refused {
         sleep(RECHECK_DELAY).await;
-        if !refuses_connections(&node.dialer, endpoint).await {
-            return Liveness::Alive;
+        match look(&node.dialer, endpoint).await {
+            Look::Accepted => return Liveness::Alive,
+            Look::Unanswered => return Liveness::Unknown,
+            Look::Refused => {}
         }
     }
     match reaches_another(node, endpoint).await {
@@ -113,13 +126,20 @@
     false
 }
 
+async fn look(dialer: &Dialer, endpoint: &Endpoint) -> Look {
+    match dialer.check(endpoint, CHECK_TIMEOUT).await {
+        Ok(()) => Look::Accepted,
+        Err(Error::Unreachable { refused: true, .. }) => Look::Refused,
+        Err(_) => Look::Unanswered,
+    }
+}
+
 /// Whether an endpoint refuses connections, so its process has ended. A timeout or another error does not count.
 pub async fn refuses_connections(dialer: &Dialer, endpoint: &Endpoint) -> bool {
-    let checked = dialer.check(endpoint, CHECK_TIMEOUT).await;
-    matches!(checked, Err(Error::Unreachable { refused: true, .. }))
+    look(dialer, endpoint).await == Look::Refused
 }
 
 /// Whether an endpoint's process is running and its machine can be reached.
 pub async fn accepts_connections(dialer: &Dialer, endpoint: &Endpoint) -> bool {
-    dialer.check(endpoint, CHECK_TIMEOUT).await.is_ok()
+    look(dialer, endpoint).await == Look::Accepted
 }
--- a/crates/gateway/tests/liveness.rs
+++ b/crates/gateway/tests/liveness.rs
@@ -4,16 +4,21 @@
 
 use crosslane_gateway::liveness;
 use crosslane_gateway::node::Node;
-
 use crosslane_state::endpoint::{Endpoint, Stage};
 use node::settings;
 use rstest::rstest;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::time::sleep;
 
+/// Metric of connections that could not be opened.
+const UNREACHABLE: &str = "crosslane_endpoint_connections{outcome=\"unreachable\"}";
+
+/// Time between looks at a condition.
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
+
 fn endpoint(id: &str, address: SocketAddr) -> Endpoint {
     Endpoint {
         id: id.into(),
@@ -30,12 +35,18 @@
     }
 }
 
-/// Listener and its address, and an address at which nothing listens.
-async fn addresses() -> (TcpListener, SocketAddr, SocketAddr) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let ended = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let (listening, refusing) = (listener.local_addr().unwrap(), ended.local_addr().unwrap());
-    (listener, listening, refusing)
+/// A listener, and a socket that has a port at which connections are refused.
+async fn sockets() -> (TcpListener, TcpSocket) {
+    let refusing = TcpSocket::new_v4().unwrap();
+    refusing.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    (TcpListener::bind("127.0.0.1:0").await.unwrap(), refusing)
+}
+
+/// Connections that the node could not open so far.
+fn refused(node: &Node) -> u64 {
+    let text = String::from_utf8(node.metrics.encode().unwrap()).unwrap();
+    let count = |line: &str| line.strip_prefix(UNREACHABLE)?.trim().parse().ok();
+    text.lines().find_map(count).unwrap_or(0)
 }
 
 /// A poison request that had ended all endpoints but for the last one got no strike for it, since the node took its own links
@@ -43,8 +54,11 @@
 #[rstest]
 #[tokio::test]
 async fn an_endpoint_is_gone_once_another_one_can_be_reached() {
-    let (_listener, listening, refusing) = addresses().await;
-    let (crashed, other) = (endpoint("crashed", refusing), endpoint("other", refusing));
+    let (listener, refusing) = sockets().await;
+    let (listening, refusing_address) =
+        (listener.local_addr().unwrap(), refusing.local_addr().unwrap());
+    let (crashed, other) =
+        (endpoint("crashed", refusing_address), endpoint("other", refusing_address));
     let node = Arc::new(Node::new(settings()).unwrap());
     node.pool().update(crashed.clone(), node.now());
     node.pool().update(other, node.now());
@@ -52,8 +66,11 @@
         let (node, crashed) = (node.clone(), crashed.clone());
         async move { liveness::turns_out_gone(&node, &crashed).await }
     });
-    sleep(Duration::from_millis(400)).await;
-    assert!(!turns_out.is_finished());
+    // One check has found that the other endpoint can't be reached either.
+    while refused(&node) < 2 {
+        assert!(!turns_out.is_finished());
+        sleep(POLL_INTERVAL).await;
+    }
     node.pool().update(endpoint("other-again", listening), node.now());
     assert!(turns_out.await.unwrap());
 }
@@ -62,10 +79,10 @@
 #[rstest]
 #[tokio::test]
 async fn an_endpoint_behind_a_lost_link_is_not_gone() {
-    let (_listener, listening, refusing) = addresses().await;
+    let (listener, refusing) = sockets().await;
     let node = Arc::new(Node::new(settings()).unwrap());
-    let cut_off = endpoint("cut-off", listening);
+    let cut_off = endpoint("cut-off", listener.local_addr().unwrap());
     node.pool().update(cut_off.clone(), node.now());
-    node.pool().update(endpoint("other", refusing), node.now());
+    node.pool().update(endpoint("other", refusing.local_addr().unwrap()), node.now());
     assert!(!liveness::turns_out_gone(&node, &cut_off).await);
 }
