Two segments are shut out together while nothing is known of either

Cause: at the start no run has gone well with any segment, so a segment that is in prompts with a few others waits for 750 ms between first and last strike, in which a sound run could clear it. A companion without the segment ran beside each request, so the other segments had no pattern in common with it either, and nothing was shut out meanwhile.

The new case 'one cause' of two_segments_are_shut_out_together_while_nothing_is_known_of_either failed before ('a', 'x' was let in).

Now such a segment is shut out together with the one that most requests with it have, after three strikes by three requests with both, if no third segment is in two of these requests and neither has a rival. Prompts with only one of the two are served, so a sound segment is not lost by it, and the time is kept for the decision between them. Without the condition on a third segment, the case 'two causes' fails: it would shut out what two causes have in common.

--- a/crates/coordination/src/patterns.rs
+++ b/crates/coordination/src/patterns.rs
@@ -32,6 +32,9 @@
 const AGAINST_ONE_OF_FEW: Need = Need { strikes: 5, requests: 3, span_ms: 0 };
 const AGAINST_ONE_OF_FEW_UNKNOWN: Need = Need { span_ms: INNOCENT_AFTER_MS, ..AGAINST_ONE_OF_FEW };
 
+/// Evidence against two segments together where nothing is known of any: prompts with only one of them are served.
+const AGAINST_PAIR: Need = Need { strikes: STRIKES_TO_SHUT_OUT, requests: 3, span_ms: 0 };
+
 /// Evidence against segments with which requests ran well before.
 const AGAINST_SOUND: Need =
     Need { strikes: 2 * STRIKES_TO_SHUT_OUT, requests: 4, span_ms: 2 * INNOCENT_AFTER_MS };
@@ -101,7 +104,34 @@
         let enough = count_strikes(&strikes) >= need.strikes + self.more_strikes(segment, &strikes)
             && requests.len() >= need.requests
             && span_of(&strikes) >= need.span_ms;
-        (enough && !self.has_rival(&common, &strikes)).then_some(pattern)
+        if enough {
+            return (!self.has_rival(&common, &strikes)).then_some(pattern);
+        }
+        match (sound_before, several, some_known) {
+            (false, true, false) => self.pair_of(segment, &strikes, &others),
+            _ => None,
+        }
+    }
+
+    /// Pattern of a segment and the one that most requests with it have, if these have no third one in common: while nothing is
+    /// known of any segment, either may be the cause.
+    fn pair_of(
+        &self,
+        segment: Segment,
+        strikes: &[(Tag, &Crash)],
+        others: &BTreeMap<Segment, BTreeSet<Fingerprint>>,
+    ) -> Option<Pattern> {
+        let (other, requests) = others.iter().max_by_key(|(_, requests)| requests.len())?;
+        let pair = Pattern::try_from(vec![segment, *other]).ok()?;
+        let under_both = strikes.iter().filter(|(_, crash)| crash.is_explained_by(&pair));
+        let under_both: Vec<(Tag, &Crash)> = under_both.copied().collect();
+        let shared = |third: &Segment| {
+            others.get(third).is_some_and(|with| with.intersection(requests).count() > 1)
+        };
+        let differ = !others.keys().any(|third| third != other && shared(third));
+        let enough = count_strikes(&under_both) >= AGAINST_PAIR.strikes
+            && requests.len() >= AGAINST_PAIR.requests;
+        (differ && enough && !self.has_rival(pair.segments(), &under_both)).then_some(pair)
     }
 
     /// Number of further strikes needed, since endpoints also crash without a segment.
--- a/crates/coordination/src/segments.rs
+++ b/crates/coordination/src/segments.rs
@@ -11,6 +11,8 @@
 //!   ran well are shut out together, as a pattern. A prompt that lacks one of them is still served. If
 //!   it completes, that segment is no longer suspected; if it crashes another endpoint, the others are
 //!   not. So a segment that merely accompanies the culprit is never shut out by itself.
+//! - While nothing is known of any segment, a candidate is shut out together with the one that most of its requests have, until
+//!   a sound run has had the time to decide between them.
 //! - A candidate with a rival is not shut out: another segment, not of the pattern, that was present at
 //!   all of the same crashes, or all but one. Further crashes, or one run that goes well, decide between
 //!   them.
--- a/crates/coordination/tests/segments.rs
+++ b/crates/coordination/tests/segments.rs
@@ -371,3 +371,57 @@
     play(&mut segments, 0, &[Crash(&["x"]), CrashAgain(&["x"]), CrashAgain(&["x"])]);
     assert!(!segments.explain(request(0), &[Tag(100), Tag(101), Tag(102)]));
 }
+
+struct Burst {
+    name: &'static str,
+    /// Prompts of the requests at each endpoint that crashes, within less time than a sound run takes.
+    crashes: &'static [&'static [&'static [&'static str]]],
+    shut: &'static [&'static [&'static str]],
+    served: &'static [&'static [&'static str]],
+}
+
+/// Guards against a start at which requests with one segment, each beside a sound one, crash more engines than allowed before
+/// any run can go well.
+#[rstest]
+#[case(Burst {
+    name: "one cause, with most requests under one first segment",
+    crashes: &[
+        &[&["b", "x", "p"], &["b", "p"]],
+        &[&["a", "x", "q"], &["a", "q"]],
+        &[&["a", "x", "r"], &["a", "r"]],
+        &[&["a", "x", "s"], &["a", "s"]],
+    ],
+    shut: &[&["a", "x"], &["a", "x", "t"]],
+    served: &[&["a"], &["x"], &["a", "q"], &["b", "x"]],
+})]
+#[case(Burst {
+    name: "two causes that share the other segments",
+    crashes: &[
+        &[&["a", "z", "q"], &["a", "q"]],
+        &[&["a", "x", "p"], &["a", "p"]],
+        &[&["a", "y", "p"], &["a", "p"]],
+        &[&["a", "x", "p"], &["a", "p"]],
+        &[&["a", "y", "p"], &["a", "p"]],
+    ],
+    shut: &[],
+    served: &[&["a", "p"], &["a"], &["p"]],
+})]
+#[case(Burst {
+    name: "requests that are poisonous by themselves",
+    crashes: &[&[&["a", "p"]], &[&["a", "q"]], &[&["b", "r"]], &[&["b", "s"]]],
+    shut: &[],
+    served: &[&["a"], &["b"], &["a", "p"]],
+})]
+fn two_segments_are_shut_out_together_while_nothing_is_known_of_either(#[case] case: Burst) {
+    let mut segments = segments();
+    for (number, prompts) in (1..).zip(case.crashes) {
+        let now = Millis(1_000 + number * 70);
+        for (place, ids) in (0..).zip(*prompts) {
+            segments.record_crash(Tag(number), request(number * 10 + place), &prompt(ids), now);
+        }
+        segments.make_rulings(now + 61, UNIX_MS);
+    }
+    let is_shut = |ids: &&[&str]| segments.shut_out(&prompt(ids), UNIX_MS).is_some();
+    assert!(case.shut.iter().all(is_shut), "{}", case.name);
+    assert!(!case.served.iter().any(is_shut), "{}", case.name);
+}
