Connections to endpoints are lent to nodes whose requests need more

Cause: each node kept to an even part of an endpoint's connections, which is one where a cap of 110 meets 60 nodes, at an endpoint that runs six requests.

Now half of what is shared is divided evenly, and the owner of the service's cap lends the other half. A lease is one connection more at each endpoint, so a node asks for as many leases as its mean number of requests at an endpoint needs, whatever the number of endpoints. The owner's bucket spends a lease until all requests begun under it have ended; a node that needs it no more gives it back. Owner, deputies and nodes without an owner may all grant at the same time and stay within nine tenths of the cap.

Cost: messages grow with the leases of nodes above their even part; a node visits the endpoints of services with a cap four times a second, as its heartbeat does.

--- a/crates/coordination/src/limits.rs
+++ b/crates/coordination/src/limits.rs
@@ -40,7 +40,7 @@
 
 /// Share of the limit that a backup owner grants. Nodes that miss answers of the first owner ask
 /// the next one while others still ask the first; together the two must not grant the limit twice.
-const BACKUP_SHARE: f64 = 0.25;
+pub(crate) const BACKUP_SHARE: f64 = 0.25;
 
 /// Longest wait that is advised, in milliseconds. With hundreds of nodes each gets a turn once in
 /// minutes.
--- a/crates/coordination/src/pool.rs
+++ b/crates/coordination/src/pool.rs
@@ -6,6 +6,7 @@
 
 use crate::builds::Builds;
 use crate::choice::{self, MAX_EXACT_CHOICE, MAX_FULL_SCAN, Query, Terms};
+use crate::connections::Use;
 use crate::entry::{Entry, Load};
 use crate::health::{Health, Outcome};
 use crate::index::Index;
@@ -17,6 +18,7 @@
 use rand::seq::IteratorRandom;
 use slotmap::SlotMap;
 use std::collections::{BTreeSet, HashMap, HashSet};
+use std::net::SocketAddr;
 
 /// Time for which an engine gets no new work after an order to change its stage. The engine first
 /// finishes its running requests (about 3 s), then changes stage (6 s). Meanwhile it still grants
@@ -520,6 +522,26 @@
         shared.map(|entry| entry.usage_row(now)).collect()
     }
 
+    /// This node's requests at the endpoints of a service, by the stage that has most.
+    pub fn requests_at(&self, service: &str) -> Use {
+        STAGES.iter().fold(Use::default(), |highest, stage| {
+            let group = self.index.group(service, *stage);
+            let entries = group.keys().filter_map(|key| self.entries.get(key));
+            let (sum, most) = entries.fold((0, 0), |(sum, most), entry| {
+                let requests = entry.local.requests;
+                (sum + requests, requests.max(most))
+            });
+            let mean = f64::from(sum) / group.len().max(1) as f64;
+            Use { mean: mean.max(highest.mean), most: most.max(highest.most) }
+        })
+    }
+
+    /// Endpoints of a service.
+    pub fn addresses(&self, service: &str) -> Vec<SocketAddr> {
+        let keys = STAGES.iter().flat_map(|stage| self.index.group(service, *stage).keys());
+        keys.filter_map(|key| self.get(key)).map(|endpoint| endpoint.address).collect()
+    }
+
     /// Records that this node ordered an engine to change its stage.
     pub fn record_stage_order(&mut self, key: Key, stage: Stage, now: Millis) {
         if let Some(entry) = self.entries.get(key) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 
 pub mod builds;
 pub mod cache;
+pub mod connections;
 pub mod control;
 pub mod cut;
 pub mod dialer;
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -66,13 +66,18 @@
     Endpoint(Tag),
     /// The part of a service's retry budget that is lent.
     Retries(Tag),
+    /// The part of the connections to a service's endpoints that is lent.
+    Connections(Tag),
 }
 
 impl Subject {
     /// Tag in messages between nodes.
     pub fn tag(self) -> Tag {
         match self {
-            Self::Organisation(tag) | Self::Endpoint(tag) | Self::Retries(tag) => tag,
+            Self::Organisation(tag)
+            | Self::Endpoint(tag)
+            | Self::Retries(tag)
+            | Self::Connections(tag) => tag,
         }
     }
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -12,12 +12,12 @@
 use crate::metrics::Metrics;
 use crate::mirror::{Change, Changed, Mirror, Offsets, Topic};
 use crate::operators;
-use crate::quota::{self, Limiter};
+use crate::quota::{self, Grant, Limiter};
 use crate::resume::Queries;
 use bytes::Bytes;
 use crosslane_coordination::admission::Timeouts;
 use crosslane_coordination::allowance::Allowance;
-use crosslane_coordination::connections;
+use crosslane_coordination::connections::{self, Leases};
 use crosslane_coordination::durations::{Durations, Timer};
 use crosslane_coordination::health::Outcome;
 use crosslane_coordination::heartbeat::MAX_NEAR_PEERS;
@@ -127,6 +127,10 @@
     pub endpoint_limiter: Limiter,
     /// Limiter for the parts of the retry budgets that are lent.
     pub retry_limiter: Limiter,
+    /// Limiter for the parts of the connections to endpoints that are lent.
+    pub connection_limiter: Limiter,
+    /// Connections to endpoints that this node has borrowed, by service.
+    pub connection_leases: Mutex<HashMap<String, Leases<Grant>>>,
     /// UDP socket for messages between nodes, once it is bound.
     pub socket: OnceLock<Arc<UdpSocket>>,
     /// Wakes requests that wait for a newer configuration.
@@ -207,6 +211,8 @@
             organisation_limiter: Limiter::new(settings.quota),
             endpoint_limiter: Limiter::new(limits::TOLERANCE),
             retry_limiter: Limiter::new(limits::TOLERANCE),
+            connection_limiter: Limiter::new(limits::TOLERANCE),
+            connection_leases: Mutex::default(),
             socket: OnceLock::new(),
             configuration_applied: Notify::new(),
             stopping: watch::Sender::new(None),
@@ -319,6 +325,7 @@
             Subject::Organisation(_) => &self.organisation_limiter,
             Subject::Endpoint(_) => &self.endpoint_limiter,
             Subject::Retries(_) => &self.retry_limiter,
+            Subject::Connections(_) => &self.connection_limiter,
         }
     }
 
@@ -405,12 +412,16 @@
         lock(&self.resumed_at).is_none_or(|at| self.now().since(at) >= RESUME_GRACE_MS)
     }
 
-    /// This node's share of the connection cap of an endpoint of a service.
+    /// Most connections that this node may have at an endpoint of a service: its even share of the cap and what it has
+    /// borrowed.
     pub fn connection_share(&self, service: &str) -> u32 {
         let table = self.table();
         let cap = table.as_ref().and_then(|table| table.services.get(service)?.max_connections);
-        let (_, nodes) = lock(&self.members).live_and_serving(self.now());
-        cap.map_or(u32::MAX, |cap| connections::share(cap, nodes))
+        let Some(cap) = cap else { return u32::MAX };
+        let now = self.now();
+        let (_, nodes) = lock(&self.members).live_and_serving(now);
+        let leases = lock(&self.connection_leases);
+        connections::share(cap, nodes) + leases.get(service).map_or(0, |leases| leases.count(now))
     }
 
     /// Adds a request to the retry budget of a service.
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -1,9 +1,11 @@
 //! Distributed rate limiting: queries the owner of a limit before a request is sent, and replies to such queries as an owner.
 //!
-//! A limit is an organisation's, one that an endpoint names (`limit`), or what is lent of a retry budget; `coordination::quota` decides. Nodes that see
+//! A limit is an organisation's, one that an endpoint names (`limit`), or what is lent of a retry budget or of the connections to
+//! endpoints (`connections`); `coordination::quota` decides. Nodes that see
 //! the same members choose the same owner, without agreement. An owner that doesn't reply is skipped for a while, and the next
 //! one is queried.
 
+use crate::connections;
 use crate::event;
 use crate::limit;
 use crate::members::{Message, Subject};
@@ -282,7 +284,7 @@
 fn as_deputy(subject: Subject, charge: Charge) -> Charge {
     match subject {
         Subject::Organisation(_) => charge,
-        Subject::Endpoint(_) | Subject::Retries(_) => {
+        Subject::Endpoint(_) | Subject::Retries(_) | Subject::Connections(_) => {
             Charge { limit: limits::backup_limit(charge.limit), ..charge }
         }
     }
@@ -310,7 +312,7 @@
 async fn query(node: &Node, subject: Subject, charge: Charge, owner: IpAddr) -> Option<Decision> {
     let cost = charge.cost;
     let latest = match subject {
-        Subject::Organisation(_) | Subject::Retries(_) => None,
+        Subject::Organisation(_) | Subject::Retries(_) | Subject::Connections(_) => None,
         Subject::Endpoint(endpoint) => node.limits().latest(endpoint),
     };
     let (number, receiver) = node.limiter(subject).register(subject, cost, node.now());
@@ -331,6 +333,9 @@
             (configured(node, organisation), Decision::Undecided)
         }
         Subject::Retries(_) => (Some(node.settings.retry_budget.lent()), Decision::Undecided),
+        Subject::Connections(service) => {
+            (connections::lent_by_tag(node, service), Decision::Undecided)
+        }
         Subject::Endpoint(endpoint) => {
             // The endpoint no longer names a limit, and the querying node gets that update separately; or this node does
             // not know yet that the endpoint is cold.
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -5,8 +5,8 @@
 use crate::node::Node;
 use crate::shutdown::ACCEPT_TIME;
 use crate::{
-    builds, event, follower, frontend, limit, orders, peers, quarantine, reach, resume, rulings,
-    suspension,
+    builds, connections, event, follower, frontend, limit, orders, peers, quarantine, reach,
+    resume, rulings, suspension,
 };
 use crosslane_platform::settings::Settings;
 use derive_more::{Display, Error, From};
@@ -91,6 +91,7 @@
     tokio::spawn(builds::save(node.clone()));
     tokio::spawn(rulings::follow(node.clone()));
     tokio::spawn(rulings::save(node.clone()));
+    tokio::spawn(connections::borrow_as_needed(node.clone()));
     tokio::spawn(suspension::watch(node.clone()));
     tokio::spawn(remove_expired(node.clone()));
     let node = node.clone();
@@ -110,6 +111,7 @@
         node.pool().expire(node.now());
         quarantine::remove_expired(&node);
         node.organisation_limiter.remove_expired(node.now());
+        node.connection_limiter.remove_expired(node.now());
         limit::remove_expired(&node);
         resume::remove_expired(&node);
     }
--- a/crates/state/src/route.rs
+++ b/crates/state/src/route.rs
@@ -130,6 +130,8 @@
     hosts: HashMap<String, Vec<Route>>,
     /// Services by name.
     pub services: HashMap<String, Service>,
+    /// Longest time limit of a request by service, in milliseconds.
+    longest_timeouts_ms: HashMap<String, u64>,
     /// Limits on callers' requests and connections.
     pub limits: Limits,
     /// Time without data after which the callers of every route have given up, in milliseconds.
@@ -150,6 +152,13 @@
     ) -> Self {
         let longest_patience_ms = routes.iter().map(Route::patience_ms).max().unwrap_or_default();
         let longest_return_ms = routes.iter().map(Route::return_ms).max().unwrap_or_default();
+        let mut longest_timeouts_ms: HashMap<String, u64> = HashMap::new();
+        for route in &routes {
+            for share in &route.shares {
+                let longest = longest_timeouts_ms.entry(share.service.clone()).or_default();
+                *longest = route.timeout_ms.max(*longest);
+            }
+        }
         let mut hosts: HashMap<String, Vec<Route>> = HashMap::new();
         for route in routes {
             hosts.entry(route.host.clone()).or_default().push(route);
@@ -162,6 +171,7 @@
             version,
             hosts,
             services,
+            longest_timeouts_ms,
             limits,
             longest_patience_ms,
             longest_return_ms,
@@ -169,6 +179,11 @@
         }
     }
 
+    /// Longest time limit of a request to a service, in milliseconds.
+    pub fn longest_timeout_ms(&self, service: &str) -> u64 {
+        self.longest_timeouts_ms.get(service).copied().unwrap_or_default()
+    }
+
     /// The route of a host with the longest prefix of a path; a port after the host is ignored.
     pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
         let host = host.rsplit_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase();
