Soak: callers gather at one node, again and again

`--gathering` of the soak by hand has nine of ten callers move to one node for 4 to 8 s, then spread and move to another one. Plain endpoints then name how many connections they accept. From 3 s on, a first try that fails at the crowded node in touch is repeated at once at another node, and the crowded node must serve three quarters of what the others could; the report shows the counts.

--- a/crates/crosslane/examples/soak.rs
+++ b/crates/crosslane/examples/soak.rs
@@ -4,7 +4,7 @@
 //!
 //! A seed that breaks a promise keeps its logs, and tells the story of each request concerned.
 
-use clap::{Arg, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use crosslane::explain::Story;
 use crosslane_harness::site::Binaries;
 use crosslane_soak::run::{self, Report};
@@ -33,8 +33,10 @@
         arg.default_value(usual).value_parser(value_parser!(u64))
     };
     let folder = Arg::new("logs").long("logs").value_name("FOLDER").default_value("target/soak");
+    let gathering = Arg::new("gathering").long("gathering").action(ArgAction::SetTrue);
+    let gathering = gathering.help("Most callers gather at one node, again and again");
     let command = Command::new("soak").about("Random faults on a site of real nodes");
-    let matches = command.args(NUMBERS.map(number)).arg(folder).get_matches();
+    let matches = command.args(NUMBERS.map(number)).arg(folder).arg(gathering).get_matches();
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
     let first = get(&matches, "seed");
     let mut broken = Vec::new();
@@ -79,6 +81,7 @@
         time: Duration::from_secs(get(matches, "seconds")),
         partitions: true,
         leaving: true,
+        gathering: matches.get_flag("gathering"),
         versions: get(matches, "versions").max(1) as usize,
         program: Binaries::beside(&std::env::current_exe()?).node,
     })
--- a/crates/crosslane/tests/soak.rs
+++ b/crates/crosslane/tests/soak.rs
@@ -58,6 +58,7 @@
         // Those have tests of their own, in `partition.rs`; the seeds are kept as they were.
         partitions: false,
         leaving: case.leaving,
+        gathering: false,
         versions: 1,
         program: PathBuf::from(env!("CARGO_BIN_EXE_crosslaned")),
     };
--- a/crates/soak/src/reach.rs
+++ b/crates/soak/src/reach.rs
@@ -4,6 +4,7 @@
 //! who are refused ask again at once, so that moments in which no node can serve count most where refusals are quickest.
 
 use crosslane_platform_standins::ledger::Ledger;
+use derive_more::Display;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -21,7 +22,8 @@
 const BORNE_SHARE: f64 = 1.0 / 50.0;
 
 /// First tries at cut-off nodes.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Display)]
+#[display("{served} served, {failed} failed everywhere, only here {unserved:?}")]
 pub struct Tally {
     /// Those that were served.
     pub served: u64,
@@ -34,9 +36,23 @@
 impl Tally {
     /// Whether these nodes serve far less than the others could.
     pub fn breaks(&self) -> bool {
+        self.is_below(LEAST_SHARE)
+    }
+
+    /// Whether these nodes serve less than a share of what the others could.
+    pub fn is_below(&self, least_share: f64) -> bool {
         let (served, unserved) = (self.served as f64, self.unserved.len() as f64);
         let all = served + self.failed as f64 + unserved;
-        unserved > BORNE + BORNE_SHARE * all && served < LEAST_SHARE * (served + unserved)
+        unserved > BORNE + BORNE_SHARE * all && served < least_share * (served + unserved)
+    }
+
+    /// Records a first try that failed, and whether its repeat at another node was served.
+    pub fn record_failed(&mut self, request: &str, served_elsewhere: bool) {
+        if served_elsewhere {
+            self.unserved.push(request.to_owned());
+        } else {
+            self.failed += 1;
+        }
     }
 }
 
@@ -87,12 +103,7 @@
 
     /// Records a first try that failed at a cut-off node, and whether its repeat at another node was served.
     pub fn record_failed(&self, request: &str, served_elsewhere: bool) {
-        let tally = &mut self.lock().tally;
-        if served_elsewhere {
-            tally.unserved.push(request.to_owned());
-        } else {
-            tally.failed += 1;
-        }
+        self.lock().tally.record_failed(request, served_elsewhere);
     }
 
     /// Whether a node was not cut off for some time.
@@ -111,10 +122,8 @@
     pub fn check(&self, ledger: &Ledger) {
         let tally = &self.lock().tally;
         if tally.breaks() {
-            let Tally { served, failed, unserved } = tally;
-            let seen =
-                format!("{served} served, {failed} failed everywhere, only here {unserved:?}");
-            let request = unserved.first().map_or("", String::as_str);
+            let seen = tally.to_string();
+            let request = tally.unserved.first().map_or("", String::as_str);
             ledger.record_violation(
                 "a node that reaches no endpoint serves its callers",
                 request,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -3,6 +3,7 @@
 use crate::fault::{self, BESIDE, DRAWN, Fault, IN_NEED, LEAVING, PARTITIONED};
 use crate::innocence;
 use crate::keys;
+use crate::reach::Tally;
 use crate::site::{Plan, Site};
 use crate::traffic::{self, Endings};
 use crosslane_platform_standins::caller;
@@ -33,6 +34,13 @@
 /// Time for a condition to come about; far beyond what a busy machine needs.
 const PATIENCE: Duration = Duration::from_secs(60);
 
+/// Times for which callers are spread and gather, in milliseconds.
+const SPREAD: std::ops::Range<u64> = 1_000..3_000;
+const GATHERED: std::ops::Range<u64> = 4_000..8_000;
+
+/// Connections that a plain endpoint accepts where callers gather.
+const MAX_CONNECTIONS: u32 = 20;
+
 /// Period in which endpoints renew their records.
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 
@@ -54,6 +62,8 @@
     pub crashing: Vec<(Poison, Effect)>,
     /// Runs that were stopped to be moved, and those that went on.
     pub moved: Moved,
+    /// First tries at nodes where callers gathered.
+    pub crowded: Tally,
     /// Broken promises.
     pub violations: Vec<Violation>,
 }
@@ -97,6 +107,7 @@
         }
         let Moved { stopped, continued } = self.moved;
         writeln!(formatter, "  {stopped} runs stopped for a move, {continued} continued")?;
+        writeln!(formatter, "  at crowded nodes: {}", self.crowded)?;
         for Violation { invariant: promise, request, observed: seen } in &self.violations {
             writeln!(formatter, "  BROKEN {promise}: {request} {seen}")?;
         }
@@ -119,12 +130,13 @@
     let keyed = tokio::spawn(keys::call(site.clone(), plan.seed, over.clone()));
     let beats = tokio::spawn(beat(site.clone()));
     let leaving: &[Fault] = if plan.leaving { &LEAVING } else { &[] };
-    let (drawn, beside, in_need, leaving, partitioned) = tokio::join!(
+    let (drawn, beside, in_need, leaving, partitioned, ()) = tokio::join!(
         disturb(&site, plan, plan.seed, &DRAWN),
         disturb(&site, plan, !plan.seed, &BESIDE),
         disturb(&site, plan, plan.seed.rotate_left(17), &IN_NEED),
         disturb(&site, plan, plan.seed.rotate_left(53), leaving),
-        disturb_in_turn(&site, plan, plan.seed.rotate_left(29))
+        disturb_in_turn(&site, plan, plan.seed.rotate_left(29)),
+        gather(&site, plan, plan.seed.rotate_left(47))
     );
     let mut faults = drawn?;
     for (fault, count) in beside?.into_iter().chain(in_need?).chain(leaving?).chain(partitioned?) {
@@ -142,6 +154,7 @@
     traffic::check_crashes(&site);
     innocence::check(&site, plan.seed);
     site.reach.check(&site.ledger);
+    site.crowd.check(&site.ledger);
     site.returns.check(&site.ledger);
     let mut endings = Endings::new();
     while let Some(some) = callers.join_next().await {
@@ -154,7 +167,8 @@
     }
     let (crashing, violations) = (site.ledger.effects(), site.ledger.violations());
     let moved = site.ledger.moved();
-    Ok(Report { seed: plan.seed, faults, endings, megabytes, crashing, moved, violations })
+    let crowded = site.crowd.tally();
+    Ok(Report { seed: plan.seed, faults, endings, megabytes, crashing, moved, crowded, violations })
 }
 
 /// Begins faults, one after the other, and waits until all have ended.
@@ -199,6 +213,22 @@
     Ok(counts)
 }
 
+/// Has most callers gather at one node, then at another one.
+async fn gather(site: &Arc<Site>, plan: &Plan, seed: u64) {
+    if !plan.gathering {
+        return;
+    }
+    site.set_max_connections(MAX_CONNECTIONS);
+    let mut random = SmallRng::seed_from_u64(seed);
+    let end = Instant::now() + plan.time;
+    while Instant::now() < end {
+        sleep(Duration::from_millis(random.random_range(SPREAD))).await;
+        site.crowd.gather(Some(random.random_range(0..plan.nodes)));
+        sleep(Duration::from_millis(random.random_range(GATHERED))).await;
+        site.crowd.gather(None);
+    }
+}
+
 /// Renews endpoints' records while they live.
 async fn beat(site: Arc<Site>) {
     loop {
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -1,5 +1,6 @@
 //! The site under soak: store, endpoints and nodes, and what is disturbed.
 
+use crate::crowd::Crowd;
 use crate::node::Node;
 use crate::proxy::{Mode, Proxy};
 use crate::reach::Reach;
@@ -63,6 +64,8 @@
     pub partitions: bool,
     /// Whether engines leave all the time, so that their runs are moved.
     pub leaving: bool,
+    /// Whether most callers gather at one node, again and again.
+    pub gathering: bool,
     /// Software versions that endpoints run side by side.
     pub versions: usize,
     /// `crosslaned`.
@@ -106,12 +109,16 @@
     partitions: Mutex<Vec<Mode>>,
     /// Since when nodes are cut off from all endpoints, and what that did to their callers.
     pub reach: Reach,
+    /// Callers who gather at one node.
+    pub crowd: Crowd,
     /// Callers who came back with their streams.
     pub returns: Returns,
     engines: Engines,
     version: AtomicU64,
     /// Routes in it that nobody asks for.
     besides: AtomicU64,
+    /// Connections that a plain endpoint accepts from all nodes together; zero for any number.
+    max_connections: AtomicU32,
     /// When the newest configuration was accepted.
     accepted: Mutex<Instant>,
     disturbed: Mutex<Instant>,
@@ -146,10 +153,12 @@
             served: Mutex::default(),
             partitions: Mutex::new(vec![Mode::Pass; plan.nodes]),
             reach: Reach::new(plan.nodes),
+            crowd: Crowd::default(),
             returns: Returns::default(),
             engines: Engines::default(),
             version: AtomicU64::new(0),
             besides: AtomicU64::new(0),
+            max_connections: AtomicU32::new(0),
             accepted: Mutex::new(Instant::now()),
             disturbed: Mutex::new(Instant::now()),
             started: AtomicU64::new(0),
@@ -182,11 +191,21 @@
         let besides = self.besides.load(Ordering::Relaxed);
         let configuration = texts::configuration(version, besides);
         // What was just written as JSON can be read.
-        let bytes = texts::with_organisations(&configuration, version).unwrap_or(configuration);
+        let mut bytes = texts::with_organisations(&configuration, version).unwrap_or(configuration);
+        let most = self.max_connections.load(Ordering::Relaxed);
+        if most > 0 {
+            bytes = texts::with_max_connections(&bytes, most).unwrap_or(bytes);
+        }
         self.store.put(OPERATORS, CONFIGURATION, Some(bytes));
         *accepted = Instant::now();
     }
 
+    /// Has the configuration name how many connections a plain endpoint accepts from all nodes together.
+    pub fn set_max_connections(&self, most: u32) {
+        self.max_connections.store(most, Ordering::Relaxed);
+        self.configure();
+    }
+
     /// Has the configurations to come be larger, up to some 1.5 MB.
     pub fn grow(&self) {
         if self.besides.load(Ordering::Relaxed) < MOST_BESIDES {
--- a/crates/soak/src/traffic.rs
+++ b/crates/soak/src/traffic.rs
@@ -85,9 +85,11 @@
         if over.load(Ordering::Relaxed) {
             break;
         }
-        // An open connection is used until it is closed.
-        if !caller.connected() || random.random_bool(WANDERING) {
-            node = random.random_range(0..site.nodes.len());
+        // An open connection is used until it is closed, or until callers gather elsewhere.
+        let gathers = site.crowd.node_for(name).filter(|at| *at != node);
+        if !caller.connected() || random.random_bool(WANDERING) || gathers.is_some() {
+            let any = random.random_range(0..site.nodes.len());
+            node = site.crowd.node_for(name).unwrap_or(any);
             caller = caller_at(&site, node);
         }
         let id = format!("s{seed}-c{name}-{number}");
@@ -147,16 +149,26 @@
         ending
     }
 
-    /// Compares how a first try ended at a node that is cut off with one at another node.
+    /// Compares how a first try ended at a node that is cut off, or where callers gather, with one at another node.
     async fn compare(&self, ending: Ending, began: Instant) {
-        let reach = &self.site.reach;
-        if !reach.is_cut_off(self.node, began) {
+        let Site { reach, crowd, .. } = self.site;
+        let (cut_off, crowded) =
+            (reach.is_cut_off(self.node, began), crowd.is_at(self.node, began));
+        if !cut_off && !crowded {
             return;
         }
         if ending == Ending::Answered {
-            reach.record_served();
+            if cut_off {
+                reach.record_served();
+            } else {
+                crowd.record_served();
+            }
         } else if let Some(served) = self.is_served_elsewhere().await {
-            reach.record_failed(self.id, served);
+            if cut_off {
+                reach.record_failed(self.id, served);
+            } else {
+                crowd.record_failed(self.id, served);
+            }
         }
     }
 
