--- a/crates/crosslane/examples/soak.rs
+++ b/crates/crosslane/examples/soak.rs
@@ -7,6 +7,7 @@
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use crosslane::explain::Story;
 use crosslane_harness::site::Binaries;
+use crosslane_soak::fault::Mix;
 use crosslane_soak::run::{self, Report};
 use crosslane_soak::site::Plan;
 use std::fs::File;
@@ -35,8 +36,11 @@
     let folder = Arg::new("logs").long("logs").value_name("FOLDER").default_value("target/soak");
     let gathering = Arg::new("gathering").long("gathering").action(ArgAction::SetTrue);
     let gathering = gathering.help("Most callers gather at one node, again and again");
+    let planned = Arg::new("planned").long("planned").action(ArgAction::SetTrue);
+    let planned = planned.help("Planned work only, which must cut off nothing");
     let command = Command::new("soak").about("Random faults on a site of real nodes");
-    let matches = command.args(NUMBERS.map(number)).arg(folder).arg(gathering).get_matches();
+    let command = command.args(NUMBERS.map(number)).arg(folder).arg(gathering).arg(planned);
+    let matches = command.get_matches();
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
     let first = get(&matches, "seed");
     let mut broken = Vec::new();
@@ -80,7 +84,7 @@
         callers: get(matches, "callers") as usize,
         time: Duration::from_secs(get(matches, "seconds")),
         partitions: true,
-        leaving: true,
+        mix: if matches.get_flag("planned") { Mix::Planned } else { Mix::All },
         gathering: matches.get_flag("gathering"),
         versions: get(matches, "versions").max(1) as usize,
         program: Binaries::beside(&std::env::current_exe()?).node,
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -83,6 +83,12 @@
         }
     }
 
+    /// Replaces the tolerance of the limits.
+    pub fn set_tolerance(&self, tolerance: Tolerance) {
+        lock(&self.owned).set_tolerance(tolerance);
+        lock(&self.shares).set_tolerance(tolerance);
+    }
+
     /// Registers a query to an owner; returns its number and the receiver of the reply.
     pub fn register(
         &self,
@@ -197,7 +203,7 @@
 /// Takes a retry from the part of a service's budget that its owner lends. It counts as used even if nothing is sent.
 pub async fn borrow_retry(node: &Arc<Node>, service: &str) -> bool {
     let subject = Subject::Retries(Tag::of(service));
-    let borrowed = acquire(node, subject, node.settings.retry_budget.lent(), RETRY_COST).await;
+    let borrowed = acquire(node, subject, node.adjustable().retry_budget.lent(), RETRY_COST).await;
     borrowed.is_ok_and(|grant| {
         grant.mark_sent();
         true
@@ -332,7 +338,7 @@
         Subject::Organisation(organisation) => {
             (configured(node, organisation), Decision::Undecided)
         }
-        Subject::Retries(_) => (Some(node.settings.retry_budget.lent()), Decision::Undecided),
+        Subject::Retries(_) => (Some(node.adjustable().retry_budget.lent()), Decision::Undecided),
         Subject::Connections(service) => {
             (connections::lent_by_tag(node, service), Decision::Undecided)
         }
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -1,6 +1,7 @@
 //! The site under soak: store, endpoints and nodes, and what is disturbed.
 
 use crate::crowd::Crowd;
+use crate::fault::Mix;
 use crate::node::Node;
 use crate::proxy::{Mode, Proxy};
 use crate::reach::Reach;
@@ -62,8 +63,8 @@
     pub time: Duration,
     /// Whether nodes are partitioned from all endpoints.
     pub partitions: bool,
-    /// Whether engines leave all the time, so that their runs are moved.
-    pub leaving: bool,
+    /// Which faults are played.
+    pub mix: Mix,
     /// Whether most callers gather at one node, again and again.
     pub gathering: bool,
     /// Software versions that endpoints run side by side.
