--- a/crates/crosslane/examples/soak.rs
+++ b/crates/crosslane/examples/soak.rs
@@ -34,10 +34,13 @@
         arg.default_value(usual).value_parser(value_parser!(u64))
     };
     let folder = Arg::new("logs").long("logs").value_name("FOLDER").default_value("target/soak");
+    let gathering = Arg::new("gathering").long("gathering").action(ArgAction::SetTrue);
+    let gathering = gathering.help("Most callers gather at one node, again and again");
     let planned = Arg::new("planned").long("planned").action(ArgAction::SetTrue);
     let planned = planned.help("Planned work only, which must cut off nothing");
     let command = Command::new("soak").about("Random faults on a site of real nodes");
-    let matches = command.args(NUMBERS.map(number)).arg(folder).arg(planned).get_matches();
+    let command = command.args(NUMBERS.map(number)).arg(folder).arg(gathering).arg(planned);
+    let matches = command.get_matches();
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
     let first = get(&matches, "seed");
     let mut broken = Vec::new();
@@ -82,6 +85,7 @@
         time: Duration::from_secs(get(matches, "seconds")),
         partitions: true,
         mix: if matches.get_flag("planned") { Mix::Planned } else { Mix::All },
+        gathering: matches.get_flag("gathering"),
         versions: get(matches, "versions").max(1) as usize,
         program: Binaries::beside(&std::env::current_exe()?).node,
     })
