A stream without length whose run may have been stopped does not look complete

Callers would have got an answer that looks whole and lacks its end: an engine that answers without length or chunks, told to stop the run, closes the connection, and if the call to move it is never answered the end of the connection was taken for that of the stream. By reading; a_stopped_stream_without_length_does_not_look_complete failed before. The stream is resumed now if its route allows, and cut otherwise, unless the engine says that it had no such run.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -348,20 +348,24 @@
         };
         // The engine closes the response of a run that it stops, before it answers the call.
         let is_whole = matches!(last, Chunk::End) && self.is_delimited();
-        if called.get() && !is_whole {
+        let mut is_known = is_whole || !called.get();
+        if !is_known {
             let limit = self.stop_patience();
-            if let Ok(Some(stopped)) = timeout(limit, stopping).await {
-                return self.continue_run(stopped).await;
+            match timeout(limit, stopping).await {
+                Ok(Some(stopped)) => return self.continue_run(stopped).await,
+                Ok(None) => is_known = true,
+                Err(_) => {}
             }
         }
         match last {
-            Chunk::Broken(broken) if called.get() => {
+            Chunk::End if is_known => self.complete(),
+            Chunk::Broken(broken) if !called.get() => self.fail(broken).await,
+            last => {
+                let why =
+                    if let Chunk::Broken(broken) = last { broken.why } else { "ended".into() };
                 self.drop_broken().await;
-                let why = format!("told to stop: {}", broken.why);
-                self.resume_stopped(Break::new(Side::Node, why)).await;
+                self.resume_stopped(Break::new(Side::Node, format!("told to stop: {why}"))).await;
             }
-            Chunk::Broken(broken) => self.fail(broken).await,
-            _ => self.complete(),
         }
     }
 
