Test of segments that crash endpoints waits for a ruling in the store, not for strikes

Cause: strikes are kept in the rulings' topic since, so the wait for 'something in the topic' ended before the ruling was saved. The wait now asks for a ruling, as strict as before that change.

--- a/crates/crosslane/tests/crashing.rs
+++ b/crates/crosslane/tests/crashing.rs
@@ -34,6 +34,9 @@
 /// Topic in which nodes keep what they decided.
 const RULINGS: &str = "keyed.quarantine";
 
+/// Begins the keys of strikes there.
+const STRIKES_PREFIX: &str = "strikes-";
+
 struct Case {
     kind: Kind,
     path: &'static str,
@@ -114,7 +117,7 @@
             let id = format!("other-{node}");
             assert_eq!(fixture.ask(node, &id, kind, &other).await, Ending::Answered, "{name}");
         }
-        fixture.until(|| async { !fixture.site.store.values(RULINGS).is_empty() }).await;
+        fixture.until(|| async { fixture.has_ruling() }).await;
         // What all nodes knew is still known when none of them is left.
         fixture.kill_all().await;
         fixture.until_served(kind).await;
@@ -202,6 +205,12 @@
 ];
 
 impl Fixture {
+    /// Whether the store holds a ruling; strikes that precede it stand in the same topic.
+    fn has_ruling(&self) -> bool {
+        let records = self.site.store.values(RULINGS);
+        records.iter().any(|(key, _)| !key.starts_with(STRIKES_PREFIX))
+    }
+
     /// Asks a node with a prompt of shared segments and one of its own. No two such requests are alike.
     async fn prompt(&self, node: usize, id: &str, kind: Kind, shared: &[&str]) -> Ending {
         let own = format!("own{id}");
@@ -246,7 +255,7 @@
         assert_eq!(fixture.prompt_everywhere("sound", kind, sound).await, answered, "{name}");
         let without = format!("{}without-segments", kind.prefix());
         assert_eq!(fixture.ask(0, "without", kind, &without).await, Ending::Answered, "{name}");
-        fixture.until(|| async { !fixture.site.store.values(RULINGS).is_empty() }).await;
+        fixture.until(|| async { fixture.has_ruling() }).await;
         fixture.kill_all().await;
         fixture.until_served(kind).await;
         let round = format!("{POISON_ID_PREFIX}killed");
