--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod claims;
 pub mod connections;
 pub mod control_log;
+pub mod delay;
 pub mod detector;
 pub mod durations;
 pub mod entry;
--- a/crates/gateway/src/dialer.rs
+++ b/crates/gateway/src/dialer.rs
@@ -1,9 +1,11 @@
 //! Opens connections to endpoints, and records which of them accept any.
 
+use crate::load::Load;
 use crate::metrics::Metrics;
 use crate::node::lock;
 use crosslane_coordination::reach::Reach;
 use crosslane_state::endpoint::Endpoint;
+use crosslane_transport::clock::Clock;
 use crosslane_transport::connection::{self, Connection, Error};
 use std::net::IpAddr;
 use std::sync::{Arc, Mutex};
@@ -19,6 +21,8 @@
 #[derive(Clone, Debug)]
 pub struct Dialer {
     from: IpAddr,
+    clock: Clock,
+    load: Arc<Load>,
     metrics: Arc<Metrics>,
     reach: Arc<Mutex<Reach>>,
     unreachable: Arc<Notify>,
@@ -26,8 +30,8 @@
 
 impl Dialer {
     /// A dialer of the node with this address.
-    pub fn new(from: IpAddr, metrics: Arc<Metrics>) -> Self {
-        Self { from, metrics, reach: Arc::default(), unreachable: Arc::default() }
+    pub fn new(from: IpAddr, clock: Clock, load: Arc<Load>, metrics: Arc<Metrics>) -> Self {
+        Self { from, clock, load, metrics, reach: Arc::default(), unreachable: Arc::default() }
     }
 
     /// Opens a connection to an endpoint, which the kernel closes after a time without acknowledgement.
@@ -38,9 +42,13 @@
         ack_timeout: Duration,
     ) -> Result<Connection, Error> {
         let mut dial = Dial { dialer: self, endpoint, started_at: Instant::now(), ended: false };
-        let opened =
-            Connection::open(Some(self.from), endpoint.address, connect_timeout, ack_timeout).await;
+        let (from, to, meter) = (Some(self.from), endpoint.address, self.load.link.clone());
+        let opened = Connection::open(from, to, connect_timeout, ack_timeout, meter).await;
         dial.ended = true;
+        if opened.is_ok() {
+            let took = dial.started_at.elapsed();
+            self.load.record_round_trip(&endpoint.domain, took, self.clock.now());
+        }
         self.record(endpoint, opened.as_ref().err());
         opened
     }
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -70,6 +70,8 @@
 pub const MOVE: &str = "move";
 /// An engine was asked to continue a run that was stopped for a move.
 pub const CONTINUE: &str = "continue";
+/// All work of a second waited for this node's processor or link.
+pub const LOAD: &str = "load";
 /// A request ended.
 pub const REQUEST: &str = "request";
 /// Data that can't be decoded was skipped.
@@ -80,7 +82,7 @@
 pub const PANICKED: &str = "panicked";
 
 /// All events.
-pub const EVENTS: [&str; 38] = [
+pub const EVENTS: [&str; 39] = [
     START,
     STOP,
     SUSPENDED,
@@ -115,6 +117,7 @@
     FORWARD,
     MOVE,
     CONTINUE,
+    LOAD,
     REQUEST,
     SKIPPED,
     DROPPED,
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -146,8 +146,8 @@
         let to = SocketAddr::new(target, port);
         let until = self.deadline.instant();
         let connect = CONNECT_TIMEOUT.min(until.saturating_duration_since(Instant::now()));
-        let opened =
-            Connection::open(Some(node.settings.ip), to, connect, node.ack_timeout()).await;
+        let (from, meter) = (Some(node.settings.ip), node.load.link.clone());
+        let opened = Connection::open(from, to, connect, node.ack_timeout(), meter).await;
         let mut connection = opened.map_err(|_| Failure::NotRun(Reason::NotReady))?;
         let response =
             connection.send(self.outgoing(), until).await.map_err(|error| match error {
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -24,6 +24,7 @@
 use crosslane_transport::clock::Deadline;
 use crosslane_transport::connection::{self, Closer};
 use crosslane_transport::http::{self, ReadError};
+use crosslane_transport::metered::Metered;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -77,7 +78,11 @@
         accepting = accepted.is_ok();
         match accepted {
             Ok((stream, from)) => {
-                connections.spawn(serve(node.clone(), stream, from.ip(), origin));
+                let (node, accepted) = (node.clone(), Instant::now());
+                connections.spawn(async move {
+                    node.load.record_task(accepted.elapsed());
+                    serve(node, stream, from.ip(), origin).await;
+                });
             }
             Err(_) => sleep(ACCEPT_PAUSE).await,
         }
@@ -92,6 +97,7 @@
         let node = node.clone();
         move || node.ack_timeout()
     });
+    let meter = node.load.link.clone();
     let limits = node.table().map_or(DEFAULT_LIMITS, |table| table.limits);
     let mut stop = node.stopping.subscribe();
     let stopping = stop.borrow_and_update().is_some();
@@ -108,7 +114,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(limits.idle_timeout_ms))
         .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(Metered::new(stream, meter)), service);
     let mut connection = pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod idle;
 pub mod limit;
 pub mod liveness;
+pub mod load;
 pub mod members;
 pub mod metrics;
 pub mod migration;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -95,6 +95,14 @@
     pub event_gap: Histogram,
     /// Version of the configuration in force.
     pub configuration_version: IntGauge,
+    /// Shortest wait for the processor in the last second, in milliseconds.
+    pub processor_wait: IntGauge,
+    /// Shortest wait for the link in the last second, in milliseconds.
+    pub link_wait: IntGauge,
+    /// Bytes received.
+    pub received: IntGauge,
+    /// Bytes sent.
+    pub sent: IntGauge,
     /// Known endpoints.
     pub endpoints: IntGauge,
     /// Other live nodes.
@@ -183,6 +191,13 @@
                 "crosslane_config_version",
                 "Version of the configuration in force",
             )?,
+            processor_wait: gauge(
+                "crosslane_processor_wait_ms",
+                "Shortest wait for the processor in a second",
+            )?,
+            link_wait: gauge("crosslane_link_wait_ms", "Shortest wait for the link in a second")?,
+            received: gauge("crosslane_received_bytes", "Bytes received")?,
+            sent: gauge("crosslane_sent_bytes", "Bytes sent")?,
             endpoints: gauge("crosslane_endpoints", "Endpoints known")?,
             peers: gauge("crosslane_peers", "Other nodes heard")?,
             lines_dropped: gauge("crosslane_log_lines_dropped", "Log lines dropped")?,
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -8,6 +8,7 @@
 use crate::event;
 use crate::idle::Connections;
 use crate::liveness::Checks;
+use crate::load::Load;
 use crate::members::{Members, Subject};
 use crate::metrics::Metrics;
 use crate::mirror::{Change, Changed, Mirror, Offsets, Topic};
@@ -87,6 +88,8 @@
     adjustable: Mutex<Arc<Adjustable>>,
     /// Clock that also counts while the machine is suspended.
     pub clock: Clock,
+    /// Load of this node itself.
+    pub load: Arc<Load>,
     /// Metrics.
     pub metrics: Arc<Metrics>,
     /// Services that this node has lost its way to, as it tells other nodes.
@@ -191,9 +194,11 @@
         let metrics = Arc::new(Metrics::new()?);
         let members = Members::new(&settings);
         let Settings { fixed: settings, adjustable } = settings;
-        let dialer = Dialer::new(settings.ip, metrics.clone());
+        let (clock, load) = (Clock::start(), Arc::<Load>::default());
+        let dialer = Dialer::new(settings.ip, clock.clone(), load.clone(), metrics.clone());
         Ok(Self {
-            clock: Clock::start(),
+            clock,
+            load,
             metrics,
             lost: Mutex::default(),
             control: Control::new(dialer.clone()),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -435,6 +435,7 @@
         }
     };
     for ip in addresses {
+        node.load.link.add_written(bytes.len());
         // The next heartbeat makes up for a lost message; a node that can't be reached gives an
         // error each time.
         if let Err(error) = socket.send_to(&bytes, (*ip, node.settings.peer_port)).await {
@@ -465,7 +466,10 @@
     let mut limits_last_asked = None;
     loop {
         let (length, from) = match socket.recv_from(&mut buffer).await {
-            Ok(received) => received,
+            Ok(received) => {
+                node.load.link.add_read(received.0);
+                received
+            }
             Err(error) => {
                 debug!("receiving failed: {error}");
                 sleep(RECEIVE_PAUSE).await;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -5,7 +5,7 @@
 use crate::node::Node;
 use crate::shutdown::ACCEPT_TIME;
 use crate::{
-    builds, connections, event, follower, frontend, limit, orders, peers, quarantine, reach,
+    builds, connections, event, follower, frontend, limit, load, orders, peers, quarantine, reach,
     reload, resume, rulings, suspension,
 };
 use crosslane_platform::settings::Settings;
@@ -93,6 +93,7 @@
     tokio::spawn(rulings::save(node.clone()));
     tokio::spawn(connections::borrow_as_needed(node.clone()));
     tokio::spawn(suspension::watch(node.clone()));
+    tokio::spawn(load::report(node.clone()));
     tokio::spawn(remove_expired(node.clone()));
     let node = node.clone();
     tokio::spawn(async move {
--- a/crates/state/src/route.rs
+++ b/crates/state/src/route.rs
@@ -136,6 +136,8 @@
     pub limits: Limits,
     /// Time without data after which the callers of every route have given up, in milliseconds.
     pub longest_patience_ms: u64,
+    /// Shortest latency target of a route, in milliseconds.
+    pub shortest_target_ms: u64,
     /// Time after which no caller of any route comes back with a stream, in milliseconds.
     pub longest_return_ms: u64,
     /// Organisations that may send requests; without it, no API key is needed.
@@ -150,6 +152,8 @@
         services: HashMap<String, Service>,
         limits: Limits,
     ) -> Self {
+        let targets = routes.iter().map(|route| route.target_latency_ms);
+        let shortest_target_ms = targets.filter(|target| *target > 0).min().unwrap_or_default();
         let longest_patience_ms = routes.iter().map(Route::patience_ms).max().unwrap_or_default();
         let longest_return_ms = routes.iter().map(Route::return_ms).max().unwrap_or_default();
         let mut longest_timeouts_ms: HashMap<String, u64> = HashMap::new();
@@ -174,6 +178,7 @@
             longest_timeouts_ms,
             limits,
             longest_patience_ms,
+            shortest_target_ms,
             longest_return_ms,
             organisations,
         }
--- a/crates/transport/src/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -3,6 +3,7 @@
 //! Dropping a connection closes it immediately, which cancels the request in flight.
 
 use crate::clock;
+use crate::metered::{Meter, Metered};
 use bytes::{Bytes, BytesMut};
 use derive_more::{Display, Error};
 use http_body_util::{BodyExt, Full};
@@ -16,6 +17,7 @@
 use std::error::Error as StdError;
 use std::io::{self, ErrorKind};
 use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::JoinHandle;
@@ -157,12 +159,13 @@
 }
 
 impl Connection {
-    /// Opens a connection, which the kernel closes after a time without acknowledgement.
+    /// Opens a connection, whose bytes are counted, and which the kernel closes after a time without acknowledgement.
     pub async fn open(
         from: Option<IpAddr>,
         to: SocketAddr,
         connect_timeout: Duration,
         ack_timeout: Duration,
+        meter: Arc<Meter>,
     ) -> Result<Self, Error> {
         let connect_error = |message: String| Error::Connect { to, message };
         let stream = connect(from, to, connect_timeout).await?;
@@ -170,7 +173,7 @@
             .map_err(|error| connect_error(error.to_string()))?;
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(BUFFER_BYTES)
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(Metered::new(stream, meter)))
             .await
             .map_err(|error| connect_error(error.to_string()))?;
         let driver = tokio::spawn(async move {
