Known red: a small node with most new connections serves almost nothing of what it reads

A node of a test site gets 0.12 of a core (stopped for the rest of each tenth of a second once it has used its share) and 250 new connections a second, each with one request and a deadline of 1.5 s.

--- a/crates/soak/src/node.rs
+++ b/crates/soak/src/node.rs
@@ -1,5 +1,6 @@
 //! One node: its place, and the lives of its process.
 
+use crate::processor::Limit;
 use crosslane_platform_standins::texts::{self, FILE_VARIABLE, Place};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
@@ -146,6 +147,11 @@
         }
     }
 
+    /// Limits its process to a share of a processor core, until the limit is dropped.
+    pub fn limit_processor(&self, share: f64) -> Limit {
+        Limit::start(self.id.load(Ordering::Relaxed), share)
+    }
+
     /// Waits until the process has ended, and returns its exit code if it ended by itself.
     pub async fn ended(&self) -> Option<i32> {
         let mut child = self.child.lock().await;
