A node takes on no more requests than it runs without waits

Callers saw: most new connections at one small VM, and nearly all of what it read served late or not at all.

Cause: a node accepted every connection and read every request; nothing in it knew its own processor or link. What it had read was late together. Class: work is taken on without asking whether it can be done.

Change: while all work of a period waited for the processor or the link, or the node was never idle, no more requests may be open than it bore without waits (coordination::intake, pure). New connections beyond that are closed unread, which costs a caller one round trip; one a period is taken in any case. Answers of a full node say Connection: close.

--- a/crates/coordination/src/delay.rs
+++ b/crates/coordination/src/delay.rs
@@ -1,6 +1,7 @@
 //! How long work waits for the node itself: for its processor and for its link.
 //!
-//! Both are told from what happens anyway. A task that is ready waits for the processor until all tasks before it have run. A
+//! All are told from what happens anyway. A task that is ready waits for the processor until all tasks before it have run, and a
+//! node that is never idle can't run more. A
 //! connection to an endpoint takes one round trip, and longer than usual while bytes queue on the node's own link. A single wait
 //! tells little: an endpoint may be slow, and a node may have a fraction of a core, which it gets in bursts. So the shortest wait
 //! of a period counts: it is long only if everything waited.
@@ -14,12 +15,14 @@
 const USUAL_MS: u64 = 30_000;
 
 /// Shortest waits of a period.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Standing {
     /// For the processor.
     pub processor: Option<Duration>,
     /// For the link: the part of a round trip beyond the usual one.
     pub link: Option<Duration>,
+    /// Share of the period in which the node had something to run.
+    pub busy: f64,
 }
 
 impl Standing {
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod heartbeat;
 pub mod identity;
 mod index;
+pub mod intake;
 pub mod keyed;
 pub mod lease;
 pub mod ledger;
--- /dev/null
+++ b/crates/coordination/tests/intake.rs
@@ -0,0 +1,108 @@
+//! When a node takes on more requests, and when it does not.
+
+use crosslane_coordination::delay::{Delays, Standing};
+use crosslane_coordination::intake::{Intake, Verdict};
+use crosslane_state::endpoint::Tag;
+use crosslane_state::time::Millis;
+use rstest::rstest;
+use std::time::Duration;
+
+const TARGET: Duration = Duration::from_millis(300);
+const PERIOD_MS: u64 = 100;
+
+/// Waits of a period.
+#[derive(Clone, Copy, Debug)]
+enum Waited {
+    Nothing,
+    Processor,
+    Link,
+    Busy,
+    /// No connection was opened, so nothing is known of the link.
+    Unknown,
+}
+
+impl From<Waited> for Standing {
+    fn from(waited: Waited) -> Self {
+        let (short, long) = (Some(Duration::ZERO), Some(TARGET / 10));
+        let quiet = Self { processor: short, link: short, busy: 0.5 };
+        match waited {
+            Waited::Nothing => quiet,
+            Waited::Processor => Self { processor: long, ..quiet },
+            Waited::Link => Self { link: long, ..quiet },
+            Waited::Busy => Self { busy: 1.0, ..quiet },
+            Waited::Unknown => Self { link: None, ..quiet },
+        }
+    }
+}
+
+/// Periods with most open requests and waits, and the limit after them.
+struct Case {
+    name: &'static str,
+    periods: &'static [(usize, Waited)],
+    limit: Option<usize>,
+}
+
+#[rstest]
+#[case(Case { name: "any number without waits", periods: &[(2_000, Waited::Nothing)], limit: None })]
+#[case(Case { name: "what was borne, once the processor is waited for", periods: &[(20, Waited::Nothing), (90, Waited::Processor)], limit: Some(20) })]
+#[case(Case { name: "the same for the link", periods: &[(20, Waited::Nothing), (90, Waited::Link)], limit: Some(20) })]
+#[case(Case { name: "the same if it is never idle", periods: &[(20, Waited::Nothing), (90, Waited::Busy)], limit: Some(20) })]
+#[case(Case { name: "unchanged until the open requests have come down to it", periods: &[(20, Waited::Nothing), (90, Waited::Link), (60, Waited::Link)], limit: Some(20) })]
+#[case(Case { name: "fewer if that does not end the waits", periods: &[(20, Waited::Nothing), (90, Waited::Link), (20, Waited::Link)], limit: Some(15) })]
+#[case(Case { name: "more once they have ended", periods: &[(20, Waited::Nothing), (90, Waited::Link), (20, Waited::Nothing)], limit: Some(23) })]
+#[case(Case { name: "not more while nothing is known of the link", periods: &[(20, Waited::Nothing), (90, Waited::Link), (20, Waited::Unknown)], limit: Some(20) })]
+#[case(Case { name: "no limit once most callers have gone", periods: &[(20, Waited::Nothing), (90, Waited::Link), (5, Waited::Nothing)], limit: None })]
+#[case(Case { name: "one at least", periods: &[(0, Waited::Nothing), (90, Waited::Link)], limit: Some(1) })]
+fn a_limit_follows_from_waits(#[case] case: Case) {
+    let mut intake = Intake::default();
+    for (number, (open, waited)) in case.periods.iter().enumerate() {
+        intake.record_open(*open);
+        let now = Millis(PERIOD_MS * (number as u64 + 1));
+        assert!(intake.is_due(TARGET, now), "{}", case.name);
+        intake.begin_period((*waited).into(), TARGET, now);
+        assert!(!intake.is_due(TARGET, now), "{}", case.name);
+    }
+    assert_eq!(intake.limit(), case.limit, "{}", case.name);
+}
+
+#[rstest]
+fn a_full_node_takes_one_new_connection_a_period() {
+    let mut intake = Intake::default();
+    for period in 1..4 {
+        intake.record_open(90);
+        intake.begin_period(Waited::Link.into(), TARGET, Millis(PERIOD_MS * period));
+        let verdicts = [90; 3].map(|open| intake.decide(open));
+        assert_eq!(verdicts, [Verdict::Take, Verdict::Close, Verdict::Close]);
+    }
+}
+
+/// A round trip, in milliseconds, when it is made, and whether the node is limited then.
+type RoundTrip = (u64, u64, bool);
+
+struct Trips {
+    name: &'static str,
+    trips: &'static [RoundTrip],
+    /// Shortest part beyond the usual one, in milliseconds.
+    link: u64,
+}
+
+#[rstest]
+#[case(Trips { name: "the first one is usual", trips: &[(40, 0, false)], link: 0 })]
+#[case(Trips { name: "longer ones", trips: &[(2, 0, false), (40, 200, false), (30, 210, false)], link: 28 })]
+#[case(Trips { name: "one short one is enough", trips: &[(2, 0, false), (40, 200, false), (3, 210, false)], link: 1 })]
+#[case(Trips { name: "a longer way becomes usual", trips: &[(2, 0, false), (40, 31_000, false), (40, 62_000, false), (40, 62_010, false)], link: 0 })]
+#[case(Trips { name: "not while the node is limited", trips: &[(2, 0, false), (40, 31_000, true), (40, 62_000, true), (40, 62_010, true)], link: 38 })]
+fn a_link_is_waited_for_beyond_the_usual_round_trip(#[case] case: Trips) {
+    let mut delays = Delays::default();
+    let mut before = 0;
+    for (took, at, limited) in case.trips {
+        if at - before > PERIOD_MS {
+            delays.take();
+        }
+        before = *at;
+        let took = Duration::from_millis(*took);
+        delays.record_round_trip(Tag::of("aarau"), took, *limited, Millis(*at));
+    }
+    assert_eq!(delays.take().link, Some(Duration::from_millis(case.link)), "{}", case.name);
+    assert_eq!(delays.take().link, None, "{}", case.name);
+}
--- a/crates/crosslane/tests/crowded.rs
+++ b/crates/crosslane/tests/crowded.rs
@@ -100,6 +100,11 @@
         asked.len()
     );
     eprintln!("{seen}");
+    for line in
+        fixture.site.nodes[0].lines().iter().filter(|line| line.contains("\"event\":\"load\""))
+    {
+        eprintln!("{line}");
+    }
     assert!(served * 4 >= count * 3, "{seen}");
     assert!(count > 0 && elsewhere * 4 >= closed * 3, "{seen}");
 }
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -5,13 +5,15 @@
 use crate::event;
 use crate::exchange::Call;
 use crate::forward::{self, Origin};
-use crate::node::{InFlight, Node, ResponseBody};
+use crate::load::Open;
+use crate::node::{InFlight, Node, ResponseBody, lock};
 use crate::quota::Grant;
 use crate::refusal::{RETRY_AFTER, Reason, Refusal};
 use crate::resume::{self, Finding};
 use crate::{plain, quarantine, quota, shutdown, stream};
 use bytes::Bytes;
 use crosslane_coordination::identity;
+use crosslane_coordination::intake::Verdict;
 use crosslane_platform::request::Metadata;
 use crosslane_platform::response;
 use crosslane_state::endpoint::Tag;
@@ -34,7 +36,7 @@
 use std::convert::Infallible;
 use std::net::IpAddr;
 use std::pin::{Pin, pin};
-use std::sync::{Arc, OnceLock};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::task::{Context, Poll, ready};
 use std::thread;
 use std::time::Duration;
@@ -80,8 +82,9 @@
             Ok((stream, from)) => {
                 let (node, accepted) = (node.clone(), Instant::now());
                 connections.spawn(async move {
-                    node.load.record_task(accepted.elapsed());
-                    serve(node, stream, from.ip(), origin).await;
+                    if takes(&node, accepted.elapsed(), origin) {
+                        serve(node, stream, from.ip(), origin).await;
+                    }
                 });
             }
             Err(_) => sleep(ACCEPT_PAUSE).await,
@@ -89,6 +92,12 @@
     }
 }
 
+/// Whether a new connection is served, whose task waited for the processor. What other nodes forward has been read by them.
+fn takes(node: &Node, waited: Duration, origin: Origin) -> bool {
+    let Some(target) = node.shortest_target() else { return true };
+    node.load.decide(waited, target, node.now()) == Verdict::Take || origin == Origin::Node
+}
+
 /// How a caller's connection failed, once it has.
 type ConnectionError = Arc<OnceLock<hyper::Error>>;
 
@@ -102,11 +111,16 @@
     let mut stop = node.stopping.subscribe();
     let stopping = stop.borrow_and_update().is_some();
     let failed = ConnectionError::default();
+    let first = Arc::new(Mutex::new(Some(node.load.open())));
     let service = service_fn({
         let (node, failed) = (node.clone(), failed.clone());
         move |request| {
             let (node, failed) = (node.clone(), failed.clone());
-            async move { Ok::<_, Infallible>(handle(node, request, caller, origin, failed).await) }
+            let open = lock(&first).take().unwrap_or_else(|| node.load.open());
+            async move {
+                let source = Source { caller, origin, open };
+                Ok::<_, Infallible>(handle(node, request, source, failed).await)
+            }
         }
     });
     let connection = http1::Builder::new()
@@ -130,13 +144,21 @@
     }
 }
 
+/// Where a request comes from.
+struct Source {
+    caller: IpAddr,
+    origin: Origin,
+    /// Counts it as open.
+    open: Open,
+}
+
 async fn handle(
     node: Arc<Node>,
     request: Request<Incoming>,
-    caller: IpAddr,
-    origin: Origin,
+    source: Source,
     failed: ConnectionError,
 ) -> Response<ResponseBody> {
+    let Source { caller, origin, open } = source;
     let arrived = Instant::now();
     let parsed = match origin {
         Origin::Caller => Metadata::try_from(request.headers()),
@@ -144,6 +166,7 @@
     };
     let id = parsed.as_ref().ok().map(|ask| ask.id.clone());
     let mut entry = LogEntry::new(node.clone(), id.clone(), caller, arrived, failed);
+    entry.counted = Some(open);
     let result = match parsed {
         Ok(ask) => serve_request(&node, request, ask, origin, &mut entry).await,
         Err(_) => Err(Reason::NoId.into()),
@@ -158,7 +181,8 @@
         }
     };
     origin.mark(&mut response, reason);
-    if node.stopping.borrow().is_some() {
+    let leaves_room = origin == Origin::Caller && node.load.is_full();
+    if leaves_room || node.stopping.borrow().is_some() {
         response::set_connection_close(response.headers_mut());
     }
     entry.status = response.status();
@@ -363,6 +387,8 @@
     arrived: Instant,
     status: StatusCode,
     ending: &'static str,
+    /// Counts the request as open at this node.
+    counted: Option<Open>,
     /// Entry among the requests in flight, once the service is known.
     open: Option<InFlight>,
     /// When the last frame of the response was sent.
@@ -392,7 +418,7 @@
         let (status, ending) = (StatusCode::OK, CALLER_LEFT);
         let (last_frame, first, gap) = (None, Duration::ZERO, Duration::ZERO);
         let (bytes_left, deadline) = (None, None);
-        let (organisation, resumes, version, open) = (None, None, 0, None);
+        let (organisation, resumes, version, counted, open) = (None, None, 0, None, None);
         Self {
             node,
             id,
@@ -404,6 +430,7 @@
             arrived,
             status,
             ending,
+            counted,
             open,
             last_frame,
             first,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -99,6 +99,8 @@
     pub processor_wait: IntGauge,
     /// Shortest wait for the link in the last second, in milliseconds.
     pub link_wait: IntGauge,
+    /// New connections of callers that were closed before anything was read from them.
+    pub closed_unread: IntCounter,
     /// Bytes received.
     pub received: IntGauge,
     /// Bytes sent.
@@ -196,6 +198,7 @@
                 "Shortest wait for the processor in a second",
             )?,
             link_wait: gauge("crosslane_link_wait_ms", "Shortest wait for the link in a second")?,
+            closed_unread: counter("crosslane_closed_unread", "New connections closed unread")?,
             received: gauge("crosslane_received_bytes", "Bytes received")?,
             sent: gauge("crosslane_sent_bytes", "Bytes sent")?,
             endpoints: gauge("crosslane_endpoints", "Endpoints known")?,
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -321,6 +321,12 @@
         Duration::from_millis(longest).max(ACK_TIMEOUT)
     }
 
+    /// Shortest latency target of a route, once a configuration is known.
+    pub fn shortest_target(&self) -> Option<Duration> {
+        let target_ms = self.table()?.shortest_target_ms;
+        (target_ms > 0).then(|| Duration::from_millis(target_ms))
+    }
+
     /// The configuration in force; if another node announced a newer one, waits for it for a
     /// limited time.
     pub async fn newer_table(&self, before: Arc<Table>) -> Arc<Table> {
