A full node refuses connections in place of closing them unread

Callers saw: with more callers than in a zone, a small node still served late what it read, and its limit fell to a few requests.

Cause: a connection that is accepted brings its request at once.

Change: while the node is full its listener is closed, so the kernel refuses connections for the price of two packets. It opens again when an eighth of the limit is free or a period is over.

--- a/crates/coordination/src/intake.rs
+++ b/crates/coordination/src/intake.rs
@@ -36,6 +36,14 @@
 /// Multiple of the most open requests of a period from which on a limit is no longer needed.
 const UNNEEDED: f64 = 4.0;
 
+/// Part of the limit that is free before a full node takes new connections again, so that it does not change its mind with each.
+const ROOM_DIVISOR: f64 = 8.0;
+
+/// Length of a period, where this is the shortest latency target.
+pub fn period(target: Duration) -> Duration {
+    target / PERIODS
+}
+
 /// Whether a new connection is taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
@@ -62,12 +70,12 @@
 impl Intake {
     /// Whether the current period is over, where this is the shortest latency target.
     pub fn is_due(&self, target: Duration, now: Millis) -> bool {
-        u128::from(now.since(self.since)) >= (target / PERIODS).as_millis()
+        u128::from(now.since(self.since)) >= period(target).as_millis()
     }
 
-    /// Begins a period. `standing` holds the shortest waits of the last one.
-    pub fn begin_period(&mut self, standing: Standing, target: Duration, now: Millis) {
-        let most_open = std::mem::take(&mut self.most_open) as f64;
+    /// Begins a period, with a number of open requests. `standing` holds the shortest waits of the last one.
+    pub fn begin_period(&mut self, standing: Standing, open: usize, target: Duration, now: Millis) {
+        let most_open = std::mem::replace(&mut self.most_open, open) as f64;
         if standing.longest() > target / WAIT_DIVISOR || standing.busy >= BUSY {
             self.decrease(most_open);
         } else {
@@ -111,6 +119,11 @@
         self.limit.is_some_and(|limit| open as f64 >= limit)
     }
 
+    /// Whether a node that was full takes several new connections.
+    pub fn has_room(&self, open: usize) -> bool {
+        self.limit.is_none_or(|limit| open as f64 + (limit / ROOM_DIVISOR).max(1.0) <= limit)
+    }
+
     /// The limit in force, if there is one.
     pub fn limit(&self) -> Option<usize> {
         self.limit.map(|limit| limit as usize)
--- a/crates/coordination/tests/intake.rs
+++ b/crates/coordination/tests/intake.rs
@@ -57,9 +57,10 @@
     let mut intake = Intake::default();
     for (number, (open, waited)) in case.periods.iter().enumerate() {
         intake.record_open(*open);
+        let next = case.periods.get(number + 1).map_or(0, |(open, _)| *open);
         let now = Millis(PERIOD_MS * (number as u64 + 1));
         assert!(intake.is_due(TARGET, now), "{}", case.name);
-        intake.begin_period((*waited).into(), TARGET, now);
+        intake.begin_period((*waited).into(), next, TARGET, now);
         assert!(!intake.is_due(TARGET, now), "{}", case.name);
     }
     assert_eq!(intake.limit(), case.limit, "{}", case.name);
@@ -70,12 +71,22 @@
     let mut intake = Intake::default();
     for period in 1..4 {
         intake.record_open(90);
-        intake.begin_period(Waited::Link.into(), TARGET, Millis(PERIOD_MS * period));
+        intake.begin_period(Waited::Link.into(), 90, TARGET, Millis(PERIOD_MS * period));
         let verdicts = [90; 3].map(|open| intake.decide(open));
         assert_eq!(verdicts, [Verdict::Take, Verdict::Close, Verdict::Close]);
     }
 }
 
+/// A limit was dropped in a period without new connections, however many requests were still open.
+#[rstest]
+fn requests_that_stay_open_keep_a_limit() {
+    let mut intake = Intake::default();
+    for (period, waited) in (1..).zip([Waited::Link, Waited::Nothing, Waited::Nothing]) {
+        intake.begin_period(waited.into(), 90, TARGET, Millis(PERIOD_MS * period));
+    }
+    assert!(intake.limit().is_some());
+}
+
 /// A round trip, in milliseconds, when it is made, and whether the node is limited then.
 type RoundTrip = (u64, u64, bool);
 
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -67,10 +67,19 @@
 /// Pause after a failed accept: the process may be out of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// Accepts connections of callers, or of other nodes, forever; `connections` tracks their tasks.
-pub async fn run(node: Arc<Node>, listener: TcpListener, origin: Origin, connections: TaskTracker) {
+/// Accepts connections of callers, or of other nodes, forever; `connections` tracks their tasks. While the node is full, callers'
+/// connections are refused: one that is accepted brings its request, and closing it unread would not free the link.
+pub async fn run(
+    node: Arc<Node>,
+    mut listener: TcpListener,
+    origin: Origin,
+    connections: TaskTracker,
+) {
     let mut accepting = true;
     loop {
+        if origin == Origin::Caller && node.load.is_full() {
+            listener = reopen(&node, listener).await;
+        }
         let accepted = listener.accept().await;
         if let Err(error) = &accepted
             && accepting
@@ -92,6 +101,22 @@
     }
 }
 
+/// Closes a listener, so that connections are refused, and opens it again once the node takes new ones.
+async fn reopen(node: &Node, listener: TcpListener) -> TcpListener {
+    let address = node.settings.caller_address;
+    drop(listener);
+    node.load.until_room(node.shortest_target().unwrap_or_default()).await;
+    loop {
+        match TcpListener::bind(address).await {
+            Ok(listener) => return listener,
+            Err(error) => {
+                warn!(dependency = "callers", why:% = error; "{}", event::LOST);
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
 /// Whether a new connection is served, whose task waited for the processor. What other nodes forward has been read by them.
 fn takes(node: &Node, waited: Duration, origin: Origin) -> bool {
     let Some(target) = node.shortest_target() else { return true };
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -3,7 +3,7 @@
 use crate::event;
 use crate::node::{Node, lock};
 use crosslane_coordination::delay::{Delays, Standing};
-use crosslane_coordination::intake::{Intake, Verdict};
+use crosslane_coordination::intake::{self, Intake, Verdict};
 use crosslane_state::endpoint::Tag;
 use crosslane_state::time::Millis;
 use crosslane_transport::metered::Meter;
@@ -13,6 +13,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::runtime::Handle;
+use tokio::sync::Notify;
 use tokio::time::{Instant, sleep};
 
 /// Interval of the reports.
@@ -51,6 +52,8 @@
     /// Requests that are open, and new connections whose first request has not been read.
     open: AtomicUsize,
     state: Mutex<State>,
+    /// Told when a request has ended.
+    ended: Notify,
 }
 
 /// An open request, or a new connection that waits for its first one.
@@ -60,6 +63,7 @@
 impl Drop for Open {
     fn drop(&mut self) {
         self.0.open.fetch_sub(1, Ordering::Relaxed);
+        self.0.ended.notify_one();
     }
 }
 
@@ -73,10 +77,11 @@
 
     /// Decides on a new connection, whose task waited for the processor. `target` is the shortest latency target.
     pub fn decide(&self, waited: Duration, target: Duration, now: Millis) -> Verdict {
+        let open = self.open.load(Ordering::Relaxed);
         let mut state = lock(&self.state);
         state.delays.record_task(waited);
-        state.advance(target, now);
-        let verdict = state.intake.decide(self.open.load(Ordering::Relaxed));
+        state.advance(open, target, now);
+        let verdict = state.intake.decide(open);
         state.seen.closed += u64::from(verdict == Verdict::Close);
         verdict
     }
@@ -91,6 +96,20 @@
         lock(&self.state).intake.is_full(self.open.load(Ordering::Relaxed))
     }
 
+    /// Waits until new connections are taken again: there is room for some, or the period is over.
+    pub async fn until_room(&self, target: Duration) {
+        let period_over = sleep(intake::period(target));
+        let has_room = async {
+            while !lock(&self.state).intake.has_room(self.open.load(Ordering::Relaxed)) {
+                self.ended.notified().await;
+            }
+        };
+        tokio::select! {
+            () = period_over => {}
+            () = has_room => {}
+        }
+    }
+
     /// Records how long an endpoint of a failure domain took to accept a connection.
     pub fn record_round_trip(&self, domain: &str, took: Duration, now: Millis) {
         let mut state = lock(&self.state);
@@ -102,14 +121,14 @@
     /// What was seen since the last call.
     fn take_seen(&self, target: Duration, now: Millis) -> Seen {
         let mut state = lock(&self.state);
-        state.advance(target, now);
+        state.advance(self.open.load(Ordering::Relaxed), target, now);
         std::mem::take(&mut state.seen)
     }
 }
 
 impl State {
     /// Begins a period if the current one is over.
-    fn advance(&mut self, target: Duration, now: Millis) {
+    fn advance(&mut self, open: usize, target: Duration, now: Millis) {
         if !self.intake.is_due(target, now) {
             return;
         }
@@ -118,7 +137,7 @@
         seen.processor = seen.processor.max(standing.processor);
         seen.link = seen.link.max(standing.link);
         seen.busy = seen.busy.max(standing.busy);
-        self.intake.begin_period(standing, target, now);
+        self.intake.begin_period(standing, open, target, now);
     }
 
     /// Share of the time since the last call in which this thread had tasks to run.
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -25,6 +25,10 @@
 /// Time that the first endpoint of a check has alone: many round trips. Usually it accepts, and the others need not be asked.
 const FIRST_ALONE: Duration = Duration::from_millis(50);
 
+/// Time for an endpoint to accept a connection of a node whose own work waits: the time after which a lost packet is sent again.
+/// The usual time passes there before the answer is looked at.
+const LIMITED_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Watches until the process ends.
 pub async fn watch(node: Arc<Node>) {
     let mut lost = HashSet::new();
@@ -59,18 +63,22 @@
     {
         return;
     }
-    let checks = sample.iter().map(|endpoint| node.dialer.check(endpoint, CONNECT_TIMEOUT));
+    let checks = sample.iter().map(|endpoint| node.dialer.check(endpoint, connect_timeout(node)));
     if !sample.is_empty() && join_all(checks).await.iter().all(Result::is_err) {
         node.dialer.record_none_reached(service);
     }
 }
 
+fn connect_timeout(node: &Node) -> Duration {
+    if node.load.is_limited() { LIMITED_TIMEOUT } else { CONNECT_TIMEOUT }
+}
+
 /// Tries a random endpoint of a service. One without endpoints is no longer lost.
 async fn probe(node: &Node, service: &str) {
     let sample = node.pool().sample(service, 1);
     match sample.first() {
         // The dialer records the result.
-        Some(endpoint) => drop(node.dialer.check(endpoint, CONNECT_TIMEOUT).await),
+        Some(endpoint) => drop(node.dialer.check(endpoint, connect_timeout(node)).await),
         None => node.dialer.forget(service),
     }
 }
