A full node keeps room for few connections that it has not accepted

Cause: while the listener was open for one connection, up to 1,024 others got into its queue and brought their requests, which filled the link; the handshakes took longer for it, so the listener stayed open longer: 420 connections a second were closed unread.

Change: a full node listens with as much room as its limit leaves. What comes beyond is dropped by the kernel and given up by its caller after a second; what comes while the listener is closed is refused at once.

--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -34,13 +34,14 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use log::{debug, info, warn};
 use std::convert::Infallible;
-use std::net::IpAddr;
+use std::io;
+use std::net::{IpAddr, SocketAddr};
 use std::pin::{Pin, pin};
 use std::sync::{Arc, Mutex, OnceLock};
 use std::task::{Context, Poll, ready};
 use std::thread;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::time::{Instant, sleep};
 use tokio_util::task::TaskTracker;
 
@@ -107,7 +108,7 @@
     drop(listener);
     node.load.until_room(node.shortest_target().unwrap_or_default()).await;
     loop {
-        match TcpListener::bind(address).await {
+        match listen(address, node.load.room()) {
             Ok(listener) => return listener,
             Err(error) => {
                 warn!(dependency = "callers", why:% = error; "{}", event::LOST);
@@ -117,6 +118,17 @@
     }
 }
 
+/// Listens with room for some connections that are not accepted yet: what else arrived meanwhile would fill the link.
+fn listen(address: SocketAddr, room: usize) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(u32::try_from(room).unwrap_or(u32::MAX))
+}
+
 /// Whether a new connection is served, whose task waited for the processor. What other nodes forward has been read by them.
 fn takes(node: &Node, waited: Duration, origin: Origin) -> bool {
     let Some(target) = node.shortest_target() else { return true };
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -22,6 +22,9 @@
 /// Part of the shortest latency target from which on a wait is reported.
 const REPORTED_DIVISOR: u32 = 10;
 
+/// Connections that usually wait for being accepted at most.
+const BACKLOG: usize = 1_024;
+
 /// Size of a page of memory, in kilobytes.
 const PAGE_KB: u64 = 4;
 
@@ -96,6 +99,13 @@
         lock(&self.state).intake.is_full(self.open.load(Ordering::Relaxed))
     }
 
+    /// New connections that may wait for being accepted: as many as the node takes on besides those that are open, or the usual
+    /// number.
+    pub fn room(&self) -> usize {
+        let limit = lock(&self.state).intake.limit().unwrap_or(BACKLOG);
+        limit.saturating_sub(self.open.load(Ordering::Relaxed)).clamp(1, BACKLOG)
+    }
+
     /// Waits until new connections are taken again: there is room for some, or the period is over.
     pub async fn until_room(&self, target: Duration) {
         let period_over = sleep(intake::period(target));
