--- a/crates/crosslane/tests/crowded.rs
+++ b/crates/crosslane/tests/crowded.rs
@@ -66,6 +66,8 @@
 async fn a_small_node_with_most_new_connections_serves_what_it_reads() {
     let fixture = Fixture::start(1).await;
     fixture.until_served(Kind::Page).await;
+    let path = format!("{}first", Kind::Page.prefix());
+    assert_eq!(fixture.ask(0, "first", Kind::Page, &path).await, Ending::Answered);
     let _limit = fixture.site.nodes[0].limit_processor(SHARE);
     let callers = fixture.site.nodes.iter().map(|node| {
         let caller = Caller::new(node.callers(), fixture.site.ledger.clone());
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -279,6 +279,9 @@
         let Some(answer) = &mut self.answer else {
             return Chunk::Broken(Break::new(Side::Node, "no engine"));
         };
+        if self.events.is_too_long() {
+            return Chunk::Broken(Break::new(Side::Endpoint, "an event without end"));
+        }
         let last_event = self.events.last_id().or(self.generation.call.metadata.last_event_id);
         let (at, started_at) = (answer.key(), Instant::now());
         let until = self.generation.call.deadline.instant();
--- a/crates/gateway/src/sse.rs
+++ b/crates/gateway/src/sse.rs
@@ -5,8 +5,8 @@
 /// Terminator of an event.
 const TERMINATOR: &[u8] = b"\n\n";
 
-/// Maximum number of bytes held back for an incomplete event; the events of a site have some 500.
-const MAX_PENDING_BYTES: usize = 1 << 20;
+/// Maximum size of an event; those of a site have some 500 bytes.
+const MAX_EVENT_BYTES: usize = 64 << 10;
 
 /// Buffer for the bytes of a stream that are not forwarded yet.
 #[derive(Debug, Default)]
@@ -20,12 +20,7 @@
     pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
         self.pending.extend_from_slice(bytes);
         let end = self.pending.windows(TERMINATOR.len()).rposition(|bytes| bytes == TERMINATOR);
-        let end = match end {
-            Some(at) => at + TERMINATOR.len(),
-            None if self.pending.len() > MAX_PENDING_BYTES => self.pending.len(),
-            None => return None,
-        };
-        let complete = self.pending.split_to(end).freeze();
+        let complete = self.pending.split_to(end? + TERMINATOR.len()).freeze();
         self.last_id = last_id(&complete).or(self.last_id);
         Some(complete)
     }
@@ -35,6 +30,11 @@
         !self.pending.is_empty()
     }
 
+    /// Whether an incomplete event is longer than events may be: it may have no end.
+    pub fn is_too_long(&self) -> bool {
+        self.pending.len() > MAX_EVENT_BYTES
+    }
+
     /// Drops an incomplete event after the stream broke off.
     pub fn discard(&mut self) {
         self.pending.clear();
--- a/crates/transport/src/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -128,12 +128,13 @@
     }
 }
 
-/// Reads a whole body, with a timeout for each frame. The total time is not limited: a total limit would never let
-/// 0.9 MB arrive over a 250 KB/s link, however often the request is retried.
+/// Reads a whole body within a size limit, with a timeout for each frame. The total time is not limited: a total limit would never
+/// let 0.9 MB arrive over a 250 KB/s link, however often the request is retried.
 pub async fn read_body(
     mut body: Incoming,
     to: SocketAddr,
     frame_timeout: Duration,
+    max_bytes: usize,
 ) -> Result<Bytes, Error> {
     let mut bytes = BytesMut::new();
     loop {
@@ -144,6 +145,10 @@
             Ok(Some(Ok(frame))) => frame,
         };
         bytes.extend_from_slice(frame.data_ref().map_or(&[], |data| data.as_ref()));
+        if bytes.len() > max_bytes {
+            let message = format!("the body is longer than {max_bytes} bytes");
+            return Err(Error::Broken { to, message });
+        }
     }
 }
 
--- a/crates/transport/src/http.rs
+++ b/crates/transport/src/http.rs
@@ -30,6 +30,9 @@
 /// Time after which an idle pooled connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Maximum size of a buffered response: some times that of the longest list or log page.
+const MAX_RESPONSE_BYTES: usize = 16 << 20;
+
 /// Why a call failed.
 #[derive(Debug, Display, Error)]
 pub enum Error {
@@ -154,6 +157,7 @@
         let started = tokio::time::Instant::now();
         let (head, body) = self.send(call, timeout).await?.into_parts();
         let remaining = timeout.saturating_sub(started.elapsed());
+        let body = Limited::new(body, MAX_RESPONSE_BYTES);
         match tokio::time::timeout(remaining, body.collect()).await {
             Err(_) => Err(Error::Timeout { to }),
             Ok(Err(error)) => Err(Error::Broken { to, message: error.to_string() }),
@@ -171,7 +175,7 @@
         decode(to, self.send_buffered(call, timeout).await?)
     }
 
-    /// Like `fetch`, for a response of any size: the timeout applies to the head and to each frame of the body.
+    /// Like `fetch`, for a long response: the timeout applies to the head and to each frame of the body.
     pub async fn fetch_long<T: DeserializeOwned>(
         &self,
         call: Call,
@@ -179,7 +183,7 @@
     ) -> Result<T, Error> {
         let to = call.to;
         let (head, body) = self.send(call, timeout).await?.into_parts();
-        let body = connection::read_body(body, to, timeout).await?;
+        let body = connection::read_body(body, to, timeout, MAX_RESPONSE_BYTES).await?;
         decode(to, Response::from_parts(head, body))
     }
 }
