A node that is never idle is not full while nothing waits

A node that had something to run for nine tenths of a period counted as full, whatever its requests waited. Callers who ask again as soon as they are answered keep any node busy.

Change: the median wait of ready tasks decides, and only on a node that is hardly ever idle. A node whose processor comes in bursts is told by the median, not by the shortest wait: within a burst some tasks never wait. The queue of a listener that was opened with little room grows again with the limit (by reading: it would have stayed short).

--- a/crates/coordination/src/intake.rs
+++ b/crates/coordination/src/intake.rs
@@ -2,7 +2,7 @@
 //!
 //! Load pattern: most new connections of a failure domain or region at one VM with a fraction of a core and a slow link. A node that
 //! takes on all of them serves all of them late. What it can run is no number of its settings: it depends on the requests, the
-//! endpoints, and what else uses the VM. So the limit follows from the waits that it causes (`delay`). Once all work of a period
+//! endpoints, and what else uses the VM. So the limit follows from the waits that it causes (`delay`). Once the work of a period
 //! waits too long, no more requests may be open than there were without such waits; fewer if that does not end them, and more
 //! again when they have ended. Without waits there is no limit.
 //!
@@ -21,10 +21,10 @@
 /// some ten times, and its own waits may take a third of its target.
 const WAIT_DIVISOR: u32 = 30;
 
-/// Share of a period in which a node that can't run more has something to run: at nine tenths, nine times as much waits as runs.
+/// Share of a period in which a node that can't run more has something to run. One that is idle for longer runs what it has.
 const BUSY: f64 = 0.9;
 
-/// Factor of the limit after a period in which all work waited too long.
+/// Factor of the limit after a period in which work waited too long.
 const DECREASE: f64 = 0.75;
 
 /// Factor of the limit after any other period.
@@ -73,10 +73,10 @@
         u128::from(now.since(self.since)) >= period(target).as_millis()
     }
 
-    /// Begins a period, with a number of open requests. `standing` holds the shortest waits of the last one.
+    /// Begins a period, with a number of open requests. `standing` holds the waits of the last one.
     pub fn begin_period(&mut self, standing: Standing, open: usize, target: Duration, now: Millis) {
         let most_open = std::mem::replace(&mut self.most_open, open) as f64;
-        if standing.longest() > target / WAIT_DIVISOR || standing.busy >= BUSY {
+        if waits_too_long(standing, target) {
             self.decrease(most_open);
         } else {
             self.borne = most_open.max(self.borne * FADING);
@@ -129,3 +129,10 @@
         self.limit.map(|limit| limit as usize)
     }
 }
+
+/// Whether the work of a period waited so long for the node itself that requests become late.
+fn waits_too_long(standing: Standing, target: Duration) -> bool {
+    let limit = target / WAIT_DIVISOR;
+    let is_long = |wait: Option<Duration>| wait.is_some_and(|wait| wait > limit);
+    is_long(standing.link) || (standing.busy >= BUSY && is_long(standing.processor))
+}
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -70,7 +70,7 @@
 pub const MOVE: &str = "move";
 /// An engine was asked to continue a run that was stopped for a move.
 pub const CONTINUE: &str = "continue";
-/// All work of a second waited for this node's processor or link.
+/// Work of a second waited for this node's processor or link.
 pub const LOAD: &str = "load";
 /// A request ended.
 pub const REQUEST: &str = "request";
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -5,7 +5,7 @@
 use crate::event;
 use crate::exchange::Call;
 use crate::forward::{self, Origin};
-use crate::load::Open;
+use crate::load::{BACKLOG, Open};
 use crate::node::{InFlight, Node, ResponseBody, lock};
 use crate::quota::Grant;
 use crate::refusal::{RETRY_AFTER, Reason, Refusal};
@@ -33,6 +33,7 @@
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use log::{debug, info, warn};
+use socket2::SockRef;
 use std::convert::Infallible;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
@@ -76,10 +77,13 @@
     origin: Origin,
     connections: TaskTracker,
 ) {
-    let mut accepting = true;
+    let (mut accepting, mut backlog) = (true, BACKLOG);
     loop {
-        if origin == Origin::Caller && node.load.is_full() {
-            listener = reopen(&node, listener).await;
+        if origin == Origin::Caller {
+            if node.load.is_full() {
+                (listener, backlog) = reopen(&node, listener).await;
+            }
+            backlog = widen(&node, &listener, backlog);
         }
         let accepted = listener.accept().await;
         if let Err(error) = &accepted
@@ -102,14 +106,31 @@
     }
 }
 
-/// Closes a listener, so that connections are refused, and opens it again once the node takes new ones.
-async fn reopen(node: &Node, listener: TcpListener) -> TcpListener {
+/// Gives a listener's queue, of this length, as much room again as the node has.
+fn widen(node: &Node, listener: &TcpListener, backlog: usize) -> usize {
+    let room = node.load.room();
+    if room < 2 * backlog && room < BACKLOG || room <= backlog {
+        return backlog;
+    }
+    match SockRef::from(listener).listen(i32::try_from(room).unwrap_or(i32::MAX)) {
+        Ok(()) => room,
+        Err(error) => {
+            warn!(dependency = "callers", why:% = error; "{}", event::LOST);
+            backlog
+        }
+    }
+}
+
+/// Closes a listener, so that connections are refused, and opens it again once the node takes new ones. Returns the length of
+/// its queue too.
+async fn reopen(node: &Node, listener: TcpListener) -> (TcpListener, usize) {
     let address = node.settings.caller_address;
     drop(listener);
     node.load.until_room(node.shortest_target().unwrap_or_default()).await;
     loop {
-        match listen(address, node.load.room()) {
-            Ok(listener) => return listener,
+        let room = node.load.room();
+        match listen(address, room) {
+            Ok(listener) => return (listener, room),
             Err(error) => {
                 warn!(dependency = "callers", why:% = error; "{}", event::LOST);
                 sleep(ACCEPT_PAUSE).await;
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -23,7 +23,7 @@
 const REPORTED_DIVISOR: u32 = 10;
 
 /// Connections that usually wait for being accepted at most.
-const BACKLOG: usize = 1_024;
+pub const BACKLOG: usize = 1_024;
 
 /// Size of a page of memory, in kilobytes.
 const PAGE_KB: u64 = 4;
@@ -41,7 +41,7 @@
 /// What a report tells of.
 #[derive(Clone, Copy, Debug, Default)]
 struct Seen {
-    /// Longest of the shortest waits of the periods.
+    /// Longest waits of the periods.
     standing: Standing,
     /// New connections that were closed unread.
     closed: u64,
@@ -142,7 +142,8 @@
         if !self.intake.is_due(target, now) {
             return;
         }
-        let standing = Standing { busy: self.take_busy(), ..self.delays.take() };
+        let busy = self.take_busy();
+        let standing = self.delays.take(busy);
         let seen = &mut self.seen.standing;
         seen.processor = seen.processor.max(standing.processor);
         seen.link = seen.link.max(standing.link);
@@ -160,7 +161,7 @@
     }
 }
 
-/// Reports seconds in which all work waited long, until the process ends.
+/// Reports seconds in which work waited long, until the process ends.
 pub async fn report(node: Arc<Node>) {
     let mut before = bytes(&node.load.link);
     let mut since = Instant::now();
@@ -179,7 +180,7 @@
         node.metrics.received.set(now[0].cast_signed());
         node.metrics.sent.set(now[1].cast_signed());
         node.metrics.closed_unread.inc_by(closed);
-        if closed == 0 && standing.longest() < target / REPORTED_DIVISOR {
+        if closed == 0 && processor.max(link) < target / REPORTED_DIVISOR {
             continue;
         }
         let busy_percent = (standing.busy * 100.0) as u64;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -95,9 +95,9 @@
     pub event_gap: Histogram,
     /// Version of the configuration in force.
     pub configuration_version: IntGauge,
-    /// Shortest wait for the processor in the last second, in milliseconds.
+    /// Wait for the processor in the last second, in milliseconds.
     pub processor_wait: IntGauge,
-    /// Shortest wait for the link in the last second, in milliseconds.
+    /// Wait for the link in the last second, in milliseconds.
     pub link_wait: IntGauge,
     /// New connections of callers that were closed before anything was read from them.
     pub closed_unread: IntCounter,
@@ -195,9 +195,9 @@
             )?,
             processor_wait: gauge(
                 "crosslane_processor_wait_ms",
-                "Shortest wait for the processor in a second",
+                "Wait for the processor in a second",
             )?,
-            link_wait: gauge("crosslane_link_wait_ms", "Shortest wait for the link in a second")?,
+            link_wait: gauge("crosslane_link_wait_ms", "Wait for the link in a second")?,
             closed_unread: counter("crosslane_closed_unread", "New connections closed unread")?,
             received: gauge("crosslane_received_bytes", "Bytes received")?,
             sent: gauge("crosslane_sent_bytes", "Bytes sent")?,
