A limit takes two periods of waits, and leaves half of what is open to a node that knows of nothing

Callers saw: nothing yet; found by reading. A node that has just started had borne nothing, so one period of waits, as 64 callers who connect at once cause on a slow machine, left it a limit of one request, and it refused its callers for a second or two while it could serve them.

Change: the first limit needs two periods of waits on end, and is no less than half of what is open. The pure cases 'any number in a burst that is over' and 'the same on a node that has just started' fail on the code before by its logic; they were not run there. A port that can't be opened again is logged once, not every 20 ms.

--- a/crates/coordination/src/intake.rs
+++ b/crates/coordination/src/intake.rs
@@ -2,8 +2,8 @@
 //!
 //! Load pattern: most new connections of a failure domain or region at one VM with a fraction of a core and a slow link. A node that
 //! takes on all of them serves all of them late. What it can run is no number of its settings: it depends on the requests, the
-//! endpoints, and what else uses the VM. So the limit follows from the waits that it causes (`delay`). Once the work of a period
-//! waits too long, no more requests may be open than there were without such waits; fewer if that does not end them, and more
+//! endpoints, and what else uses the VM. So the limit follows from the waits that it causes (`delay`). Once work waits
+//! too long in two periods on end, no more requests may be open than there were without such waits; fewer if that does not end them, and more
 //! again when they have ended. Without waits there is no limit.
 //!
 //! The limit applies to new connections before anything is read from them. A connection that is closed unread costs its caller one
@@ -24,6 +24,9 @@
 /// Share of a period in which a node that can't run more has something to run. One that is idle for longer runs what it has.
 const BUSY: f64 = 0.9;
 
+/// Part of the open requests that a first limit leaves, where fewer were borne: a node that has just started knows of none.
+const FIRST: f64 = 0.5;
+
 /// Factor of the limit after a period in which work waited too long.
 const DECREASE: f64 = 0.75;
 
@@ -59,6 +62,8 @@
     limit: Option<f64>,
     /// Requests that were open lately without waits.
     borne: f64,
+    /// Whether work waited too long in the last period.
+    waited: bool,
     /// When the current period began.
     since: Millis,
     /// Most requests that were open at once in this period.
@@ -76,9 +81,11 @@
     /// Begins a period, with a number of open requests. `standing` holds the waits of the last one.
     pub fn begin_period(&mut self, standing: Standing, open: usize, target: Duration, now: Millis) {
         let most_open = std::mem::replace(&mut self.most_open, open) as f64;
-        if waits_too_long(standing, target) {
+        let waited = waits_too_long(standing, target);
+        let lasts = std::mem::replace(&mut self.waited, waited) || self.limit.is_some();
+        if waited && lasts {
             self.decrease(most_open);
-        } else {
+        } else if !waited {
             self.borne = most_open.max(self.borne * FADING);
             // Without a round trip it is not known whether the link is free.
             if standing.link.is_some() {
@@ -91,7 +98,7 @@
 
     fn decrease(&mut self, most_open: f64) {
         let limit = match self.limit {
-            None => self.borne,
+            None => self.borne.max(most_open * FIRST),
             // A limit that the open requests still exceed has not shown its effect.
             Some(limit) if most_open > limit + 1.0 => limit,
             Some(limit) => limit * DECREASE,
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -127,15 +127,22 @@
     let address = node.settings.caller_address;
     drop(listener);
     node.load.until_room(node.shortest_target().unwrap_or_default()).await;
+    let mut failures = 0_u64;
     loop {
         let room = node.load.room();
         match listen(address, room) {
+            Ok(listener) if failures > 0 => {
+                info!(dependency = "callers", failures; "{}", event::REGAINED);
+                return (listener, room);
+            }
             Ok(listener) => return (listener, room),
-            Err(error) => {
+            Err(error) if failures == 0 => {
                 warn!(dependency = "callers", why:% = error; "{}", event::LOST);
-                sleep(ACCEPT_PAUSE).await;
             }
+            Err(_) => {}
         }
+        failures += 1;
+        sleep(ACCEPT_PAUSE).await;
     }
 }
 
