Soak: checks of forwarded streams and of connections that a full node refuses

Traced on soak: a stream that its node forwarded was moved, its next engine crashed, and the node that ran it said 'retry budget spent'; the check asked only the forwarding node, which can't know. It asks both; without such a line the promise is still broken.

The users' rule for a crowded node does not count a connection that is refused or closed unread if a later try is read. The check counted it. It leaves out just those whose repeat at another node was served; a read request that fails, and a refused one that fails elsewhere too, count as before.

--- a/crates/soak/src/traffic.rs
+++ b/crates/soak/src/traffic.rs
@@ -51,6 +51,9 @@
 /// Times that such a request may still reach an endpoint when all nodes must know of it.
 const LATE_SENDS: u32 = 3;
 
+/// What a node says of each request that it has read.
+const ENDED: &str = "\"event\":\"request\"";
+
 /// What a node says of a stream that may not go on although an endpoint could make it.
 const BOUNDS: [&str; 2] = ["\"no attempt left\"", "\"retry budget spent\""];
 
@@ -166,12 +169,21 @@
         } else if let Some(served) = self.is_served_elsewhere().await {
             if cut_off {
                 reach.record_failed(self.id, served);
-            } else {
+            } else if !served || !self.was_unread(ending).await {
                 crowd.record_failed(self.id, served);
             }
         }
     }
 
+    /// Whether its node refused the connection, or closed it before it read the request: its caller goes elsewhere.
+    async fn was_unread(&self, ending: Ending) -> bool {
+        match ending {
+            Ending::Unreached => true,
+            Ending::Closed => !self.site.nodes[self.node].told(self.id, &[ENDED]).await,
+            _ => false,
+        }
+    }
+
     /// Whether a request of its kind is served at a node that reaches endpoints, if some such node is in touch meanwhile.
     async fn is_served_elsewhere(&self) -> Option<bool> {
         let Self { site, id, kind, .. } = *self;
@@ -308,7 +320,7 @@
         };
         let seen = format!("{:?} after {:?}, {:?}: {run:?}", self.ending, self.took, self.kind);
         match self.ending {
-            Ending::Cut | Ending::Closed if self.had_to_be_cut(&runs).await => {}
+            Ending::Cut | Ending::Closed if self.had_to_be_cut(site, &runs).await => {}
             Ending::Cut | Ending::Closed if !self.target_broke(site).await => {
                 site.ledger.record_violation("a sound node cuts nothing off", self.id, seen);
             }
@@ -343,10 +355,19 @@
         }
     }
 
-    /// Whether its endpoints failed, and the node says that it had no attempt or no retry left: an error can't be passed on
-    /// within a stream.
-    async fn had_to_be_cut(&self, runs: &[Run]) -> bool {
-        excuse::endpoints_failed(runs) && self.node.told(self.id, &BOUNDS).await
+    /// Whether its endpoints failed, and the node, or the one that it was forwarded to, says that it had no attempt or no retry
+    /// left: an error can't be passed on within a stream.
+    async fn had_to_be_cut(&self, site: &Site, runs: &[Run]) -> bool {
+        if !excuse::endpoints_failed(runs) {
+            return false;
+        }
+        let targets = self.node.forwarded_to(self.id).await;
+        for node in site.nodes.iter().filter(|node| targets.contains(&node.ip().to_string())) {
+            if node.told(self.id, &BOUNDS).await {
+                return true;
+            }
+        }
+        self.node.told(self.id, &BOUNDS).await
     }
 }
 
