Soak: hold repeats against the retry budget

Change: the stand-ins count requests that callers send and arrivals at endpoints by service, by the users' rule: first prefill and first run are free, the window has the most requests of itself, the one before and the one half a window before. No logic of a node changes.

--- a/crates/crosslane/examples/soak.rs
+++ b/crates/crosslane/examples/soak.rs
@@ -30,11 +30,12 @@
 ];
 
 /// Loads that may be added, with what they are.
-const LOADS: [(&str, &str); 5] = [
+const LOADS: [(&str, &str); 6] = [
     ("bursts", "Callers of different priority compete in bursts for decode memory and plain slots"),
     ("speeds", "Endpoints of different and changing speed, which report their pace"),
     ("slots", "Plain endpoints with few slots and a short queue, which refuse when full"),
     ("malformed-loads", "Every second endpoint reports a malformed load"),
+    ("failing", "Endpoints fail half of their requests, so that the retry budget is used up"),
     ("quiet", "No faults; with --bursts, plain calls must be served again soon after each"),
 ];
 
@@ -111,6 +112,7 @@
             speeds: matches.get_flag("speeds"),
             slots: matches.get_flag("slots"),
             malformed_loads: matches.get_flag("malformed-loads"),
+            failing: matches.get_flag("failing"),
         },
         gathering: matches.get_flag("gathering"),
         versions: get(matches, "versions").max(1) as usize,
--- a/crates/soak/src/pressure.rs
+++ b/crates/soak/src/pressure.rs
@@ -4,7 +4,7 @@
 use crate::fault::Mix;
 use crate::site::{Plan, Site};
 use crosslane_platform_standins::caller::{Caller, Ending};
-use crosslane_platform_standins::endpoint::{Endpoint, Stage};
+use crosslane_platform_standins::endpoint::{Endpoint, Fault, Stage};
 use crosslane_platform_standins::ledger::{Kind, Ledger};
 use crosslane_platform_standins::slots::{Bounds, Report};
 use crosslane_platform_standins::speed::Speed;
@@ -30,6 +30,9 @@
 /// Load headers that nodes must ignore.
 const MALFORMED: [&str; 5] = ["900,0,8,0", "900,0,8,99999", "900,0", "900,0,8,100,1", "many,0,8"];
 
+/// Fault of failing endpoints, and the number of requests of which one meets it.
+const FAILING: (Fault, u64) = (Fault::Errs, 2);
+
 /// Callers of each kind, organisation and priority in a burst: together more than decode memory and slots hold.
 const CALLERS: usize = 32;
 
@@ -62,6 +65,8 @@
     pub slots: bool,
     /// Every second endpoint reports a malformed load.
     pub malformed_loads: bool,
+    /// Endpoints fail part of their requests throughout, so that the retry budget is used up.
+    pub failing: bool,
 }
 
 impl Pressure {
@@ -80,6 +85,9 @@
             let text = MALFORMED[place / 2 % MALFORMED.len()];
             endpoint.set_report(Report::Text(text.into()));
         }
+        if self.failing {
+            endpoint.inject_fault(Some(FAILING));
+        }
     }
 }
 
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -8,7 +8,9 @@
 use crate::site::{Plan, Site};
 use crate::traffic::{self, Endings};
 use crosslane_platform_standins::caller;
-use crosslane_platform_standins::ledger::{Effect, Moved, Poison, Violation};
+use crosslane_platform_standins::ledger::{Effect, Ledger, Moved, Poison, Violation};
+use crosslane_platform_standins::repeats::Usage;
+use crosslane_platform_standins::texts::RETRY_BUDGET;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::collections::BTreeMap;
@@ -67,6 +69,8 @@
     pub crowded: Tally,
     /// Requests of different priority in contended bursts.
     pub competition: Competition,
+    /// Largest usage of the retry budget, by service.
+    pub retries: BTreeMap<&'static str, Usage>,
     /// Broken promises.
     pub violations: Vec<Violation>,
 }
@@ -112,6 +116,9 @@
         writeln!(formatter, "  {stopped} runs stopped for a move, {continued} continued")?;
         writeln!(formatter, "  at crowded nodes: {}", self.crowded)?;
         write!(formatter, "{}", self.competition)?;
+        for (service, usage) in &self.retries {
+            writeln!(formatter, "  {service}: {usage}")?;
+        }
         for Violation { invariant: promise, request, observed: seen } in &self.violations {
             writeln!(formatter, "  BROKEN {promise}: {request} {seen}")?;
         }
@@ -173,6 +180,7 @@
         some?.into_iter().for_each(|(ending, count)| *endings.entry(ending).or_default() += count);
     }
     until_idle(&site).await;
+    let retries = check_retries(&site.ledger);
     let mut megabytes = 0;
     for node in &site.nodes {
         megabytes = megabytes.max(node.peak_megabytes());
@@ -190,10 +198,21 @@
         moved,
         crowded,
         competition,
+        retries,
         violations,
     })
 }
 
+/// Holds repeats against the retry budget of all nodes together.
+fn check_retries(ledger: &Ledger) -> BTreeMap<&'static str, Usage> {
+    let usage = ledger.retry_usage(RETRY_BUDGET);
+    for (service, usage) in usage.iter().filter(|(_, usage)| usage.is_exceeded()) {
+        let observed = format!("{service}: {usage}");
+        ledger.record_violation("repeats stay within the retry budget", "", observed);
+    }
+    usage
+}
+
 /// Begins faults, one after the other, and waits until all have ended.
 async fn disturb(
     site: &Arc<Site>,
