--- /dev/null
+++ b/crates/crosslane/tests/retries.rs
@@ -0,0 +1,61 @@
+//! Repeats of all nodes together, in all their lives, within the retry budget.
+
+mod fixture;
+
+use crosslane_platform_standins::endpoint::Fault;
+use crosslane_platform_standins::ledger::{Kind, PAGES};
+use crosslane_platform_standins::repeats::Budget;
+use crosslane_platform_standins::texts::RETRY_BUDGET;
+use fixture::Fixture;
+use futures::future::join_all;
+use nix::sys::signal::Signal;
+use rstest::rstest;
+
+/// Lives of each node, and requests that callers of each node send one after the other in each life.
+const LIVES: usize = 6;
+const REQUESTS: usize = 25;
+
+struct Case {
+    name: &'static str,
+    /// Signal that ends the nodes.
+    signal: Signal,
+    /// Nodes that start again between two rounds of requests, of four.
+    restarted: usize,
+}
+
+/// All endpoints fail all requests, so each request is repeated as long as the budget allows.
+#[rstest]
+#[case(Case { name: "all killed", signal: Signal::SIGKILL, restarted: 4 })]
+#[case(Case { name: "all but one killed", signal: Signal::SIGKILL, restarted: 3 })]
+#[case(Case { name: "all stopped", signal: Signal::SIGTERM, restarted: 4 })]
+#[tokio::test(flavor = "multi_thread")]
+async fn repeats_stay_within_the_budget_while_nodes_start_again(#[case] case: Case) {
+    let budget = Budget { ratio: 0.0, ..RETRY_BUDGET };
+    let fixture = Fixture::start_with(1, budget).await;
+    fixture.until_served(Kind::Page).await;
+    fixture.site.with_all(|endpoint| endpoint.inject_fault(Some((Fault::Errs, 1))));
+    for life in 0..LIVES {
+        join_all((0..fixture.site.nodes.len()).map(|node| fixture.ask_many(node, life))).await;
+        join_all((0..case.restarted).map(|node| fixture.restart(node, case.signal))).await;
+        fixture.until_ready().await;
+    }
+    let usage = fixture.site.ledger.retry_usage(budget)[PAGES];
+    assert!(usage.repeats > 0, "{}: nothing was repeated", case.name);
+    assert!(!usage.is_exceeded(), "{}: {usage}", case.name);
+}
+
+impl Fixture {
+    async fn ask_many(&self, node: usize, life: usize) {
+        for number in 0..REQUESTS {
+            let id = format!("r{node}-{life}-{number}");
+            self.ask(node, &id, Kind::Page, &format!("{}{id}", Kind::Page.prefix())).await;
+        }
+    }
+
+    async fn restart(&self, node: usize, signal: Signal) {
+        let node = &self.site.nodes[node];
+        node.signal(signal);
+        node.ended().await;
+        node.start().await.unwrap();
+    }
+}
