Divide the retry budget among nodes that may run behind a partition

Cause: a node that heard of the others for no longer than a window counted itself alone, and took the whole even part of the slack; one that had heard of nobody since its start, because the store was away, or it started behind a partition between the nodes, did so after its first window, and lent the whole lent part to itself as its owner. Each node on such a side did the same. The lent part's bucket also filled while its node was not the owner, so that owners that take turns lent it twice. Class: as before, a part of a shared limit that more nodes take than are counted.

Change: nodes that fell silent without a word, or were not heard of, count for a minute, as in limits of organisations; those that said that they stop count for a window as before. A node that does not know the fleet decides on no lent part, and one that sees less than half of the sharers neither. The bucket of the lent part gains only while its owner attends to it, as those of organisations do.

Tests: two of the new cases of nodes_that_share_the_retry_budget fail on the old code (1 node counted of 11). Two older cases of that table asserted the old count and are replaced by three each, with the bound one minute later; the test of the window in force asks for the nodes that serve, which still follows from it.

--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -503,18 +503,17 @@
         (addresses(near), addresses(far))
     }
 
-    /// Number of nodes that share the retry budget, including this one. A node that fell silent may
-    /// have spent from it until its next heartbeat was due, which counts for one window. During the
-    /// first window of this node, nodes without any heartbeat count too: after a restart of all
-    /// nodes, each would otherwise take most of the budget.
+    /// Number of nodes that share the retry budget, including this one. A node that fell silent without a word may go on behind a
+    /// network partition; one that said that it stops may have used its part until its next heartbeat was due, which counts for one
+    /// window. Nodes that this one has not heard of since its start may be on the other side of a partition too.
     pub fn retry_budget_sharers(&self, now: Millis) -> usize {
-        let starting = now < Millis(self.retry_window_ms);
-        let spends = |member: &&Member| {
-            member
-                .last_heartbeat
-                .map_or(starting, |last| now < last.at + last.interval_ms + self.retry_window_ms)
+        let shares = |member: &&Member| {
+            member.last_heartbeat.map_or(now < Millis(PARTITION_MS), |last| {
+                let may_run = member.active && now.since(last.at) < PARTITION_MS;
+                may_run || now < last.at + last.interval_ms + self.retry_window_ms
+            })
         };
-        1 + self.members.values().filter(spends).count()
+        1 + self.members.values().filter(shares).count()
     }
 
     /// Candidates for owning the limit of a subject, in order of preference, among the live nodes
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -223,7 +223,7 @@
             rulings_read_tried: AtomicBool::new(false),
             organisation_limiter: Limiter::attended(adjustable.quota),
             endpoint_limiter: Limiter::new(limits::TOLERANCE),
-            retry_limiter: Limiter::new(limits::TOLERANCE),
+            retry_limiter: Limiter::attended(limits::TOLERANCE),
             connection_limiter: Limiter::new(limits::TOLERANCE),
             connection_leases: Mutex::default(),
             socket: OnceLock::new(),
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -410,8 +410,7 @@
     if let Some((decision, owner)) = ask(node, subject, charge, &owners, false).await {
         return (decision, Source::Owner(owner));
     }
-    let (_, serving) = lock(&node.members).live_and_serving(node.now());
-    let share = 1.0 / serving as f64;
+    let share = 1.0 / sharers(node, subject) as f64;
     let charge = as_deputy(subject, charge);
     let shares = &node.limiter(subject).shares;
     (lock(shares).decide_alone(charge, share, node.now()), Source::EvenShare)
@@ -451,20 +450,37 @@
     None
 }
 
-/// Attends to the buckets of the organisations whose limits this node owns.
+/// Attends to the buckets of the organisations and of the retry budgets that this node owns.
 pub fn attend(node: &Node) {
-    if !quota::may_own(fleet_share(node)) {
+    attend_to(node, Subject::Organisation);
+    attend_to(node, Subject::Retries);
+}
+
+fn attend_to(node: &Node, subject: impl Fn(Tag) -> Subject) {
+    let any = subject(Tag::default());
+    if !quota::may_own(fleet_share(node, any)) {
         return;
     }
-    let mut owned = lock(&node.organisation_limiter.owned);
-    owned.attend(|tag| owns(node, Subject::Organisation(tag)), node.now());
+    let mut owned = lock(&node.limiter(any).owned);
+    owned.attend(|tag| owns(node, subject(tag)), node.now());
     node.metrics.reserved.inc_by(owned.take_withheld());
 }
 
-/// Part of the fleet that this node sees.
-fn fleet_share(node: &Node) -> f64 {
-    let (live, serving) = lock(&node.members).live_and_serving(node.now());
-    live as f64 / serving as f64
+/// Part of the nodes among which a limit is divided that this node sees.
+fn fleet_share(node: &Node, subject: Subject) -> f64 {
+    let (live, _) = lock(&node.members).live_and_serving(node.now());
+    live as f64 / sharers(node, subject) as f64
+}
+
+/// Number of nodes among which a limit is divided, including this one.
+fn sharers(node: &Node, subject: Subject) -> usize {
+    let (members, now) = (lock(&node.members), node.now());
+    match subject {
+        Subject::Retries(_) => members.retry_budget_sharers(now),
+        Subject::Organisation(_) | Subject::Endpoint(_) | Subject::Connections(_) => {
+            members.live_and_serving(now).1
+        }
+    }
 }
 
 /// Number of nodes among which the slack of retry budgets is divided, if this node knows the others.
@@ -514,13 +530,14 @@
 /// Decides on a request as the limit's owner, or in the owner's place.
 fn decide_as_owner(node: &Node, subject: Subject, mut charge: Charge) -> Decision {
     let now = node.now();
-    if matches!(subject, Subject::Organisation(_)) && !knows_fleet(node) {
+    let needs_fleet = matches!(subject, Subject::Organisation(_) | Subject::Retries(_));
+    if needs_fleet && !knows_fleet(node) {
         return Decision::Undecided;
     }
     if !owns(node, subject) {
         charge = as_deputy(subject, charge);
     }
-    let share = fleet_share(node);
+    let share = fleet_share(node, subject);
     let decision = lock(&node.limiter(subject).owned).decide(charge, share, now);
     match (subject, decision) {
         (Subject::Endpoint(endpoint), Decision::OverLimit { wait }) => {
--- a/crates/gateway/tests/members.rs
+++ b/crates/gateway/tests/members.rs
@@ -200,17 +200,32 @@
     /// Time of the last heartbeat of the others, if any, and the interval of their heartbeats.
     heartbeat_at: Option<u64>,
     interval: u64,
+    /// Whether it said that they keep running.
+    active: bool,
     count: usize,
 }
 
+const HEARD: Sharers = Sharers {
+    name: "live",
+    now: 30_000,
+    heartbeat_at: Some(30_000),
+    interval: 250,
+    active: true,
+    count: 11,
+};
+
 /// Ten nodes besides this one.
 #[rstest]
-#[case(Sharers { name: "live", now: 30_000, heartbeat_at: Some(30_000), interval: 250, count: 11 })]
-#[case(Sharers { name: "silent, within the window", now: 30_000, heartbeat_at: Some(20_100), interval: 250, count: 11 })]
-#[case(Sharers { name: "silent for longer than the window", now: 30_000, heartbeat_at: Some(19_000), interval: 250, count: 1 })]
-#[case(Sharers { name: "long heartbeat interval", now: 30_000, heartbeat_at: Some(14_000), interval: 17_500, count: 11 })]
-#[case(Sharers { name: "no heartbeat yet, just started", now: 500, heartbeat_at: None, interval: 250, count: 11 })]
-#[case(Sharers { name: "no heartbeat yet, after the first window", now: 30_000, heartbeat_at: None, interval: 250, count: 1 })]
+#[case(HEARD)]
+#[case(Sharers { name: "silent, within the window", heartbeat_at: Some(20_100), ..HEARD })]
+#[case(Sharers { name: "silent for longer than the window", heartbeat_at: Some(19_000), ..HEARD })]
+#[case(Sharers { name: "silent for long", now: 90_000, heartbeat_at: Some(29_000), count: 1, ..HEARD })]
+#[case(Sharers { name: "stopping, within the window", heartbeat_at: Some(20_100), active: false, ..HEARD })]
+#[case(Sharers { name: "stopped", heartbeat_at: Some(19_000), active: false, count: 1, ..HEARD })]
+#[case(Sharers { name: "long heartbeat interval", heartbeat_at: Some(14_000), interval: 17_500, active: false, ..HEARD })]
+#[case(Sharers { name: "no heartbeat yet, just started", now: 500, heartbeat_at: None, ..HEARD })]
+#[case(Sharers { name: "no heartbeat yet, after the first window", heartbeat_at: None, ..HEARD })]
+#[case(Sharers { name: "no heartbeat for long", now: 61_000, heartbeat_at: None, count: 1, ..HEARD })]
 fn nodes_that_share_the_retry_budget(#[case] case: Sharers) {
     let mut members = Members::new(&settings());
     for index in 0..10 {
@@ -218,7 +233,7 @@
         members.add(ip);
         if let Some(at) = case.heartbeat_at {
             let interval = Interval { near_ms: case.interval, far_ms: case.interval };
-            let heartbeat = Heartbeat { interval, ..heartbeat(&OTHER) };
+            let heartbeat = Heartbeat { interval, active: case.active, ..heartbeat(&OTHER) };
             members.record_heartbeat(ip, &heartbeat, Millis(at));
         }
     }
--- a/crates/gateway/tests/reload.rs
+++ b/crates/gateway/tests/reload.rs
@@ -78,21 +78,21 @@
 struct Window {
     name: &'static str,
     window_ms: u64,
-    /// Nodes that share the retry budget 5 s after the start, with one that has not been heard.
-    sharers: usize,
+    /// Nodes that may serve callers 5 s after the start, with one that has not been heard.
+    serving: usize,
 }
 
 #[rstest]
-#[case(Window { name: "the first one", window_ms: 10_000, sharers: 2 })]
-#[case(Window { name: "over", window_ms: 1_000, sharers: 1 })]
+#[case(Window { name: "the first one", window_ms: 10_000, serving: 2 })]
+#[case(Window { name: "over", window_ms: 1_000, serving: 1 })]
 fn silent_nodes_count_during_the_first_window_in_force(#[case] case: Window) {
     let node = running();
     adjust(&node, |settings| {
         settings.seeds = vec![ip(2)];
         settings.retry_budget.window_ms = case.window_ms;
     });
-    let sharers = lock(&node.members).retry_budget_sharers(Millis(5_000));
-    assert_eq!(sharers, case.sharers, "{}", case.name);
+    let (_, serving) = lock(&node.members).live_and_serving(Millis(5_000));
+    assert_eq!(serving, case.serving, "{}", case.name);
 }
 
 /// The overdraft would last for days at the rate of the start.
