Move runs without a retry from the budget

What callers saw: while the retry budget is spent, streams were not moved away from a leaving engine and ended with it. Since a node in its first window uses less of the budget, that would come more often.

Cause: a move took a retry before the engine was told to stop the run. Asking an engine for the run a second or third time still takes one.

Test: runs_are_moved_though_the_retry_budget_is_spent, real processes with a budget of zero, failed before (the stream was cut at its route's timeout, no run moved), and passes.

--- a/crates/crosslane/tests/retries.rs
+++ b/crates/crosslane/tests/retries.rs
@@ -2,6 +2,7 @@
 
 mod fixture;
 
+use crosslane_platform_standins::caller::Ending;
 use crosslane_platform_standins::endpoint::Fault;
 use crosslane_platform_standins::ledger::{Kind, PAGES};
 use crosslane_platform_standins::repeats::Budget;
@@ -56,11 +57,39 @@
     assert!(!usage.is_exceeded(), "{}: {usage}", case.name);
 }
 
+/// Where a run is moved to, it is the same run, so nothing of the budget is needed.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn runs_are_moved_though_the_retry_budget_is_spent() {
+    let budget = Budget { ratio: 0.0, slack: 0.0, ..RETRY_BUDGET };
+    let fixture = Fixture::start_with(1, budget).await;
+    fixture.until_served(Kind::Endless).await;
+    let site = &fixture.site;
+    let streams = (0..site.nodes.len()).map(|node| fixture.ask_one(node, "moved", Kind::Endless));
+    let leaving = async {
+        let all_run = || async { site.ledger.running().len() == site.nodes.len() };
+        fixture.until(all_run).await;
+        let (_, engine) = &site.ledger.running()[0];
+        site.leave(engine, false);
+        fixture.until(|| async { site.ledger.moved().continued > 0 }).await;
+    };
+    tokio::select! {
+        endings = join_all(streams) => panic!("{endings:?}"),
+        () = leaving => {}
+    }
+    assert!(site.ledger.violations().is_empty(), "{:?}", site.ledger.violations());
+}
+
 impl Fixture {
+    /// Asks a node once, for a stream or a page of its own.
+    async fn ask_one(&self, node: usize, name: &str, kind: Kind) -> Ending {
+        let id = format!("{name}-{node}");
+        self.ask(node, &id, kind, &format!("{}{id}", kind.prefix())).await
+    }
+
     async fn ask_many(&self, node: usize, round: usize) {
         for number in 0..REQUESTS {
-            let id = format!("r{node}-{round}-{number}");
-            self.ask(node, &id, Kind::Page, &format!("{}{id}", Kind::Page.prefix())).await;
+            self.ask_one(node, &format!("r{round}-{number}"), Kind::Page).await;
         }
     }
 
--- a/crates/gateway/src/migration.rs
+++ b/crates/gateway/src/migration.rs
@@ -44,7 +44,6 @@
 pub struct Move {
     node: Arc<Node>,
     call: Call,
-    service: String,
     source: Endpoint,
     source_key: Key,
     target: Endpoint,
@@ -75,7 +74,7 @@
         source_key: Key,
         exclude: &[Key],
     ) -> Option<Self> {
-        let Generation { node, call, service, .. } = generation;
+        let Generation { node, call, .. } = generation;
         let exclude = [exclude, &[source_key]].concat();
         let choice = generation.choose_decode(FULL_UTILIZATION, &exclude, true)?;
         let target = node.pool().get(choice.0).cloned().filter(|to| to.tag() != source.tag())?;
@@ -83,7 +82,6 @@
         Some(Self {
             node: node.clone(),
             call: call.clone(),
-            service: service.clone(),
             source: source.clone(),
             source_key,
             target,
@@ -102,9 +100,6 @@
         quarantine::check(&self.node, &self.call).ok()?;
         self.slot.acquire_permit(&self.call.metadata.id).await.ok()?;
         self.slot.connect(&self.target).await.ok()?;
-        if !self.node.take_retry(&self.service, &self.call.metadata.id).await {
-            return None;
-        }
         self.called.set();
         let Self { node, call, source, source_key, target, slot, .. } = self;
         let (id, copied) = match stop_and_copy(&node.control, &call, &source, &target).await {
