Remove queries to owners of retry budgets that are never answered

Cause: state of the retry limiter was never expired, unlike that of the others: a query whose datagram is lost stayed for good, some bytes each.

Change: it expires with the others. By reading; no test: the limiter's own expiry is the same code.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -115,6 +115,7 @@
         node.pool().expire(node.now());
         quarantine::remove_expired(&node);
         node.organisation_limiter.remove_expired(node.now());
+        node.retry_limiter.remove_expired(node.now());
         node.connection_limiter.remove_expired(node.now());
         limit::remove_expired(&node);
         resume::remove_expired(&node);
