Use the whole part of the retry budget on the first start of the system

Change: first-start in the settings file, which the platform sets only then, leaves out the first window. The soak and the tests set it for the first process of a node only. The test of a budget in force is as it was before.

--- a/crates/coordination/src/allowance.rs
+++ b/crates/coordination/src/allowance.rs
@@ -11,7 +11,7 @@
 //!
 //! Load pattern: the nodes are killed again and again while endpoints fail. What a node has used is
 //! known to its process only, so a series of restarts within a window would use the budget several
-//! times. In its first window a node therefore uses a smaller ratio, and of a smaller part of the
+//! times. In its first window after a restart a node therefore uses a smaller ratio, and of a smaller part of the
 //! slack what corresponds to its age. Over all lives of a node, a window then holds at most the part
 //! of the life that was old by then, and that of a young one.
 
@@ -23,7 +23,7 @@
 /// quarter lower than in the window before.
 const RATIO_MARGIN: f64 = 0.7;
 
-/// The same for a node that has run for less than a window. Its former life may have used the ratio in full.
+/// The same for a node that started again less than a window ago. Its former life may have used the ratio in full.
 const YOUNG_RATIO_MARGIN: f64 = 0.2;
 
 /// Share of the slack that is divided evenly among the nodes. What is neither divided nor lent is
@@ -76,20 +76,21 @@
 #[derive(Debug)]
 pub struct Allowance {
     budget: Budget,
-    /// Since when what this node used is known.
-    started_at: Millis,
+    /// Since when what this node used is known; none if it used nothing before.
+    young_since: Option<Millis>,
     services: HashMap<String, Tally>,
 }
 
 impl Allowance {
-    /// Creates the part of a budget of a node that starts now.
-    pub fn new(budget: Budget, started_at: Millis) -> Self {
-        Self { budget, started_at, services: HashMap::new() }
+    /// Creates the part of a budget of a node that has used nothing of it.
+    pub fn new(budget: Budget) -> Self {
+        Self { budget, young_since: None, services: HashMap::new() }
     }
 
-    /// Starts anew, since the other nodes took this one for dead.
+    /// Starts the first window anew: what this node used in a former life, or what the others used while they took it for dead, is
+    /// not known.
     pub fn restart(&mut self, now: Millis) {
-        self.started_at = now;
+        self.young_since = Some(now);
     }
 
     /// Replaces the budget. Requests and retries within the former window still count.
@@ -132,7 +133,7 @@
     /// Ratio that this node uses, and the part of the slack that all nodes like it divide.
     fn parts(&self, now: Millis) -> (f64, f64) {
         let Budget { ratio, slack, window_ms: window } = self.budget;
-        let age = now.since(self.started_at);
+        let age = self.young_since.map_or(window, |since| now.since(since));
         if age >= window {
             return (ratio * RATIO_MARGIN, slack * EVEN_SLACK_SHARE);
         }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -200,6 +200,10 @@
         let (clock, load) = (Clock::start(), Arc::<Load>::default());
         let waiting = Waiting::new(metrics.waiting.clone());
         let dialer = Dialer::new(settings.ip, clock.clone(), load.clone(), metrics.clone());
+        let mut allowance = Allowance::new(adjustable.retry_budget);
+        if !settings.first_start {
+            allowance.restart(Millis::default());
+        }
         Ok(Self {
             clock,
             load,
@@ -237,7 +241,7 @@
                 Pool::new(settings.domain.clone(), SmallRng::from_os_rng())
                     .with_regions(adjustable.regions.clone()),
             ),
-            allowance: Mutex::new(Allowance::new(adjustable.retry_budget, Millis::default())),
+            allowance: Mutex::new(allowance),
             store_recovered_at: Mutex::default(),
             store_read_at: Mutex::default(),
             last_store_call_failed: AtomicBool::new(false),
--- a/crates/gateway/tests/node/mod.rs
+++ b/crates/gateway/tests/node/mod.rs
@@ -19,6 +19,7 @@
         forward_port: None,
         store_address: address,
         lease_ms: 3_000,
+        first_start: true,
     };
     let adjustable = Adjustable {
         regions: Default::default(),
--- a/crates/soak/src/node.rs
+++ b/crates/soak/src/node.rs
@@ -65,6 +65,8 @@
     /// Its process id while it runs; signals are sent while others wait for its end.
     id: AtomicU32,
     life: Mutex<Arc<Life>>,
+    /// Whether its process was started before.
+    has_started: AtomicBool,
     /// When it was killed or stood still for the last time.
     broken_at: Mutex<Option<Instant>>,
 }
@@ -76,7 +78,9 @@
         let log = folder.join(format!("{}.log", place.vm));
         let (program, life) = (program.to_owned(), Mutex::new(Life::new()));
         let (child, id) = (tokio::sync::Mutex::default(), AtomicU32::new(0));
-        Self { place, program, settings, log, child, id, life, broken_at: Mutex::default() }
+        let has_started = AtomicBool::new(false);
+        let broken_at = Mutex::default();
+        Self { place, program, settings, log, child, id, life, has_started, broken_at }
     }
 
     /// Its IP address.
@@ -106,7 +110,9 @@
 
     /// Writes the settings file anew.
     pub fn write_settings(&self) -> io::Result<()> {
-        std::fs::write(&self.settings, texts::settings(&self.place))
+        let first_start = !self.has_started.load(Ordering::Relaxed);
+        let place = Place { first_start, ..self.place.clone() };
+        std::fs::write(&self.settings, texts::settings(&place))
     }
 
     /// Starts the process unless it runs.
@@ -126,6 +132,7 @@
             .stderr(log)
             .kill_on_drop(true)
             .spawn()?;
+        self.has_started.store(true, Ordering::Relaxed);
         self.id.store(process.id().unwrap_or(0), Ordering::Relaxed);
         *child = Some(process);
         Ok(())
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -467,6 +467,7 @@
             store: way.address,
             grace_s: GRACE_S,
             retry_budget: plan.retry_budget,
+            first_start: true,
         };
         Node::new(place, &plan.program, folder)
     };
