Tell callers of streams that a replaced run may have run

Cause: an engine fell silent, the run that was to replace it answered 500, and was given up since the silent run may still go on; then the silent engine declined its run. The refusal followed from that last failure alone. Class: a later refusal that undoes an earlier run. Plain calls have remembered it for their second attempts; streams did not.

Change: a stream remembers whether any of its attempts may have run, at the one place where it sends them, and is refused as not run only if none has.

Test: a_stream_is_not_reported_as_not_run_after_its_replacement_ran failed before (503, Retry-After 3.48), and passes (502, none).

--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -83,6 +83,8 @@
     pub timeliness: Timeliness,
     /// Attempts that reached an endpoint, or are being sent to one.
     attempts: AtomicU32,
+    /// Whether any attempt may have run the request, which a later refusal does not undo.
+    may_have_run: AtomicBool,
     /// Whether the stalled run that is being replaced has broken off.
     stalled_run_broke: AtomicBool,
     /// Engines that accepted no connection; they may still grant memory over one that is open.
@@ -113,6 +115,7 @@
             caller,
             timeliness,
             attempts: AtomicU32::new(0),
+            may_have_run: AtomicBool::new(false),
             stalled_run_broke: AtomicBool::new(false),
             unreachable: Mutex::default(),
             prefilled_at: None,
@@ -344,6 +347,8 @@
         // Counted before, since the attempt may be dropped meanwhile.
         self.attempts.fetch_add(1, Ordering::Relaxed);
         let answer = exchange::send(&self.call, slot, &purpose, self.call.deadline.instant()).await;
+        let may_have_run = answer.as_ref().map_or_else(|failure| failure.may_have_run(), |_| true);
+        self.may_have_run.fetch_or(may_have_run, Ordering::Relaxed);
         match &answer {
             Ok(_) => {
                 reservation.id = None;
@@ -485,7 +490,7 @@
     async fn retry(&self, failure: Failure) -> Result<Answer, Refusal> {
         let kind = self.route.kind;
         if failure.may_have_run() && !kind.idempotent() {
-            return Err(final_refusal(failure));
+            return Err(self.final_refusal(failure));
         }
         let mut failure = failure;
         while !failure.quarantined() && self.attempts() < self.route.max_attempts.max(1) {
@@ -503,14 +508,14 @@
                 Err(None) => break,
                 Err(Some(next)) if next.quarantined() && failure.may_have_run() => break,
                 Err(Some(next)) if next.may_have_run() && !kind.idempotent() => {
-                    return Err(final_refusal(next));
+                    return Err(self.final_refusal(next));
                 }
                 // A later refusal does not undo that an earlier attempt may have run.
                 Err(Some(next)) if next.may_have_run() || !failure.may_have_run() => failure = next,
                 Err(Some(_)) => {}
             }
         }
-        Err(final_refusal(failure))
+        Err(self.final_refusal(failure))
     }
 
     /// Runs the request at another engine, from after the given event. Waits for memory until a time.
@@ -541,6 +546,18 @@
         prefilled.map(|(_, handle)| Some(handle)).ok_or(Failure::Timeout)
     }
 
+    /// Refusal after the last attempt; with a Retry-After if the request has not run.
+    fn final_refusal(&self, failure: Failure) -> Refusal {
+        let reason = Reason::from(failure);
+        if failure.may_have_run() {
+            return reason.into();
+        }
+        match self.may_have_run.load(Ordering::Relaxed) {
+            true => Reason::Broken.into(),
+            false => retry_later(reason),
+        }
+    }
+
     fn relay(self, answer: Answer) -> Response<ResponseBody> {
         let status = answer.parts.status;
         // The run may go on at another engine, so the length is not known.
@@ -557,9 +574,3 @@
     let wait = rand::rng().random_range(RETRY_AFTER_MS);
     Refusal::retry_after(reason, Duration::from_millis(wait))
 }
-
-/// Refusal after the last attempt; with a Retry-After if the request has not run.
-fn final_refusal(failure: Failure) -> Refusal {
-    let reason = Reason::from(failure);
-    if failure.may_have_run() { reason.into() } else { retry_later(reason) }
-}
