--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -19,6 +19,9 @@
 /// Delay of each chunk while connections are delayed.
 const DELAY: Duration = Duration::from_millis(60);
 
+/// Header of the answers to requests, which those to control calls don't have.
+const SEAL: &[u8] = b"x-crosslane-response-seal";
+
 /// Pause before a socket that fails is tried again.
 const RETRY: Duration = Duration::from_millis(20);
 
@@ -33,6 +36,8 @@
     Silent,
     /// Passes on what goes to the server, and nothing back.
     OneWay,
+    /// Passes on the heads of an endpoint's answers up to the middle of a header, and ends the connections.
+    CutHeads,
     /// Resets all connections, and new ones.
     Reset,
     /// Passes nothing on, and leaves new connections unanswered.
@@ -188,6 +193,11 @@
         if now == Mode::Delay {
             sleep(DELAY).await;
         }
-        to.write_all(&buffer[..length]).await?;
+        let received = &buffer[..length];
+        let cut_at = received.windows(SEAL.len()).position(|part| part == SEAL);
+        if let Some(cut_at) = cut_at.filter(|_| now == Mode::CutHeads && way == Way::Back) {
+            return to.write_all(&received[..cut_at + SEAL.len() / 2]).await;
+        }
+        to.write_all(received).await?;
     }
 }
