Test that a slow call runs at no more endpoints than allowed

Change: a test with real processes: all plain endpoints fail after 750 ms, so a second attempt is made at 540 ms, and the first fails while it runs.

--- a/crates/crosslane/tests/retries.rs
+++ b/crates/crosslane/tests/retries.rs
@@ -80,6 +80,26 @@
     assert_eq!((ending, usage.repeats), (Ending::Status(503), 0));
 }
 
+/// A call that is slow to fail gets a second attempt beside it, and must get no third one once it has failed.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_run_at_no_more_endpoints_than_their_route_allows() {
+    let fixture = Fixture::start(1).await;
+    fixture.until_served(Kind::Page).await;
+    fixture.site.with_all(|endpoint| {
+        endpoint.set_speed(Speed::constant(SLOW));
+        endpoint.inject_fault(Some((Fault::Errs, 1)));
+    });
+    let nodes = 0..fixture.site.nodes.len();
+    join_all(nodes.map(|node| fixture.ask_one(node, "slow", Kind::Page))).await;
+    for node in 0..fixture.site.nodes.len() {
+        let runs = fixture.site.ledger.runs(&format!("slow-{node}"));
+        assert!(runs.len() <= Kind::Page.max_attempts() as usize, "{runs:?}");
+    }
+    let repeats = fixture.site.ledger.retry_usage(RETRY_BUDGET)[PAGES].repeats;
+    assert!(repeats > 0, "no call got a second attempt");
+}
+
 /// Where a run is moved to, it is the same run, so nothing of the budget is needed.
 #[rstest]
 #[tokio::test(flavor = "multi_thread")]
