Tell callers of streams that a replaced run may have run, also when it was given up

What callers saw: as in, 503 with a Retry-After for a stream that may have run; by reading, then by the test.

Cause: a replacement beside a silent run is given up when that engine can be reached again. Its attempt was dropped before it could note that it had been sent.

Change: the attempt counts as one that may have run before it is sent, and no longer once it is known not to have.

Test: the case 'given up' of a_stream_is_not_reported_as_not_run_after_its_replacement_ran failed before (503, Retry-After 2.34), and passes (502, none).

--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -83,8 +83,8 @@
     pub timeliness: Timeliness,
     /// Attempts that reached an endpoint, or are being sent to one.
     attempts: AtomicU32,
-    /// Whether any attempt may have run the request, which a later refusal does not undo.
-    may_have_run: AtomicBool,
+    /// Attempts that may have run the request, or are being sent; a later refusal does not undo them.
+    may_have_run: AtomicU32,
     /// Whether the stalled run that is being replaced has broken off.
     stalled_run_broke: AtomicBool,
     /// Engines that accepted no connection; they may still grant memory over one that is open.
@@ -115,7 +115,7 @@
             caller,
             timeliness,
             attempts: AtomicU32::new(0),
-            may_have_run: AtomicBool::new(false),
+            may_have_run: AtomicU32::new(0),
             stalled_run_broke: AtomicBool::new(false),
             unreachable: Mutex::default(),
             prefilled_at: None,
@@ -346,9 +346,11 @@
             Purpose::Decode { reservation: reservation.id.as_deref(), source, last_event };
         // Counted before, since the attempt may be dropped meanwhile.
         self.attempts.fetch_add(1, Ordering::Relaxed);
+        self.may_have_run.fetch_add(1, Ordering::Relaxed);
         let answer = exchange::send(&self.call, slot, &purpose, self.call.deadline.instant()).await;
-        let may_have_run = answer.as_ref().map_or_else(|failure| failure.may_have_run(), |_| true);
-        self.may_have_run.fetch_or(may_have_run, Ordering::Relaxed);
+        if answer.as_ref().is_err_and(|failure| !failure.may_have_run()) {
+            self.may_have_run.fetch_sub(1, Ordering::Relaxed);
+        }
         match &answer {
             Ok(_) => {
                 reservation.id = None;
@@ -553,8 +555,8 @@
             return reason.into();
         }
         match self.may_have_run.load(Ordering::Relaxed) {
-            true => Reason::Broken.into(),
-            false => retry_later(reason),
+            0 => retry_later(reason),
+            _ => Reason::Broken.into(),
         }
     }
 
