--- a/crates/coordination/src/quota.rs
+++ b/crates/coordination/src/quota.rs
@@ -206,10 +206,24 @@
     }
 }
 
+/// Tokens of one limit since the last report.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// Granted.
+    pub granted: u64,
+    /// Refunded, as a request was not sent.
+    pub refunded: u64,
+    /// Charged for runs that are repeated.
+    pub charged: u64,
+    /// Refused.
+    pub refused: u64,
+}
+
 /// Token buckets of the limits that this node owns, or of its even shares.
 #[derive(Debug)]
 pub struct Quota {
     tolerance: Tolerance,
+    tallies: HashMap<Tag, Tally>,
     /// Whether the buckets gain only while they are attended to.
     attended: bool,
     buckets: HashMap<Tag, Bucket>,
@@ -219,7 +233,8 @@
 impl Quota {
     /// Starts without any buckets. They gain at all times.
     pub fn new(tolerance: Tolerance) -> Self {
-        Self { tolerance, attended: false, buckets: HashMap::new(), withheld: 0 }
+        let (buckets, tallies) = (HashMap::new(), HashMap::new());
+        Self { tolerance, tallies, attended: false, buckets, withheld: 0 }
     }
 
     /// Starts without any buckets. They gain only while this node attends to them, at intervals of
@@ -268,10 +283,12 @@
             if !leaves_reserve {
                 bucket.precedence.spend_exempt(cost);
             }
+            self.tally(charge.subject).granted += u64::from(charge.cost);
             return Decision::Granted;
         }
         let missing = needed + reserve.tokens - bucket.level;
         self.withheld += u64::from(has_room);
+        self.tally(charge.subject).refused += u64::from(charge.cost);
         Decision::OverLimit { wait: wait_ms(missing / spare_rate(rate, reserve), charge.draw) }
     }
 
@@ -284,12 +301,23 @@
         let bucket = self.filled(charge, share, now);
         let missing = needed - bucket.level;
         if missing > 0.0 {
+            self.tally(charge.subject).refused += u64::from(charge.cost);
             return Decision::OverLimit { wait: wait_ms(missing / rate, charge.draw) };
         }
         bucket.level -= f64::from(charge.cost);
+        self.tally(charge.subject).granted += u64::from(charge.cost);
         Decision::Granted
     }
 
+    /// Tokens granted, refunded, charged and refused since the last call, by limit.
+    pub fn take_tallies(&mut self) -> HashMap<Tag, Tally> {
+        std::mem::take(&mut self.tallies)
+    }
+
+    fn tally(&mut self, subject: Tag) -> &mut Tally {
+        self.tallies.entry(subject).or_default()
+    }
+
     /// Number of requests since the last call that were refused only since they had to leave a
     /// reserve to more urgent ones.
     pub fn take_withheld(&mut self) -> u64 {
@@ -327,6 +355,7 @@
     pub fn charge(&mut self, subject: Tag, cost: u32) {
         if let Some(bucket) = self.buckets.get_mut(&subject) {
             bucket.level -= f64::from(cost);
+            self.tally(subject).charged += u64::from(cost);
         }
     }
 
@@ -334,12 +363,15 @@
     pub fn refund(&mut self, subject: Tag, cost: u32) {
         if let Some(bucket) = self.buckets.get_mut(&subject) {
             bucket.level += f64::from(cost);
+            self.tally(subject).refunded += u64::from(cost);
         }
     }
 
     /// Drops buckets that are no longer used.
     pub fn expire(&mut self, now: Millis) {
         self.buckets.retain(|_, bucket| now.since(bucket.refilled_at) < BUCKET_TTL_MS);
+        let Self { buckets, tallies, .. } = self;
+        tallies.retain(|subject, _| buckets.contains_key(subject));
     }
 }
 
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -62,6 +62,8 @@
 pub const BARRED: &str = "barred";
 /// A request was rejected because its organisation is over its limit.
 pub const OVER_QUOTA: &str = "over_quota";
+/// What this node granted of an organisation's limit in the last second.
+pub const GRANTED: &str = "granted";
 /// An endpoint named, changed or withdrew a rate limit that all nodes share.
 pub const LIMIT: &str = "limit";
 /// A request was not sent to an endpoint because its rate limit is used up.
@@ -86,7 +88,7 @@
 pub const PANICKED: &str = "panicked";
 
 /// All events.
-pub const EVENTS: [&str; 41] = [
+pub const EVENTS: [&str; 42] = [
     START,
     STOP,
     SUSPENDED,
@@ -117,6 +119,7 @@
     UNSAVED,
     BARRED,
     OVER_QUOTA,
+    GRANTED,
     LIMIT,
     HELD_BACK,
     FORWARD,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -88,6 +88,10 @@
     pub reserved: IntCounter,
     /// Queries for a limit that this node passed on to an owner that it prefers to itself.
     pub passed_on: IntCounter,
+    /// Tokens of organisations' limits that this node granted, by its role.
+    granted: IntCounterVec,
+    /// Queries for a limit whose replies did not come in time: `late`, or not at all: `missed`.
+    late_replies: IntCounterVec,
     /// Failure domains that are evacuated.
     pub evacuated_domains: IntGauge,
     /// Requests that are shut out.
@@ -217,6 +221,16 @@
                 "crosslane_limit_passed_on",
                 "Queries for a limit passed on to its owner",
             )?,
+            granted: counters(
+                "crosslane_limit_granted",
+                "Tokens of organisations' limits granted by role",
+                "role",
+            )?,
+            late_replies: counters(
+                "crosslane_limit_replies",
+                "Replies of owners of limits that did not come in time",
+                "outcome",
+            )?,
             evacuated_domains: gauge(
                 "crosslane_evacuated_domains",
                 "Failure domains that are evacuated",
@@ -305,6 +319,21 @@
         self.forwarded.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts tokens of an organisation's limit that were granted in a role.
+    pub fn count_granted(&self, role: &str, tokens: u64) {
+        self.granted.with_label_values(&[role]).inc_by(tokens);
+    }
+
+    /// Tokens of organisations' limits that were granted in a role.
+    pub fn granted(&self, role: &str) -> u64 {
+        self.granted.with_label_values(&[role]).get()
+    }
+
+    /// Counts a reply of a limit's owner that did not come in time.
+    pub fn count_late_reply(&self, outcome: &str) {
+        self.late_replies.with_label_values(&[outcome]).inc();
+    }
+
     /// Adds a duration to a histogram.
     pub fn observe(histogram: &Histogram, time: Duration) {
         histogram.observe(time.as_secs_f64());
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -602,6 +602,7 @@
             }
             Ok(Message::QuotaReply { number, subject, decision }) => {
                 if let Some((subject, cost)) = node.limiter(subject).resolve(number, decision) {
+                    node.metrics.count_late_reply("late");
                     try_send(&node, &Message::QuotaRefund { subject, cost }, from.ip());
                 }
             }
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -17,7 +17,7 @@
 use crate::peers;
 use crate::refusal::{Reason, Refusal};
 use crosslane_coordination::limits::{self, Update as LimitUpdate};
-use crosslane_coordination::quota::{self, Charge, Decision, Misses, Quota, Tolerance};
+use crosslane_coordination::quota::{self, Charge, Decision, Misses, Quota, Tally, Tolerance};
 use crosslane_state::endpoint::Tag;
 use crosslane_state::organisation::{Limit, Organisation};
 use crosslane_state::priority::Priority;
@@ -55,6 +55,9 @@
 /// Cost of a retry, in the unit of a retry budget.
 const RETRY_COST: u32 = 1;
 
+/// Interval at which a node logs what it granted, in milliseconds.
+const REPORT_INTERVAL_MS: u64 = 1_000;
+
 /// Time for which a query is remembered, so that a grant in a late reply can be refunded.
 const LATE_REPLY_MS: u64 = 5_000;
 
@@ -69,6 +72,20 @@
     EvenShare,
 }
 
+/// In which role this node decides on a limit.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Role {
+    /// As the limit's first owner.
+    #[display("owner")]
+    Owner,
+    /// In the place of the first owner.
+    #[display("deputy")]
+    Deputy,
+    /// For its own requests, since no owner replied.
+    #[display("alone")]
+    Alone,
+}
+
 /// A query to an owner that has no reply yet.
 #[derive(Debug)]
 struct Pending {
@@ -117,6 +134,8 @@
     /// Grants that were passed on to other nodes, oldest first.
     passed_on: Mutex<VecDeque<PassedOn>>,
     next_number: AtomicU32,
+    /// When what was granted was last logged.
+    reported_at: Mutex<Millis>,
 }
 
 impl Limiter {
@@ -138,6 +157,7 @@
             unresponsive: Mutex::default(),
             passed_on: Mutex::default(),
             next_number: AtomicU32::default(),
+            reported_at: Mutex::default(),
         }
     }
 
@@ -413,7 +433,16 @@
     let share = 1.0 / sharers(node, subject) as f64;
     let charge = as_deputy(subject, charge);
     let shares = &node.limiter(subject).shares;
-    (lock(shares).decide_alone(charge, share, node.now()), Source::EvenShare)
+    let decision = lock(shares).decide_alone(charge, share, node.now());
+    count_decision(node, subject, charge, decision, Role::Alone);
+    (decision, Source::EvenShare)
+}
+
+/// Counts what a decision grants of an organisation's limit.
+fn count_decision(node: &Node, subject: Subject, charge: Charge, decision: Decision, role: Role) {
+    if let (Subject::Organisation(_), Decision::Granted) = (subject, decision) {
+        node.metrics.count_granted(&role.to_string(), charge.cost.into());
+    }
 }
 
 /// Decision of the first of some owners that decides.
@@ -454,6 +483,39 @@
 pub fn attend(node: &Node) {
     attend_to(node, Subject::Organisation);
     attend_to(node, Subject::Retries);
+    report(node);
+}
+
+/// Logs what this node granted of the organisations' limits since the last report.
+fn report(node: &Node) {
+    let (limiter, now) = (&node.organisation_limiter, node.now());
+    {
+        let mut reported_at = lock(&limiter.reported_at);
+        if now.since(*reported_at) < REPORT_INTERVAL_MS {
+            return;
+        }
+        *reported_at = now;
+    }
+    let Some(table) = node.table() else {
+        return;
+    };
+    let role = |tag| match owns(node, Subject::Organisation(tag)) {
+        true => Role::Owner,
+        false => Role::Deputy,
+    };
+    let owned = lock(&limiter.owned).take_tallies();
+    let shares = lock(&limiter.shares).take_tallies();
+    let owned = owned.into_iter().map(|(tag, tally)| (tag, tally, role(tag)));
+    let alone = shares.into_iter().map(|(tag, tally)| (tag, tally, Role::Alone));
+    for (tag, tally, role) in owned.chain(alone) {
+        let known = table.organisations.as_ref().and_then(|all| all.by_tag(tag));
+        let organisation = known.map_or("", |known| known.name.as_str());
+        let Tally { granted, refunded, charged, refused } = tally;
+        info!(
+            organisation, role:%, granted, refunded, charged, refused;
+            "{}", event::GRANTED
+        );
+    }
 }
 
 fn attend_to(node: &Node, subject: impl Fn(Tag) -> Subject) {
@@ -534,11 +596,13 @@
     if needs_fleet && !knows_fleet(node) {
         return Decision::Undecided;
     }
-    if !owns(node, subject) {
+    let role = if owns(node, subject) { Role::Owner } else { Role::Deputy };
+    if role == Role::Deputy {
         charge = as_deputy(subject, charge);
     }
     let share = fleet_share(node, subject);
     let decision = lock(&node.limiter(subject).owned).decide(charge, share, now);
+    count_decision(node, subject, charge, decision, role);
     match (subject, decision) {
         (Subject::Endpoint(endpoint), Decision::OverLimit { wait }) => {
             let wait = lock(&node.queues).join(endpoint, charge.limit.units_per_second, wait, now);
@@ -568,7 +632,11 @@
     let message = Message::QuotaRequest { number, subject, cost, limit };
     peers::try_send_with(node, &message, &extension, owner);
     let limit = if passed_on { PASS_ON_TIMEOUT } else { QUERY_TIMEOUT };
-    timeout(limit, receiver).await.ok()?.ok()
+    let reply = timeout(limit, receiver).await;
+    if reply.is_err() {
+        node.metrics.count_late_reply("missed");
+    }
+    reply.ok()?.ok()
 }
 
 /// Answers another node's query: itself, or by the owners that it prefers to itself.
