Continue streams of a sole version only with another node's word

What callers would see (reported by other operators): a node that was cut off from the others or stood still while engines of a new version joined takes up a stream that began at the new version, and goes on with it at the old one (ORDER).

Cause: 'resume::find' took 'no other version has served' from this node's own list, without asking anybody.

Change: such a node asks the others, as one does that knows less. A node that knows no other goes on as before.

--- a/crates/coordination/src/streams.rs
+++ b/crates/coordination/src/streams.rs
@@ -77,8 +77,11 @@
     Unobserved(Option<Build>),
 }
 
-/// Concludes which build began a stream from what nodes know of it. What they were told counts first, then which builds served.
-pub fn conclude(known: &[Knowledge]) -> Conclusion {
+/// Concludes which build began a stream from what this node and others that it asked know of it. What they were told counts first, then which
+/// builds served. Which builds served is known only with another node's word: one that was cut off, or stood still, may have missed a
+/// build that joined.
+pub fn conclude(known: &[Knowledge], asked: usize) -> Conclusion {
+    let is_confirmed = asked == 0 || known.len() > 1;
     let told = agreed(known.iter().filter_map(|knowledge| match knowledge {
         Knowledge::Began(build) => Some(*build),
         _ => None,
@@ -95,7 +98,7 @@
         (Agreed::On(build), _, _) => Conclusion::Began(build),
         (Agreed::Not, _, _) => Conclusion::Unknown,
         _ if known.contains(&Knowledge::Several) => Conclusion::Unknown,
-        (Agreed::Nobody, Agreed::On(build), _) => Conclusion::Began(build),
+        (Agreed::Nobody, Agreed::On(build), _) if is_confirmed => Conclusion::Began(build),
         (Agreed::Nobody, Agreed::Nobody, Agreed::On(only)) => Conclusion::Unobserved(only),
         (Agreed::Nobody, Agreed::Nobody, Agreed::Not) => Conclusion::Unobserved(None),
         _ => Conclusion::Unknown,
--- a/crates/coordination/tests/streams.rs
+++ b/crates/coordination/tests/streams.rs
@@ -120,5 +120,13 @@
         Nothing => Knowledge::Nothing,
     };
     let replies: Vec<Knowledge> = case.replies.iter().map(knowledge).collect();
-    assert_eq!(conclude(&replies), case.concluded, "{}", case.name);
+    assert_eq!(conclude(&replies, replies.len()), case.concluded, "{}", case.name);
+}
+
+/// Which builds served is not known by the word of a node alone, unless there is no other.
+#[rstest]
+#[case(0, v1())]
+#[case(2, Conclusion::Unknown)]
+fn what_a_node_knows_that_gets_no_reply(#[case] asked: usize, #[case] concluded: Conclusion) {
+    assert_eq!(conclude(&[Knowledge::Sole(build("v1"))], asked), concluded);
 }
--- a/crates/gateway/src/resume.rs
+++ b/crates/gateway/src/resume.rs
@@ -165,15 +165,16 @@
     let (name, service) = (name(metadata), only_service(route));
     let span_ms = return_ms(route);
     let here = knowledge(node, name, service, span_ms);
-    let (known, source) = match here {
-        Knowledge::Began(_) | Knowledge::Sole(_) => (vec![here], Source::Here),
-        Knowledge::Several | Knowledge::Unobserved(_) | Knowledge::Nothing => {
-            let mut known = ask(node, name, service, metadata.point(), span_ms).await;
+    let (known, asked, source) = match here {
+        Knowledge::Began(_) => (vec![here], 0, Source::Here),
+        _ => {
+            let (mut known, asked) = ask(node, name, service, metadata.point(), span_ms).await;
             known.push(here);
-            (known, Source::Peer)
+            let source = if asked == 0 { Source::Here } else { Source::Peer };
+            (known, asked, source)
         }
     };
-    let (outcome, found) = match conclude(&known) {
+    let (outcome, found) = match conclude(&known, asked) {
         Conclusion::Began(build) => (source.to_string(), Ok(Finding::Began(build))),
         Conclusion::Unknown => ("unknown".into(), Err(Reason::UnknownStream)),
         Conclusion::Unobserved(only) => match recorded(node, service, only).await {
@@ -205,19 +206,19 @@
     }
 }
 
-/// Asks other nodes what they know of a stream.
+/// Asks other nodes what they know of a stream. Returns their replies, and how many were asked.
 async fn ask(
     node: &Node,
     name: Option<Name>,
     service: Option<Tag>,
     point: Tag,
     span_ms: u32,
-) -> Vec<Knowledge> {
+) -> (Vec<Knowledge>, usize) {
     let sources = lock(&node.members).stream_sources(point, node.now());
     let mut query = node.stream_queries.register();
     let message = Message::StreamQuery { number: query.number, name, service, span_ms };
     sources.iter().for_each(|source| peers::try_send(node, &message, *source));
-    query.collect(sources.len()).await
+    (query.collect(sources.len()).await, sources.len())
 }
 
 /// Replies to another node's query.
