Grant limits of organisations by votes of the nodes

Cause: a timeout was taken for the end of the other side. A query without a reply within 40 ms went to the next owner, whose bucket fills at the whole rate while it is asked, and two misses had a node skip the first owner for a second. Owners on small VMs reply some 60 ms late in a burst and grant all that they are asked. Class: failover on a timeout without a fence.

Change: a node grants the part of a limit for which it holds votes of other nodes, each a lease on an even part that is held by one node at a time (coordination::ballot). Deputies have votes of their own for a fifth of the tolerance, nodes that reach nobody a tenth, the owner's burst 0.4 in place of 0.6 of it. Queries go on waiting for the owner while the deputy is asked.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod allowance;
 pub mod backlog;
+pub mod ballot;
 pub mod bootstrap;
 pub mod builds;
 pub mod calls;
--- a/crates/coordination/src/quota.rs
+++ b/crates/coordination/src/quota.rs
@@ -22,6 +22,10 @@
 //! usage would be twice the limit for as long. So a node that is asked and sees a better owner
 //! first asks that one (`preferred`), and decides itself only if there is no answer.
 //!
+//! Limits of organisations are held by votes (`ballot`): a node grants the part of the limit for which it has votes, so all nodes
+//! together grant the limit once. What the tolerance allows beyond it is divided by `Parts`: among the burst of the owner, what deputies grant for
+//! requests that the owner does not answer, and what nodes grant that reach neither.
+//!
 //! Requests of different priority share a bucket as `precedence` says.
 
 use crate::precedence::{self, Precedence, Reserve};
@@ -38,6 +42,16 @@
 /// fleets at seven times the usual load the highest usage in a window stays at 0.96 of the bound.
 const BURST_TOLERANCE: f64 = 0.6;
 
+/// The same where nodes hold a limit by votes: the rest is for deputies (`DEPUTY_TOLERANCE`) and nodes that reach nobody
+/// (`ALONE_TOLERANCE`), for a second overdraft when the votes go to another node, and for votes that are counted some 100 ms late.
+const LEASED_BURST_TOLERANCE: f64 = 0.4;
+
+/// Part of the tolerance that all deputies grant in a window.
+const DEPUTY_TOLERANCE: f64 = 0.2;
+
+/// Part of the tolerance that nodes grant in a window for their own requests, if neither owner nor deputy answers.
+const ALONE_TOLERANCE: f64 = 0.1;
+
 /// Part of the tolerance that an owner may overdraw, so that its first requests are not refused.
 /// Even shares together may overdraw the same again; the rest is for the time in which a limit has
 /// two owners.
@@ -135,6 +149,27 @@
         self.allowed(limit) * self.overage + self.slack
     }
 
+    /// What all deputies may grant beside the owner of a limit.
+    pub fn deputy_part(&self, limit: Limit) -> Limit {
+        self.part(limit, DEPUTY_TOLERANCE)
+    }
+
+    /// What all nodes together may grant that reach neither owner nor deputy.
+    pub fn alone_part(&self, limit: Limit) -> Limit {
+        self.part(limit, ALONE_TOLERANCE)
+    }
+
+    /// A limit of which a full bucket and the rate over a window make up a part of the tolerance.
+    fn part(&self, limit: Limit, share: f64) -> Limit {
+        let burst = self.tolerated_excess(limit) * share / 2.0;
+        Limit { units_per_second: burst * 1_000.0 / self.window_ms.max(1) as f64, burst }
+    }
+
+    /// The same window without any excess.
+    pub fn strict(&self) -> Self {
+        Self { window_ms: self.window_ms, ..Self::default() }
+    }
+
     fn earned(&self, limit: Limit) -> f64 {
         limit.units_per_second * self.window_ms as f64 / 1_000.0
     }
@@ -176,13 +211,23 @@
     refilled_at: Millis,
     /// When its owner last looked at it.
     attended_at: Millis,
+    /// Share of the limit that its owner held then.
+    share: f64,
+    largest_cost: u32,
     precedence: Precedence,
 }
 
 impl Bucket {
     fn empty(now: Millis) -> Self {
         let precedence = Precedence::default();
-        Self { level: 0.0, refilled_at: now, attended_at: now, precedence }
+        Self {
+            level: 0.0,
+            refilled_at: now,
+            attended_at: now,
+            share: 0.0,
+            largest_cost: 0,
+            precedence,
+        }
     }
 
     /// Leaves out a time in which its owner did not attend to it.
@@ -219,13 +264,23 @@
     pub refused: u64,
 }
 
+/// When buckets gain.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Gains {
+    /// At all times.
+    Always,
+    /// While their node attends to them.
+    Attended,
+    /// By the share that their node holds, while it attends to them.
+    Leased,
+}
+
 /// Token buckets of the limits that this node owns, or of its even shares.
 #[derive(Debug)]
 pub struct Quota {
     tolerance: Tolerance,
     tallies: HashMap<Tag, Tally>,
-    /// Whether the buckets gain only while they are attended to.
-    attended: bool,
+    gains: Gains,
     buckets: HashMap<Tag, Bucket>,
     withheld: u64,
 }
@@ -234,13 +289,18 @@
     /// Starts without any buckets. They gain at all times.
     pub fn new(tolerance: Tolerance) -> Self {
         let (buckets, tallies) = (HashMap::new(), HashMap::new());
-        Self { tolerance, tallies, attended: false, buckets, withheld: 0 }
+        Self { tolerance, tallies, gains: Gains::Always, buckets, withheld: 0 }
     }
 
     /// Starts without any buckets. They gain only while this node attends to them, at intervals of
     /// `ATTEND_INTERVAL_MS` or with each decision.
     pub fn attended(tolerance: Tolerance) -> Self {
-        Self { attended: true, ..Self::new(tolerance) }
+        Self { gains: Gains::Attended, ..Self::new(tolerance) }
+    }
+
+    /// Starts without any buckets, for limits that this node holds by votes (`hold`).
+    pub fn leased(tolerance: Tolerance) -> Self {
+        Self { gains: Gains::Leased, ..Self::new(tolerance) }
     }
 
     /// Replaces the tolerance. Buckets keep their levels, up to their new capacity.
@@ -263,11 +323,38 @@
         }
     }
 
+    /// Fills the bucket of a limit of which this node holds a share. What was gained since the last look counts by the smaller of
+    /// the shares then and now.
+    pub fn hold(&mut self, subject: Tag, limit: Limit, share: f64, now: Millis) {
+        // What is saved up for an expensive request stays.
+        let cost = self.buckets.get(&subject).map_or(0, |bucket| bucket.largest_cost);
+        let (draw, priority) = (0.0, None);
+        self.filled(Charge { subject, limit, cost, draw, priority }, share, now);
+    }
+
+    /// Decides on a limit of which this node holds a share. Where less than the cost of a request fits into its bucket, requests pass as by
+    /// an even share.
+    pub fn decide_leased(&mut self, charge: Charge, share: f64, now: Millis) -> Decision {
+        if share <= 0.0 {
+            return Decision::Undecided;
+        }
+        let (_, capacity) = self.scale(charge, share);
+        let needed = f64::from(charge.cost) - self.overdraft(charge.limit, share);
+        match needed <= capacity {
+            true => self.decide_by_level(charge, share, now),
+            false => self.decide_alone(charge, share, now),
+        }
+    }
+
     /// Decides as the owner, which sees `share` of the fleet.
     pub fn decide(&mut self, charge: Charge, share: f64, now: Millis) -> Decision {
-        if !may_own(share) {
-            return Decision::Undecided;
+        match may_own(share) {
+            true => self.decide_by_level(charge, share, now),
+            false => Decision::Undecided,
         }
+    }
+
+    fn decide_by_level(&mut self, charge: Charge, share: f64, now: Millis) -> Decision {
         let cost = f64::from(charge.cost);
         let priority = charge.priority.unwrap_or(precedence::UNKNOWN);
         let (rate, capacity) = self.scale(charge, share);
@@ -330,8 +417,14 @@
         let spare = self.tolerance.tolerated_excess(limit) * share;
         // A share of the burst may be less than the cost; then the cost can be saved up within a
         // window.
-        let burst = limit.burst * share + spare * BURST_TOLERANCE;
-        let capacity = burst.max(f64::from(cost).min(self.tolerance.earned(limit) * share));
+        let burst = |tolerance| limit.burst * share + spare * tolerance;
+        let saved = f64::from(cost).min(self.tolerance.earned(limit) * share);
+        let capacity = match self.gains {
+            // One node at most holds so much; many small parts could save up several times the burst.
+            Gains::Leased if !may_own(share) => burst(LEASED_BURST_TOLERANCE),
+            Gains::Leased => burst(LEASED_BURST_TOLERANCE).max(saved),
+            Gains::Always | Gains::Attended => burst(BURST_TOLERANCE).max(saved),
+        };
         (limit.units_per_second * share, capacity)
     }
 
@@ -342,11 +435,15 @@
     /// The bucket of a charge with what the rate brought until now.
     fn filled(&mut self, charge: Charge, share: f64, now: Millis) -> &mut Bucket {
         let (rate, capacity) = self.scale(charge, share);
+        let gains = self.gains;
         let bucket = self.buckets.entry(charge.subject).or_insert_with(|| Bucket::empty(now));
-        if self.attended {
+        if gains != Gains::Always {
             bucket.attend(now);
         }
-        let gained = bucket.refill(rate, capacity, now);
+        let held = if gains == Gains::Leased { bucket.share.min(share) } else { share };
+        bucket.share = share;
+        bucket.largest_cost = bucket.largest_cost.max(charge.cost);
+        let gained = bucket.refill(charge.limit.units_per_second * held, capacity, now);
         bucket.precedence.refill(gained, rate, f64::from(charge.cost));
         bucket
     }
--- a/crates/gateway/src/extension.rs
+++ b/crates/gateway/src/extension.rs
@@ -5,6 +5,7 @@
 
 use bincode::{Error, Options};
 use crosslane_coordination::backlog;
+use crosslane_coordination::ballot::Stamp;
 use crosslane_coordination::entry::Load;
 use crosslane_coordination::peer_speeds::Row;
 use crosslane_coordination::speed::{Band, Record};
@@ -26,6 +27,9 @@
 /// Kind of the section with what accompanies a query to the owner of a limit.
 const QUERY: u8 = 16;
 
+/// Kind of the section with whether the sender accepts votes for limits.
+const CANDIDACY: u8 = 17;
+
 /// What accompanies a query to the owner of a limit.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QueryContext {
@@ -37,6 +41,13 @@
     pub repeats: bool,
 }
 
+/// Whether a node accepts votes for limits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Candidacy {
+    /// The node's time, if it accepts any.
+    pub stamp: Option<Stamp>,
+}
+
 /// Load that an endpoint reported to the sender a short time ago.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadReport {
@@ -94,6 +105,8 @@
     pub speeds: Vec<SpeedReport>,
     /// Context of a query; at most one.
     pub query: Vec<QueryContext>,
+    /// Whether the sender accepts votes; at most one, none of nodes of earlier versions.
+    pub candidacy: Vec<Candidacy>,
 }
 
 /// A report in its encoded form.
@@ -111,6 +124,7 @@
         append(&mut bytes, WAITING, &self.waiting)?;
         append(&mut bytes, SPEEDS, &self.speeds)?;
         append(&mut bytes, QUERY, &self.query)?;
+        append(&mut bytes, CANDIDACY, &self.candidacy)?;
         Ok(bytes)
     }
 
@@ -124,6 +138,7 @@
                 WAITING => extension.waiting = decode_part(&mut body.as_slice())?,
                 SPEEDS => extension.speeds = decode_part(&mut body.as_slice())?,
                 QUERY => extension.query = decode_part(&mut body.as_slice())?,
+                CANDIDACY => extension.candidacy = decode_part(&mut body.as_slice())?,
                 _ => {}
             }
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,7 +4,7 @@
 //! `dialer` opens connections to endpoints, `reserve` reserves decode memory, `cache` finds cached prompts, `idle` pools idle connections, `stall` detects stalled endpoints and
 //! `relay` passes streams on. `resume` finds where a stream began that a caller takes up again, and `builds` records which builds served, for after the loss of all nodes. `reach` watches whether endpoints can be reached, and `forward` hands requests to other nodes if not. `speeds` reports how endpoints differ in speed. `load` measures what the node itself can run, and limits what it takes on. `server` starts and stops the node, `reload` applies changed settings, and `shutdown` decides which requests a stopping node accepts.
 //!
-//! Limits: `limit` enforces the rate limits that endpoints name, `quota` those of organisations. `quarantine` shuts out
+//! Limits: `limit` enforces the rate limits that endpoints name, `quota` those that one node owns, and `organisations` those of organisations, of which each node holds the part that `ballot` says. `quarantine` shuts out
 //! requests that crash endpoints, and `rulings` stores these decisions.
 //!
 //! State: `follower` replicates the store into the `mirror`, `peers` and `pull` synchronise it between nodes, and `directory`
@@ -12,6 +12,7 @@
 //! Decisions are made in the coordination crate.
 
 pub mod backlog;
+pub mod ballot;
 pub mod builds;
 pub mod cache;
 pub mod connections;
@@ -38,6 +39,7 @@
 pub mod node;
 pub mod operators;
 pub mod orders;
+pub mod organisations;
 pub mod patch;
 pub mod peers;
 pub mod plain;
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -5,6 +5,7 @@
 //! a moment, both read; orders are protected by the lease in the store.
 
 use crate::mirror::Offsets;
+use crosslane_coordination::ballot::{Ballot, Recall};
 use crosslane_coordination::heartbeat::{self, Interval, MAX_NEAR_PEERS};
 use crosslane_coordination::limits::Update as LimitUpdate;
 use crosslane_coordination::quota;
@@ -189,6 +190,12 @@
     },
     /// Request for all that the receiver knows of segments.
     SegmentsRequest,
+    /// Votes of the sender for the receiver, for offices of organisations' limits.
+    Ballot(Ballot),
+    /// Votes for the receiver that the sender wants back.
+    Recall(Recall),
+    /// Votes of the receiver that the sender returns.
+    Returned(Recall),
 }
 
 /// Result of recording a heartbeat.
@@ -519,11 +526,18 @@
     /// Candidates for owning the limit of a subject, in order of preference, among the live nodes
     /// that are not stopping.
     pub fn owners(&self, subject: Tag, now: Millis) -> Vec<IpAddr> {
-        let others = self
-            .live(now)
-            .filter(|(_, member)| member.active)
-            .map(|(ip, member)| (member.tag, *ip));
-        quota::owners(subject, others.chain([(Tag::of(&self.vm), self.own_ip)]))
+        quota::owners(subject, self.candidates(now).chain([(Tag::of(&self.vm), self.own_ip)]))
+    }
+
+    /// Tags and addresses of the live nodes that are not stopping.
+    pub fn candidates(&self, now: Millis) -> impl Iterator<Item = (Tag, IpAddr)> {
+        let active = self.live(now).filter(|(_, member)| member.active);
+        active.map(|(ip, member)| (member.tag, *ip))
+    }
+
+    /// Whether all known nodes have been heard.
+    pub fn has_heard_all(&self) -> bool {
+        self.members.values().all(|member| member.last_heartbeat.is_some())
     }
 
     /// Number of live nodes, and of nodes that may serve callers, both including this one. During
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -1,5 +1,6 @@
 //! State that the tasks of a node share.
 
+use crate::ballot::{self, Ballots};
 use crate::builds;
 use crate::cache::Listings;
 use crate::control::Control;
@@ -129,6 +130,8 @@
     pub rulings_read_tried: AtomicBool,
     /// Limiter for the rate limits of organisations.
     pub organisation_limiter: Limiter,
+    /// Votes for the owners of organisations' limits.
+    pub ballots: Ballots,
     /// Limiter for the rate limits of endpoints.
     pub endpoint_limiter: Limiter,
     /// Limiter for the parts of the retry budgets that are lent.
@@ -225,7 +228,8 @@
             rulings_changed: Notify::new(),
             liveness_checks: Checks::default(),
             rulings_read_tried: AtomicBool::new(false),
-            organisation_limiter: Limiter::attended(adjustable.quota),
+            organisation_limiter: Limiter::leased(adjustable.quota),
+            ballots: Ballots::new(),
             endpoint_limiter: Limiter::new(limits::TOLERANCE),
             retry_limiter: Limiter::attended(limits::TOLERANCE),
             connection_limiter: Limiter::new(limits::TOLERANCE),
@@ -640,6 +644,7 @@
             return;
         }
         info!(version = table.version, before, source; "{}", event::CONFIGURATION);
+        ballot::record_new_limits(self);
         self.metrics.configuration_version.set(table.version.cast_signed());
         *current = Some(Arc::new(table));
         drop(current);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -13,13 +13,13 @@
 //! `members` says which nodes read the store.
 
 use crate::event;
-use crate::extension::{self, Extension, LoadReport, QueryContext, SpeedReport};
+use crate::extension::{self, Candidacy, Extension, LoadReport, QueryContext, SpeedReport};
 use crate::history::{Chunk, Request};
 use crate::members::{Heartbeat, Message, Scope};
 use crate::mirror::{Batch, Offsets, Packed, Topic};
 use crate::node::{Node, lock};
 use crate::quota::Query;
-use crate::{limit, pull, quarantine, quota, resume};
+use crate::{ballot, limit, pull, quarantine, quota, resume};
 use crosslane_coordination::gossip;
 use crosslane_coordination::heartbeat::FAR_EVERY;
 use crosslane_coordination::limits;
@@ -174,6 +174,7 @@
     tokio::spawn(serve(node.clone(), address));
     tokio::spawn(register_address(node.clone()));
     tokio::spawn(send_heartbeats(node.clone(), socket.clone()));
+    tokio::spawn(ballot::run(node.clone()));
     tokio::spawn(send_usage_updates(node.clone(), socket.clone()));
     tokio::spawn(announce_data(node.clone(), socket.clone()));
     tokio::spawn(broadcast_suspicions(node.clone(), socket.clone()));
@@ -272,6 +273,7 @@
         loads: loads.collect(),
         waiting,
         speeds: speeds.flat_map(SpeedReport::of).collect(),
+        candidacy: vec![ballot::candidacy(node)],
         ..Extension::default()
     }
 }
@@ -542,7 +544,9 @@
                 });
                 let differs = heartbeat.limits_digest != node.limits().digest();
                 let sender = Tag::of(&heartbeat.vm);
-                let expires_at = handle_heartbeat(&node, &socket, from.ip(), heartbeat).await;
+                let candidacy = extension.candidacy.first().copied();
+                let expires_at =
+                    handle_heartbeat(&node, &socket, from.ip(), heartbeat, candidacy).await;
                 apply_extension(&node, sender, extension, expires_at);
                 node.waiting.wake_all();
                 let pause_ms = limits_ask_pause_ms(&node);
@@ -609,6 +613,9 @@
             Ok(Message::QuotaRefund { subject, cost }) => {
                 quota::refund(&node, subject, cost, from.ip());
             }
+            Ok(Message::Ballot(votes)) => ballot::record(&node, from.ip(), &votes),
+            Ok(Message::Recall(votes)) => ballot::give_back(&node, from.ip(), &votes),
+            Ok(Message::Returned(votes)) => ballot::take_back(&node, from.ip(), &votes),
             Ok(Message::Streams { begun }) => resume::record(&node, &begun),
             Ok(Message::StreamQuery { number, name, service, span_ms }) => {
                 resume::reply(&node, number, name, service, span_ms, from.ip());
@@ -647,8 +654,10 @@
     socket: &UdpSocket,
     from: IpAddr,
     heartbeat: Heartbeat,
+    candidacy: Option<Candidacy>,
 ) -> Millis {
     let receipt = lock(&node.members).record_heartbeat(from, &heartbeat, node.now());
+    ballot::hear(node, from, &heartbeat, candidacy, receipt.silent);
     let lacks_data = heartbeat.offsets == Offsets::default();
     if let Some(ago_ms) = heartbeat.store_recovered_ago_ms {
         node.record_peer_recovery(ago_ms);
@@ -672,5 +681,9 @@
         send(node, socket, &Message::RulingsRequest, &[from]).await;
         send(node, socket, &Message::SegmentsRequest, &[from]).await;
     }
+    // A node that has just started can vote for this one only once it has heard it.
+    if receipt.silent && !receipt.newcomer && !lost && ballot::is_preferred(node) {
+        send_heartbeat(node, socket, &[from]).await;
+    }
     receipt.expires_at
 }
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -6,18 +6,22 @@
 //! one is queried. A node that is queried in place of an owner that it sees itself passes the query on to that one, and the refund
 //! too: nodes see different members for some seconds, and a limit with two owners would be granted twice.
 //!
+//! Limits of organisations are held by votes; `organisations` decides on these.
+//!
 //! The priority of a request follows the query in its datagram (`extension`).
 
+use crate::ballot;
 use crate::connections;
 use crate::event;
 use crate::extension::{Extension, QueryContext};
 use crate::limit;
 use crate::members::{Message, Subject};
 use crate::node::{Node, lock};
+use crate::organisations;
 use crate::peers;
 use crate::refusal::{Reason, Refusal};
 use crosslane_coordination::limits::{self, Update as LimitUpdate};
-use crosslane_coordination::quota::{self, Charge, Decision, Misses, Quota, Tally, Tolerance};
+use crosslane_coordination::quota::{self, Charge, Decision, Misses, Quota, Tolerance};
 use crosslane_state::endpoint::Tag;
 use crosslane_state::organisation::{Limit, Organisation};
 use crosslane_state::priority::Priority;
@@ -35,14 +39,11 @@
 
 /// Timeout of a query: a round trip of 3 ms, plus the time for which a message waits on the smallest VMs during a burst.
 /// Two timeouts in a row still leave time for a call with a latency target of 120 ms.
-const QUERY_TIMEOUT: Duration = Duration::from_millis(40);
+pub(crate) const QUERY_TIMEOUT: Duration = Duration::from_millis(40);
 
 /// Timeout of a query that is passed on. Two of them, to the owners before a deputy, fit into the timeout of the query itself.
 const PASS_ON_TIMEOUT: Duration = Duration::from_millis(15);
 
-/// Owners to which a query is passed on at most: more would not answer within the timeout of the query itself.
-const MAX_PASSED_ON_QUERIES: usize = 2;
-
 /// Age from which a grant of an organisation is taken anew before its request is sent, in milliseconds.
 const RENEWED_AFTER_MS: u64 = 1_000;
 
@@ -55,9 +56,6 @@
 /// Cost of a retry, in the unit of a retry budget.
 const RETRY_COST: u32 = 1;
 
-/// Interval at which a node logs what it granted, in milliseconds.
-const REPORT_INTERVAL_MS: u64 = 1_000;
-
 /// Time for which a query is remembered, so that a grant in a late reply can be refunded.
 const LATE_REPLY_MS: u64 = 5_000;
 
@@ -72,20 +70,6 @@
     EvenShare,
 }
 
-/// In which role this node decides on a limit.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-pub enum Role {
-    /// As the limit's first owner.
-    #[display("owner")]
-    Owner,
-    /// In the place of the first owner.
-    #[display("deputy")]
-    Deputy,
-    /// For its own requests, since no owner replied.
-    #[display("alone")]
-    Alone,
-}
-
 /// A query to an owner that has no reply yet.
 #[derive(Debug)]
 struct Pending {
@@ -110,7 +94,7 @@
     pub context: QueryContext,
 }
 
-/// A grant of another node that was passed on.
+/// A grant of another node that was passed on, or one of this node as a deputy.
 #[derive(Clone, Copy, Debug)]
 struct PassedOn {
     subject: Subject,
@@ -124,18 +108,20 @@
 #[derive(Debug)]
 pub struct Limiter {
     /// Limits that this node owns, or decides on in the owner's place.
-    owned: Mutex<Quota>,
+    pub(crate) owned: Mutex<Quota>,
+    /// The deputies' parts of organisations' limits.
+    pub(crate) deputies: Mutex<Quota>,
     /// Even shares, used while no owner replies.
-    shares: Mutex<Quota>,
+    pub(crate) shares: Mutex<Quota>,
     /// Queries without a reply, by number.
     pending: Mutex<HashMap<u32, Pending>>,
     /// Owners that did not reply.
-    unresponsive: Mutex<HashMap<IpAddr, Misses>>,
+    pub(crate) unresponsive: Mutex<HashMap<IpAddr, Misses>>,
     /// Grants that were passed on to other nodes, oldest first.
     passed_on: Mutex<VecDeque<PassedOn>>,
     next_number: AtomicU32,
     /// When what was granted was last logged.
-    reported_at: Mutex<Millis>,
+    pub(crate) reported_at: Mutex<Millis>,
 }
 
 impl Limiter {
@@ -144,6 +130,11 @@
         Self::with_owned(Quota::new(bound), bound)
     }
 
+    /// A limiter of limits that nodes hold by votes. What they grant besides is part of the tolerance.
+    pub fn leased(bound: Tolerance) -> Self {
+        Self::with_owned(Quota::leased(bound), bound.strict())
+    }
+
     /// A limiter whose owned buckets gain only while this node attends to them.
     pub fn attended(bound: Tolerance) -> Self {
         Self::with_owned(Quota::attended(bound), bound)
@@ -152,6 +143,7 @@
     fn with_owned(owned: Quota, bound: Tolerance) -> Self {
         Self {
             owned: Mutex::new(owned),
+            deputies: Mutex::new(Quota::leased(bound.strict())),
             shares: Mutex::new(Quota::new(bound)),
             pending: Mutex::default(),
             unresponsive: Mutex::default(),
@@ -161,10 +153,11 @@
         }
     }
 
-    /// Replaces the tolerance of the limits.
+    /// Replaces the tolerance of limits that nodes hold by votes.
     pub fn set_tolerance(&self, tolerance: Tolerance) {
         lock(&self.owned).set_tolerance(tolerance);
-        lock(&self.shares).set_tolerance(tolerance);
+        lock(&self.deputies).set_tolerance(tolerance.strict());
+        lock(&self.shares).set_tolerance(tolerance.strict());
     }
 
     /// Registers a query to an owner; returns its number and the receiver of the reply.
@@ -344,7 +337,9 @@
         let limiter = self.node.limiter(subject);
         match source {
             Source::EvenShare => lock(&limiter.shares).refund(subject.tag(), cost),
-            Source::Owner(ip) if ip == self.node.settings.ip => limiter.refund(subject, cost),
+            Source::Owner(ip) if ip == self.node.settings.ip => {
+                refund(&self.node, subject, cost, ip);
+            }
             Source::Owner(ip) => {
                 peers::try_send(&self.node, &Message::QuotaRefund { subject, cost }, ip);
             }
@@ -426,23 +421,17 @@
 
 /// Decision of the owner, of the next node in its place, or of this node alone.
 async fn decide(node: &Arc<Node>, subject: Subject, charge: Charge) -> (Decision, Source) {
+    if let Subject::Organisation(_) = subject {
+        return organisations::decide(node, subject, charge).await;
+    }
     let owners = owners(node, subject);
     if let Some((decision, owner)) = ask(node, subject, charge, &owners, false).await {
         return (decision, Source::Owner(owner));
     }
     let share = 1.0 / sharers(node, subject) as f64;
-    let charge = as_deputy(subject, charge);
+    let charge = as_deputy(charge);
     let shares = &node.limiter(subject).shares;
-    let decision = lock(shares).decide_alone(charge, share, node.now());
-    count_decision(node, subject, charge, decision, Role::Alone);
-    (decision, Source::EvenShare)
-}
-
-/// Counts what a decision grants of an organisation's limit.
-fn count_decision(node: &Node, subject: Subject, charge: Charge, decision: Decision, role: Role) {
-    if let (Subject::Organisation(_), Decision::Granted) = (subject, decision) {
-        node.metrics.count_granted(&role.to_string(), charge.cost.into());
-    }
+    (lock(shares).decide_alone(charge, share, node.now()), Source::EvenShare)
 }
 
 /// Decision of the first of some owners that decides.
@@ -481,41 +470,9 @@
 
 /// Attends to the buckets of the organisations and of the retry budgets that this node owns.
 pub fn attend(node: &Node) {
-    attend_to(node, Subject::Organisation);
+    organisations::hold(node);
     attend_to(node, Subject::Retries);
-    report(node);
-}
-
-/// Logs what this node granted of the organisations' limits since the last report.
-fn report(node: &Node) {
-    let (limiter, now) = (&node.organisation_limiter, node.now());
-    {
-        let mut reported_at = lock(&limiter.reported_at);
-        if now.since(*reported_at) < REPORT_INTERVAL_MS {
-            return;
-        }
-        *reported_at = now;
-    }
-    let Some(table) = node.table() else {
-        return;
-    };
-    let role = |tag| match owns(node, Subject::Organisation(tag)) {
-        true => Role::Owner,
-        false => Role::Deputy,
-    };
-    let owned = lock(&limiter.owned).take_tallies();
-    let shares = lock(&limiter.shares).take_tallies();
-    let owned = owned.into_iter().map(|(tag, tally)| (tag, tally, role(tag)));
-    let alone = shares.into_iter().map(|(tag, tally)| (tag, tally, Role::Alone));
-    for (tag, tally, role) in owned.chain(alone) {
-        let known = table.organisations.as_ref().and_then(|all| all.by_tag(tag));
-        let organisation = known.map_or("", |known| known.name.as_str());
-        let Tally { granted, refunded, charged, refused } = tally;
-        info!(
-            organisation, role:%, granted, refunded, charged, refused;
-            "{}", event::GRANTED
-        );
-    }
+    organisations::report(node);
 }
 
 fn attend_to(node: &Node, subject: impl Fn(Tag) -> Subject) {
@@ -535,7 +492,7 @@
 }
 
 /// Number of nodes among which a limit is divided, including this one.
-fn sharers(node: &Node, subject: Subject) -> usize {
+pub(crate) fn sharers(node: &Node, subject: Subject) -> usize {
     let (members, now) = (lock(&node.members), node.now());
     match subject {
         Subject::Retries(_) => members.retry_budget_sharers(now),
@@ -552,7 +509,7 @@
 
 /// Whether this node knows the members of the fleet. One that has not read their addresses knows the seeds only, which are known
 /// to all.
-fn knows_fleet(node: &Node) -> bool {
+pub fn knows_fleet(node: &Node) -> bool {
     node.known_others().is_some() || node.is_seed() || lock(&node.members).count() == 0
 }
 
@@ -578,31 +535,22 @@
     owners(node, subject).first() == Some(&node.settings.ip)
 }
 
-/// Reduces a limit that is decided on in the place of its first owner, which may grant at the same time. Limits of
-/// organisations are not reduced: the first owner was asked before, by a node that sees it (`answer`).
-fn as_deputy(subject: Subject, charge: Charge) -> Charge {
-    match subject {
-        Subject::Organisation(_) => charge,
-        Subject::Endpoint(_) | Subject::Retries(_) | Subject::Connections(_) => {
-            Charge { limit: limits::backup_limit(charge.limit), ..charge }
-        }
-    }
+/// Reduces a limit that is decided on in the place of its first owner, which may grant at the same time.
+fn as_deputy(charge: Charge) -> Charge {
+    Charge { limit: limits::backup_limit(charge.limit), ..charge }
 }
 
 /// Decides on a request as the limit's owner, or in the owner's place.
 fn decide_as_owner(node: &Node, subject: Subject, mut charge: Charge) -> Decision {
     let now = node.now();
-    let needs_fleet = matches!(subject, Subject::Organisation(_) | Subject::Retries(_));
-    if needs_fleet && !knows_fleet(node) {
+    if matches!(subject, Subject::Retries(_)) && !knows_fleet(node) {
         return Decision::Undecided;
     }
-    let role = if owns(node, subject) { Role::Owner } else { Role::Deputy };
-    if role == Role::Deputy {
-        charge = as_deputy(subject, charge);
+    if !owns(node, subject) {
+        charge = as_deputy(charge);
     }
     let share = fleet_share(node, subject);
     let decision = lock(&node.limiter(subject).owned).decide(charge, share, now);
-    count_decision(node, subject, charge, decision, role);
     match (subject, decision) {
         (Subject::Endpoint(endpoint), Decision::OverLimit { wait }) => {
             let wait = lock(&node.queues).join(endpoint, charge.limit.units_per_second, wait, now);
@@ -620,6 +568,23 @@
     owner: IpAddr,
     passed_on: bool,
 ) -> Option<Decision> {
+    let receiver = send_query(node, subject, charge, owner, passed_on);
+    let limit = if passed_on { PASS_ON_TIMEOUT } else { QUERY_TIMEOUT };
+    let reply = timeout(limit, receiver).await;
+    if reply.is_err() {
+        node.metrics.count_late_reply("missed");
+    }
+    reply.ok()?.ok()
+}
+
+/// Sends a query to an owner; returns the receiver of the reply.
+pub(crate) fn send_query(
+    node: &Node,
+    subject: Subject,
+    charge: Charge,
+    owner: IpAddr,
+    passed_on: bool,
+) -> oneshot::Receiver<Decision> {
     let Charge { cost, priority, .. } = charge;
     let limit = match subject {
         Subject::Organisation(_) | Subject::Retries(_) | Subject::Connections(_) => None,
@@ -631,35 +596,34 @@
     let extension = Extension { query: query.into_iter().collect(), ..Extension::default() };
     let message = Message::QuotaRequest { number, subject, cost, limit };
     peers::try_send_with(node, &message, &extension, owner);
-    let limit = if passed_on { PASS_ON_TIMEOUT } else { QUERY_TIMEOUT };
-    let reply = timeout(limit, receiver).await;
-    if reply.is_err() {
-        node.metrics.count_late_reply("missed");
-    }
-    reply.ok()?.ok()
+    receiver
 }
 
-/// Answers another node's query: itself, or by the owners that it prefers to itself.
+/// Answers another node's query: itself, or by the nodes that hold the limit if this one holds nothing of it.
 pub fn answer(node: &Arc<Node>, query: Query, from: IpAddr) {
     let Query { number, subject, cost, context, .. } = query;
     if context.repeats {
         return node.limiter(subject).charge(subject, cost);
     }
-    let owners = match subject {
-        Subject::Organisation(_) if !context.passed_on => owners(node, subject),
+    let own = node.settings.ip;
+    let holders = match subject {
+        Subject::Organisation(limit)
+            if !context.passed_on && ballot::should_pass_on(node, limit, from) =>
+        {
+            ballot::asked(node, limit)
+        }
         _ => Vec::new(),
     };
-    let preferred = quota::preferred(&owners, &node.settings.ip);
-    let preferred: Vec<IpAddr> = preferred.iter().copied().take(MAX_PASSED_ON_QUERIES).collect();
-    let charge = charge(node, query).filter(|_| !preferred.is_empty());
+    let holders: Vec<IpAddr> = holders.into_iter().filter(|ip| ![own, from].contains(ip)).collect();
+    let charge = charge(node, query).filter(|_| !holders.is_empty());
     let Some(charge) = charge else {
-        peers::try_send(node, &reply(node, query), from);
+        peers::try_send(node, &reply(node, query, from), from);
         return;
     };
     let node = node.clone();
     tokio::spawn(async move {
-        let Some((decision, granter)) = ask(&node, subject, charge, &preferred, true).await else {
-            return peers::try_send(&node, &reply(&node, query), from);
+        let Some((decision, granter)) = ask(&node, subject, charge, &holders, true).await else {
+            return peers::try_send(&node, &reply(&node, query, from), from);
         };
         node.metrics.passed_on.inc();
         if decision == Decision::Granted {
@@ -670,16 +634,19 @@
     });
 }
 
-/// Refunds a grant that another node did not use, to the node that granted it.
+/// Refunds a grant that a node did not use, to the node that granted it.
 pub fn refund(node: &Node, subject: Subject, cost: u32, from: IpAddr) {
     match node.limiter(subject).take_granter(subject, cost, from) {
+        Some(granter) if granter == node.settings.ip => {
+            lock(&node.limiter(subject).deputies).refund(subject.tag(), cost);
+        }
         Some(granter) => peers::try_send(node, &Message::QuotaRefund { subject, cost }, granter),
         None => node.limiter(subject).refund(subject, cost),
     }
 }
 
 /// Replies to another node's query by this node's own decision.
-fn reply(node: &Node, query: Query) -> Message {
+fn reply(node: &Node, query: Query, from: IpAddr) -> Message {
     let Query { number, subject, named, .. } = query;
     let default = match subject {
         // The endpoint no longer names a limit, and the querying node gets that update separately; or this node does
@@ -689,8 +656,10 @@
         }
         _ => Decision::Undecided,
     };
-    let decision =
-        charge(node, query).map_or(default, |charge| decide_as_owner(node, subject, charge));
+    let decision = charge(node, query).map_or(default, |charge| match subject {
+        Subject::Organisation(_) => organisations::decide_in_office(node, subject, charge, from),
+        _ => decide_as_owner(node, subject, charge),
+    });
     Message::QuotaReply { number, subject, decision }
 }
 
@@ -708,7 +677,7 @@
 }
 
 /// Configured limit of an organisation.
-fn configured(node: &Node, organisation: Tag) -> Option<Limit> {
+pub(crate) fn configured(node: &Node, organisation: Tag) -> Option<Limit> {
     let table = node.table()?;
     table.organisations.as_ref()?.by_tag(organisation)?.limit
 }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -5,8 +5,8 @@
 use crate::node::Node;
 use crate::shutdown::ACCEPT_TIME;
 use crate::{
-    builds, connections, event, follower, frontend, limit, load, orders, peers, quarantine, quota,
-    reach, reload, resume, rulings, speeds, suspension,
+    ballot, builds, connections, event, follower, frontend, limit, load, orders, peers, quarantine,
+    quota, reach, reload, resume, rulings, speeds, suspension,
 };
 use crosslane_coordination::quota::ATTEND_INTERVAL_MS;
 use crosslane_platform::settings::Settings;
@@ -114,6 +114,7 @@
         node.idle_connections.remove_expired();
         node.pool().expire(node.now());
         quarantine::remove_expired(&node);
+        ballot::remove_expired(&node);
         node.organisation_limiter.remove_expired(node.now());
         node.retry_limiter.remove_expired(node.now());
         node.connection_limiter.remove_expired(node.now());
--- a/crates/gateway/tests/extension.rs
+++ b/crates/gateway/tests/extension.rs
@@ -1,12 +1,15 @@
 //! Reports that follow a heartbeat in its datagram.
 
 use crosslane_coordination::backlog::{Count, Pool, Row};
+use crosslane_coordination::ballot::Stamp;
 use crosslane_coordination::entry::Load;
 use crosslane_coordination::peer_speeds;
 use crosslane_coordination::speed::{Band, Record};
-use crosslane_gateway::extension::{Extension, LoadReport, QueryContext, SpeedReport};
+use crosslane_gateway::extension::{Candidacy, Extension, LoadReport, QueryContext, SpeedReport};
 use crosslane_state::endpoint::{Stage, Tag};
+use crosslane_state::incarnation::Incarnation;
 use crosslane_state::priority::Priority;
+use crosslane_state::time::Millis;
 use rstest::rstest;
 
 fn extension() -> Extension {
@@ -25,6 +28,9 @@
         waiting,
         speeds: vec![SpeedReport { endpoint: Tag(7), stage: Stage::Decode, band: 1, sums }],
         query: Vec::new(),
+        candidacy: vec![Candidacy {
+            stamp: Some(Stamp { incarnation: Incarnation(5), at: Millis(70) }),
+        }],
     }
 }
 
