Keep promises of votes over a limit that ends, and over late words of former processes

Found by reading and by the property test, which picked the last message too rarely before: a voter forgot to whom it had promised its vote when a configuration dropped a limit, and voted for another node if the limit came back within the promise; and a late heartbeat of a former process, saying that it stops, released the promise to the present one.

Change: promises end by their time alone; a heartbeat names the sender's process also where it accepts no votes. 'a_vote_is_held_by_one_node_at_a_time' failed before (limit that ends), passes twice (3,000 sequences each).

--- a/crates/coordination/src/ballot.rs
+++ b/crates/coordination/src/ballot.rs
@@ -125,10 +125,14 @@
         }
     }
 
-    /// Ends all promises to a node, which said that it stops: it grants nothing any more.
-    pub fn release(&mut self, node: N) {
+    /// Ends all promises to a process of a node that said that it stops: it grants nothing any more.
+    pub fn release(&mut self, node: N, incarnation: Incarnation) {
+        if self.candidates.get(&node).is_some_and(|known| known.stamp.incarnation > incarnation) {
+            return;
+        }
         self.candidates.remove(&node);
-        self.promises.retain(|_, promise| promise.to != node);
+        self.promises
+            .retain(|_, promise| promise.to != node || promise.stamp.incarnation > incarnation);
     }
 
     /// Replaces the preferred node of each office. Returns the nodes that are preferred for more offices than before.
@@ -136,7 +140,6 @@
         let gained =
             |(seat, node): (&Seat, &N)| (self.preferred.get(seat) != Some(node)).then_some(*node);
         let gained: HashSet<N> = preferred.iter().filter_map(gained).collect();
-        self.promises.retain(|seat, _| preferred.contains_key(seat));
         self.seats = HashMap::new();
         for (seat, node) in &preferred {
             self.seats.entry(*node).or_default().push(*seat);
--- a/crates/coordination/tests/ballot.rs
+++ b/crates/coordination/tests/ballot.rs
@@ -21,12 +21,16 @@
     Announce(usize),
     /// The voter comes to prefer a candidate.
     Prefer(usize),
+    /// The limit ends for the voter, as by a configuration.
+    PreferNone,
     /// The voter votes for a candidate.
     Vote(usize),
     /// The voter recalls its vote.
     Recall,
     /// A message arrives.
     Deliver(usize),
+    /// The message that was sent last arrives.
+    DeliverLast,
     /// A candidate ends and starts again.
     RestartCandidate(usize),
     /// A candidate says that it stops, and decides nothing any more until it starts again.
@@ -80,6 +84,9 @@
             Step::Prefer(to) => {
                 self.voter.prefer(HashMap::from([(SEAT, to)]));
             }
+            Step::PreferNone => {
+                self.voter.prefer(HashMap::new());
+            }
             Step::Vote(to) => {
                 let ballot = self.voter.cast(to, now);
                 self.sent.extend(ballot.map(|ballot| Message::Ballot(to, ballot)));
@@ -90,6 +97,9 @@
             }
             Step::Deliver(_) if self.sent.is_empty() => {}
             Step::Deliver(number) => self.deliver(self.sent[number % self.sent.len()].clone()),
+            Step::DeliverLast => {
+                self.sent.last().cloned().into_iter().for_each(|it| self.deliver(it))
+            }
             Step::RestartCandidate(to) => {
                 let next = self.candidates[to].incarnation.0 + 1;
                 self.candidates[to] = candidate(next, self.now);
@@ -114,12 +124,7 @@
             Message::Returned(from, recall) => {
                 self.voter.take_back(from, &recall);
             }
-            // A heartbeat of a former process is older than those of the present one, which the receiver keeps.
-            Message::Stops(from, incarnation) => {
-                if self.candidates[from].incarnation == incarnation {
-                    self.voter.release(from);
-                }
-            }
+            Message::Stops(from, incarnation) => self.voter.release(from, incarnation),
         }
     }
 
@@ -143,9 +148,11 @@
         2 => (1..700_u64).prop_map(Step::Pass),
         3 => place.clone().prop_map(Step::Announce),
         2 => place.clone().prop_map(Step::Prefer),
+        1 => Just(Step::PreferNone),
         3 => place.clone().prop_map(Step::Vote),
         2 => Just(Step::Recall),
-        8 => any::<usize>().prop_map(Step::Deliver),
+        4 => any::<usize>().prop_map(Step::Deliver),
+        6 => Just(Step::DeliverLast),
         1 => place.clone().prop_map(Step::RestartCandidate),
         1 => place.prop_map(Step::Stop),
     ]
--- a/crates/gateway/src/ballot.rs
+++ b/crates/gateway/src/ballot.rs
@@ -71,8 +71,7 @@
 
 /// What this node tells others of whether it accepts votes.
 pub fn candidacy(node: &Node) -> Candidacy {
-    let accepts = accepts_votes(node);
-    Candidacy { stamp: accepts.then(|| stamp(node)) }
+    Candidacy { stamp: stamp(node), accepts: accepts_votes(node) }
 }
 
 fn stamp(node: &Node) -> Stamp {
@@ -103,21 +102,23 @@
     is_new: bool,
 ) {
     let (ballots, now) = (&node.ballots, node.now());
-    let stamp = candidacy.and_then(|known| known.stamp).filter(|_| heartbeat.active);
-    let declines = candidacy.is_some() && stamp.is_none();
+    let accepts = candidacy.is_some_and(|known| known.accepts && heartbeat.active);
+    let declines = candidacy.is_some() && !accepts;
     let changed = match declines {
         true => lock(&ballots.declining).insert(from),
         false => lock(&ballots.declining).remove(&from),
     };
-    if !heartbeat.active {
-        lock(&ballots.voter).release(from);
-    }
-    if let Some(stamp) = stamp {
-        let valid_ms = heartbeat::ttl_ms(
-            heartbeat.interval.for_domain(heartbeat.domain == node.settings.domain),
-        );
-        lock(&ballots.voter).hear(from, stamp, valid_ms, now);
+    if let Some(Candidacy { stamp, .. }) = candidacy {
+        let is_near = heartbeat.domain == node.settings.domain;
+        let valid_ms = heartbeat::ttl_ms(heartbeat.interval.for_domain(is_near));
         lock(&ballots.votes).meet(from, stamp.incarnation);
+        let mut voter = lock(&ballots.voter);
+        if accepts {
+            voter.hear(from, stamp, valid_ms, now);
+        }
+        if !heartbeat.active {
+            voter.release(from, stamp.incarnation);
+        }
     }
     if changed || is_new || !heartbeat.active {
         ballots.changed.store(true, Ordering::Relaxed);
@@ -303,7 +304,7 @@
             look(&node);
             vote(&node, own);
         } else {
-            lock(&node.ballots.voter).release(node.settings.ip);
+            lock(&node.ballots.voter).release(node.settings.ip, node.ballots.incarnation);
             look(&node);
         }
         sleep(CHECK_INTERVAL).await;
--- a/crates/gateway/src/extension.rs
+++ b/crates/gateway/src/extension.rs
@@ -44,8 +44,10 @@
 /// Whether a node accepts votes for limits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Candidacy {
-    /// The node's time, if it accepts any.
-    pub stamp: Option<Stamp>,
+    /// The node's time.
+    pub stamp: Stamp,
+    /// Whether it accepts votes.
+    pub accepts: bool,
 }
 
 /// Load that an endpoint reported to the sender a short time ago.
--- a/crates/gateway/tests/extension.rs
+++ b/crates/gateway/tests/extension.rs
@@ -29,7 +29,8 @@
         speeds: vec![SpeedReport { endpoint: Tag(7), stage: Stage::Decode, band: 1, sums }],
         query: Vec::new(),
         candidacy: vec![Candidacy {
-            stamp: Some(Stamp { incarnation: Incarnation(5), at: Millis(70) }),
+            stamp: Stamp { incarnation: Incarnation(5), at: Millis(70) },
+            accepts: true,
         }],
     }
 }
