--- a/crates/coordination/src/quota.rs
+++ b/crates/coordination/src/quota.rs
@@ -19,12 +19,11 @@
 //!
 //! Nodes see different members for some seconds: those that start during an outage of the store
 //! know the seeds only. If each of two nodes that is taken for the owner granted the whole limit,
-//! usage would be twice the limit for as long. So a node that is asked and sees a better owner
-//! first asks that one (`preferred`), and decides itself only if there is no answer.
-//!
-//! Limits of organisations are held by votes (`ballot`): a node grants the part of the limit for which it has votes, so all nodes
-//! together grant the limit once. What the tolerance allows beyond it is divided by `Parts`: among the burst of the owner, what deputies grant for
-//! requests that the owner does not answer, and what nodes grant that reach neither.
+//! usage would be twice the limit for as long. The same holds for a node that grants in place of an
+//! owner that is merely late. So a node grants the part of an organisation's limit for which it
+//! holds votes (`ballot`): all nodes together grant the limit once. What the tolerance allows beyond
+//! it is divided among the burst of the owner, deputies that are asked if the owner does not
+//! reply in time (`deputy_part`), and nodes that reach neither (`alone_part`).
 //!
 //! Requests of different priority share a bucket as `precedence` says.
 
@@ -42,8 +41,8 @@
 /// fleets at seven times the usual load the highest usage in a window stays at 0.96 of the bound.
 const BURST_TOLERANCE: f64 = 0.6;
 
-/// The same where nodes hold a limit by votes: the rest is for deputies (`DEPUTY_TOLERANCE`) and nodes that reach nobody
-/// (`ALONE_TOLERANCE`), for a second overdraft when the votes go to another node, and for votes that are counted some 100 ms late.
+/// The same where nodes hold a limit by votes. The rest is for deputies and nodes that reach nobody, for a second overdraft when
+/// the votes go to another node, and for votes that are counted some 100 ms late.
 const LEASED_BURST_TOLERANCE: f64 = 0.4;
 
 /// Part of the tolerance that all deputies grant in a window.
@@ -490,8 +489,8 @@
     owners
 }
 
-/// Owners that are preferred to a node, which asks them before it decides in their place: all if it
-/// is not an owner.
+/// Owners that are preferred to a node, which asks them before it decides in their place, as nodes
+/// do that know no votes: all if it is not an owner.
 pub fn preferred<'a, T: PartialEq>(owners: &'a [T], node: &T) -> &'a [T] {
     let place = owners.iter().position(|owner| owner == node).unwrap_or(owners.len());
     &owners[..place]
