--- a/crates/gateway/src/organisations.rs
+++ b/crates/gateway/src/organisations.rs
@@ -20,7 +20,7 @@
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
-/// Longest wait for a reply once all nodes were asked. Replies that are late come some 60 ms after their query in a burst.
+/// Longest wait for a reply once all nodes were asked.
 const LATE_REPLY_TIMEOUT: Duration = Duration::from_millis(110);
 
 /// Interval at which a node logs what it granted, in milliseconds.
