Log how engines end streams that have neither length nor chunks

Change: event closed with the request, the engine, whether it may have been told to stop the run, and the last event passed on. What is known of an order to stop belongs to the run and outlives the move.

--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -82,13 +82,15 @@
 pub const REQUEST: &str = "request";
 /// Data that can't be decoded was skipped.
 pub const SKIPPED: &str = "skipped";
+/// An endpoint ended a response by closing its connection.
+pub const CLOSED: &str = "closed";
 /// Log lines were dropped.
 pub const DROPPED: &str = "dropped";
 /// A task panicked; its connection was closed.
 pub const PANICKED: &str = "panicked";
 
 /// All events.
-pub const EVENTS: [&str; 42] = [
+pub const EVENTS: [&str; 43] = [
     START,
     STOP,
     SUSPENDED,
@@ -129,6 +131,7 @@
     SPEED,
     REQUEST,
     SKIPPED,
+    CLOSED,
     DROPPED,
     PANICKED,
 ];
--- a/crates/gateway/src/migration.rs
+++ b/crates/gateway/src/migration.rs
@@ -67,12 +67,14 @@
 }
 
 impl Move {
-    /// Plans to move a run from an engine to another one with room for it, if there is one besides those to exclude.
+    /// Plans to move a run from an engine to another one with room for it, if there is one besides those to exclude. `called`
+    /// records that the engine may have been told.
     pub fn plan(
         generation: &Generation,
         source: &Endpoint,
         source_key: Key,
         exclude: &[Key],
+        called: Called,
     ) -> Option<Self> {
         let Generation { node, call, .. } = generation;
         let exclude = [exclude, &[source_key]].concat();
@@ -86,15 +88,10 @@
             source_key,
             target,
             slot,
-            called: Called::default(),
+            called,
         })
     }
 
-    /// Whether the engine may have been told to stop the run, now and later.
-    pub fn called(&self) -> Called {
-        self.called.clone()
-    }
-
     /// Stops the run if the other engine can be sent the request. Returns it if it was stopped.
     pub async fn stop(mut self) -> Option<Stopped> {
         quarantine::check(&self.node, &self.call).ok()?;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -8,7 +8,7 @@
 use crate::event;
 use crate::exchange::Answer;
 use crate::metrics::{Metrics, Retry};
-use crate::migration::{Move, Stopped};
+use crate::migration::{Called, Move, Stopped};
 use crate::node::ResponseBody;
 use crate::quarantine;
 use crate::resume;
@@ -62,6 +62,8 @@
     move_at: Option<Instant>,
     /// Remaining attempts to move the run.
     moves_left: u32,
+    /// Whether the engine of the current run may have been told to stop it.
+    called: Called,
     /// Engines that did not continue the run when it was moved to them.
     failed_targets: Vec<Key>,
     /// Endpoint of the last attempt.
@@ -168,6 +170,7 @@
             events,
             move_at: None,
             moves_left: MAX_MOVES,
+            called: Called::default(),
             failed_targets: Vec::new(),
             broken: None,
             begun: false,
@@ -233,6 +236,9 @@
 
     /// Ends the stream with the whole response.
     fn complete(&mut self) {
+        if !self.is_delimited() {
+            self.log_close();
+        }
         self.record_outcome(Outcome::Good);
         if let Some(mut answer) = self.answer.take() {
             answer.complete();
@@ -367,12 +373,13 @@
         self.move_at = Some(Instant::now() + MOVE_RETRY_INTERVAL);
         self.begin();
         let planned = self.answer.as_ref().and_then(|answer| {
-            Move::plan(&self.generation, &answer.endpoint, answer.key(), &self.failed_targets)
+            let (source, key, called) = (&answer.endpoint, answer.key(), self.called.clone());
+            Move::plan(&self.generation, source, key, &self.failed_targets, called)
         });
         let Some(planned) = planned else {
             return;
         };
-        let called = planned.called();
+        let called = self.called.clone();
         let mut stopping = pin!(planned.stop());
         let last = loop {
             tokio::select! {
@@ -495,6 +502,7 @@
         }
         self.last_endpoint.clone_from(&answer.endpoint.id);
         self.last_event_at = None;
+        self.called = Called::default();
         self.answer = Some(answer);
     }
 
@@ -557,6 +565,14 @@
         None
     }
 
+    /// Logs that the engine ended its response by closing the connection.
+    fn log_close(&self) {
+        let request = self.generation.call.metadata.id.as_str();
+        let (to, told) = (self.last_endpoint.as_str(), self.called.get());
+        let after = self.last_event().unwrap_or_default();
+        info!(request, to, told, after; "{}", event::CLOSED);
+    }
+
     fn log_resume(&self, why: &str, outcome: &str) {
         let request = self.generation.call.metadata.id.as_str();
         let after = self.last_event().unwrap_or_default();
