Resume or cut streams without length that a move may have stopped

Cause: a 404 after an unanswered call was taken for a run that had ended by itself; so were an engine that refused connections after it, and a deadline. All became the same None as a run that was never stopped, and the end of the connection was then taken for the end of the stream. Nothing remembered an order without an answer once its move was over. Class: a value for what is not known was missing, so that it was read as no.

Change: coordination::stop holds what is known of a run (unstopped, unknown, stopped) and which replies change it. It belongs to the run, outlives its moves, and is asked wherever a response ends: one that ends with its connection is complete only if no order may have stopped its run; otherwise the stream is resumed, or cut if it may not be. A reply to a move that does not say what was done (another status, a body that is cut off) is unclear in place of a refusal.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -57,6 +57,7 @@
 pub mod splice;
 pub mod stages;
 pub mod stall;
+pub mod stop;
 pub mod streams;
 pub mod strikes;
 pub mod suspect;
--- /dev/null
+++ b/crates/coordination/src/stop.rs
@@ -0,0 +1,83 @@
+//! Whether an engine stopped a run, as far as its replies to orders show, and whether a response that has ended is whole.
+//!
+//! Answers the load of engines that leave in waves while replies to orders are lost and responses end with their connections. An order
+//! whose reply is lost may be carried out, also seconds later. From then on only a handle of the run's KV cache shows what became of
+//! the run: "no such run" is true of one that ended, and of one that was stopped and whose KV cache has expired.
+
+/// Reply to an order to stop a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reply {
+    /// The run is stopped, and the reply names the handle of its KV cache.
+    Stopped,
+    /// The engine has no such run.
+    NoRun,
+    /// An earlier order is being carried out.
+    UnderWay,
+    /// The engine did nothing.
+    Refused,
+    /// None, or one that does not say what was done.
+    Missing,
+    /// The order was not sent.
+    Unsent,
+}
+
+/// What is known of a run.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Run {
+    /// No order stopped it: it goes on, or it ended by itself.
+    #[default]
+    Unstopped,
+    /// It may be stopped, now or later.
+    Unknown,
+    /// It is stopped.
+    Stopped,
+}
+
+/// How a response ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// At the end that its length or chunks give.
+    Framed,
+    /// With its connection.
+    Closed,
+}
+
+/// Whether a response that has ended is whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Completeness {
+    /// It is whole.
+    Whole,
+    /// It is, unless its engine crashed: the connections of a process are closed in the same way when it ends.
+    UnlessCrashed,
+    /// The rest may be missing.
+    Unknown,
+}
+
+impl Run {
+    /// What is known after a reply.
+    pub fn after(self, reply: Reply) -> Self {
+        match (self, reply) {
+            (_, Reply::Stopped) | (Self::Stopped, _) => Self::Stopped,
+            (_, Reply::Missing | Reply::UnderWay) => Self::Unknown,
+            (known, Reply::NoRun | Reply::Refused | Reply::Unsent) => known,
+        }
+    }
+
+    /// Whether another order can still tell more after a reply to one that was sent in this state.
+    pub fn asks_again(self, reply: Reply) -> bool {
+        match reply {
+            Reply::Stopped | Reply::NoRun => false,
+            Reply::Missing | Reply::UnderWay => true,
+            Reply::Refused | Reply::Unsent => self == Self::Unknown,
+        }
+    }
+
+    /// Whether a response that has ended is whole.
+    pub fn completeness(self, end: End) -> Completeness {
+        match (self, end) {
+            (_, End::Framed) => Completeness::Whole,
+            (Self::Unstopped, End::Closed) => Completeness::UnlessCrashed,
+            (Self::Unknown | Self::Stopped, End::Closed) => Completeness::Unknown,
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/tests/stop.rs
@@ -0,0 +1,70 @@
+//! What replies to orders show of a run, and whether its response is whole.
+
+use crosslane_coordination::stop::{Completeness, End, Reply, Run};
+use rstest::rstest;
+
+struct Orders {
+    name: &'static str,
+    replies: &'static [Reply],
+    known: Run,
+    /// Whether another order follows the last reply.
+    asks_again: bool,
+}
+
+#[rstest]
+#[case(Orders { name: "stopped", replies: &[Reply::Stopped], known: Run::Stopped, asks_again: false })]
+#[case(Orders { name: "refused", replies: &[Reply::Refused], known: Run::Unstopped, asks_again: false })]
+#[case(Orders { name: "unsent", replies: &[Reply::Unsent], known: Run::Unstopped, asks_again: false })]
+#[case(Orders { name: "ended before", replies: &[Reply::NoRun], known: Run::Unstopped, asks_again: false })]
+#[case(Orders { name: "lost", replies: &[Reply::Missing], known: Run::Unknown, asks_again: true })]
+#[case(Orders { name: "lost, no run", replies: &[Reply::Missing, Reply::NoRun], known: Run::Unknown, asks_again: false })]
+#[case(Orders { name: "lost, refused", replies: &[Reply::Missing, Reply::Refused], known: Run::Unknown, asks_again: true })]
+#[case(Orders { name: "lost, unsent", replies: &[Reply::Missing, Reply::Unsent], known: Run::Unknown, asks_again: true })]
+#[case(Orders { name: "lost, stopped", replies: &[Reply::Missing, Reply::Stopped], known: Run::Stopped, asks_again: false })]
+#[case(Orders { name: "another under way, no run", replies: &[Reply::UnderWay, Reply::NoRun], known: Run::Unknown, asks_again: false })]
+#[case(Orders { name: "lost, refused, no run", replies: &[Reply::Missing, Reply::Refused, Reply::NoRun], known: Run::Unknown, asks_again: false })]
+#[case(Orders { name: "stopped, no run", replies: &[Reply::Stopped, Reply::NoRun], known: Run::Stopped, asks_again: false })]
+fn replies_to_orders(#[case] case: Orders) {
+    let mut known = Run::default();
+    let mut asks_again = true;
+    for reply in case.replies {
+        asks_again = known.asks_again(*reply);
+        known = known.after(*reply);
+    }
+    assert_eq!((known, asks_again), (case.known, case.asks_again), "{}", case.name);
+}
+
+struct Response {
+    name: &'static str,
+    known: Run,
+    end: End,
+    completeness: Completeness,
+}
+
+#[rstest]
+#[case(Response { name: "framed", known: Run::Unstopped, end: End::Framed, completeness: Completeness::Whole })]
+#[case(Response { name: "framed, an order unanswered", known: Run::Unknown, end: End::Framed, completeness: Completeness::Whole })]
+#[case(Response { name: "closed", known: Run::Unstopped, end: End::Closed, completeness: Completeness::UnlessCrashed })]
+#[case(Response { name: "closed, an order unanswered", known: Run::Unknown, end: End::Closed, completeness: Completeness::Unknown })]
+#[case(Response { name: "closed, stopped", known: Run::Stopped, end: End::Closed, completeness: Completeness::Unknown })]
+fn responses_that_have_ended(#[case] case: Response) {
+    assert_eq!(case.known.completeness(case.end), case.completeness, "{}", case.name);
+}
+
+/// No sequence of replies after an unanswered order shows that the run was not stopped.
+#[rstest]
+fn a_run_is_never_known_to_be_unstopped_after_an_unanswered_order() {
+    let replies = [
+        Reply::Stopped,
+        Reply::NoRun,
+        Reply::UnderWay,
+        Reply::Refused,
+        Reply::Missing,
+        Reply::Unsent,
+    ];
+    let mut known = vec![Run::default().after(Reply::Missing)];
+    for _ in 0..4 {
+        known = known.iter().flat_map(|run| replies.map(|reply| run.after(reply))).collect();
+        assert!(known.iter().all(|run| *run != Run::Unstopped));
+    }
+}
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use crosslane_state::endpoint::Endpoint;
 use crosslane_transport::connection::{ACK_TIMEOUT, Error, Outgoing};
+use crosslane_transport::framing;
 use http_body_util::{BodyExt, Limited};
 use hyper::StatusCode;
 use std::time::Duration;
@@ -29,6 +30,8 @@
     pub status: StatusCode,
     /// Body.
     pub body: Bytes,
+    /// Whether its length or chunks show that the body is whole.
+    pub is_framed: bool,
 }
 
 /// Makes control calls to engines.
@@ -63,7 +66,7 @@
             None => self.dialer.open(engine, CONNECT_TIMEOUT.min(timeout), ACK_TIMEOUT).await?,
         };
         let response = connection.send(request, until).await?;
-        let status = response.status();
+        let (status, is_framed) = (response.status(), framing::is_framed(response.headers()));
         let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
         let body = match timeout_at(until, body.collect()).await {
             Err(_) => return Err(Error::Timeout { to }),
@@ -71,7 +74,7 @@
             Ok(Ok(body)) => body.to_bytes(),
         };
         self.idle.put_back(to, connection);
-        Ok(Response { status, body })
+        Ok(Response { status, body, is_framed })
     }
 
     /// Closes connections that were idle for too long.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -29,6 +29,7 @@
 use crosslane_state::time::Millis;
 use crosslane_transport::clock::Deadline;
 use crosslane_transport::connection::{Connection, Error, Outgoing};
+use crosslane_transport::framing;
 use derive_more::Display;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -337,6 +338,11 @@
         self.slot.key
     }
 
+    /// Whether the end of the response can be told from the end of its connection.
+    pub fn is_framed(&self) -> bool {
+        framing::is_framed(&self.parts.headers)
+    }
+
     /// Reads the whole body, up to a length limit.
     pub async fn read_body(
         mut self,
--- a/crates/gateway/src/migration.rs
+++ b/crates/gateway/src/migration.rs
@@ -4,24 +4,25 @@
 //! a connection and may be sent the request. Then the engine stops the run and copies its KV cache. From there on, both engines
 //! can continue the run, and its handle serves only once. They are asked until one does or the KV cache is gone.
 
-use crate::control::Control;
+use crate::control::{Control, Response};
 use crate::event;
 use crate::exchange::{self, Answer, Call, Failure, Slot};
 use crate::liveness;
-use crate::node::Node;
+use crate::node::{Node, lock};
 use crate::quarantine;
 use crate::reservation::Handle;
 use crate::stream::Generation;
 use crosslane_coordination::admission::FULL_UTILIZATION;
 use crosslane_coordination::health::Outcome;
+use crosslane_coordination::stop::{self, Reply};
 use crosslane_platform::engine::{self, MoveOutcome};
 use crosslane_platform::request::Purpose;
 use crosslane_state::endpoint::{Endpoint, Key};
 use crosslane_transport::connection::Error;
 use log::info;
 use std::pin::pin;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, timeout};
@@ -48,33 +49,33 @@
     source_key: Key,
     target: Endpoint,
     slot: Slot,
-    called: Called,
+    known: Known,
 }
 
-/// Whether the engine may have been told to stop the run.
+/// What is known of a run that its engine may be told to stop. Belongs to the run and outlives each move.
 #[derive(Clone, Debug, Default)]
-pub struct Called(Arc<AtomicBool>);
+pub struct Known(Arc<Mutex<stop::Run>>);
 
-impl Called {
-    fn set(&self) {
-        self.0.store(true, Ordering::Relaxed);
+impl Known {
+    /// What is known now.
+    pub fn get(&self) -> stop::Run {
+        *lock(&self.0)
     }
 
-    /// Whether it may have been told.
-    pub fn get(&self) -> bool {
-        self.0.load(Ordering::Relaxed)
+    fn set(&self, run: stop::Run) {
+        *lock(&self.0) = run;
     }
 }
 
 impl Move {
-    /// Plans to move a run from an engine to another one with room for it, if there is one besides those to exclude. `called`
-    /// records that the engine may have been told.
+    /// Plans to move a run from an engine to another one with room for it, if there is one besides those to exclude. `known`
+    /// records what becomes of it.
     pub fn plan(
         generation: &Generation,
         source: &Endpoint,
         source_key: Key,
         exclude: &[Key],
-        called: Called,
+        known: Known,
     ) -> Option<Self> {
         let Generation { node, call, .. } = generation;
         let exclude = [exclude, &[source_key]].concat();
@@ -88,22 +89,18 @@
             source_key,
             target,
             slot,
-            called,
+            known,
         })
     }
 
-    /// Stops the run if the other engine can be sent the request. Returns it if it was stopped.
+    /// Stops the run if the other engine can be sent the request. Returns it if a reply named the handle of its KV cache; without one it
+    /// may be stopped too.
     pub async fn stop(mut self) -> Option<Stopped> {
         quarantine::check(&self.node, &self.call).ok()?;
         self.slot.acquire_permit(&self.call.metadata.id).await.ok()?;
         self.slot.connect(&self.target).await.ok()?;
-        self.called.set();
-        let Self { node, call, source, source_key, target, slot, .. } = self;
-        let (id, copied) = match stop_and_copy(&node.control, &call, &source, &target).await {
-            MoveOutcome::Copied { handle } => (handle, true),
-            MoveOutcome::Stopped { handle } => (handle, false),
-            MoveOutcome::UnderWay | MoveOutcome::Ended | MoveOutcome::Refused => return None,
-        };
+        let Self { node, call, source, source_key, target, slot, known } = self;
+        let (id, copied) = stop_and_copy(&node.control, &call, &source, &target, &known).await?;
         let handle = Handle::new(&node, source.clone(), id);
         let source = Holder { engine: source, key: source_key, is_source: true };
         let target = Holder { engine: target, key: slot.key, is_source: false };
@@ -270,46 +267,54 @@
     }
 }
 
-/// Stops a run at its engine and copies its KV cache to another one. Waits until the outcome is known, the engine is gone,
-/// or the deadline of the request. After a call without a response, a refusal does not say that the run goes on.
+/// Stops a run at its engine and copies its KV cache to another one. Asks until a reply names the handle, or no further one can.
+/// Returns the handle, and whether the KV cache was copied.
 async fn stop_and_copy(
     control: &Control,
     call: &Call,
     from: &Endpoint,
     to: &Endpoint,
-) -> MoveOutcome {
+    known: &Known,
+) -> Option<(String, bool)> {
     let run = &call.metadata.id;
-    let mut sent = false;
-    let mut is_unclear = false;
     loop {
+        let before = known.get();
+        // Until the reply arrives, the engine may carry the order out.
+        known.set(stop::Run::Unknown);
         let request = engine::move_run(from, run, to.address);
         let response = control.call(from, request, CALL_TIMEOUT).await;
         let (outcome, why) = match &response {
-            Ok(response) => (
-                Some(engine::parse_move_outcome(response.status, &response.body)),
-                response.status.to_string(),
-            ),
+            Ok(Response { status, body, is_framed }) => {
+                (Some(engine::parse_move_outcome(*status, body, *is_framed)), status.to_string())
+            }
             Err(error) => (None, error.to_string()),
         };
+        let reply = reply(&outcome, response.err());
+        known.set(before.after(reply));
         log(run, from, to, outcome.as_ref(), &why);
-        sent |= response.as_ref().map_or_else(Error::may_have_been_sent, |_| true);
-        is_unclear |= sent && outcome.is_none();
-        let is_final = |outcome: &MoveOutcome| match outcome {
-            MoveOutcome::Copied { .. } | MoveOutcome::Stopped { .. } | MoveOutcome::Ended => true,
-            MoveOutcome::UnderWay => false,
-            MoveOutcome::Refused => !is_unclear,
-        };
-        match outcome.filter(is_final) {
-            Some(outcome) => return outcome,
-            None if !sent || call.remaining().is_zero() => return MoveOutcome::Refused,
-            None if liveness::refuses_connections(control.dialer(), from).await => {
-                return MoveOutcome::Ended;
-            }
-            None => sleep(RETRY_INTERVAL).await,
+        match outcome {
+            Some(MoveOutcome::Copied { handle }) => return Some((handle, true)),
+            Some(MoveOutcome::Stopped { handle }) => return Some((handle, false)),
+            _ if !before.asks_again(reply) || call.remaining().is_zero() => return None,
+            _ if liveness::refuses_connections(control.dialer(), from).await => return None,
+            _ => sleep(RETRY_INTERVAL).await,
         }
     }
 }
 
+/// Reply to an order, from what its response says or why there is none.
+fn reply(outcome: &Option<MoveOutcome>, error: Option<Error>) -> Reply {
+    match outcome {
+        Some(MoveOutcome::Copied { .. } | MoveOutcome::Stopped { .. }) => Reply::Stopped,
+        Some(MoveOutcome::UnderWay) => Reply::UnderWay,
+        Some(MoveOutcome::NoRun) => Reply::NoRun,
+        Some(MoveOutcome::Refused) => Reply::Refused,
+        Some(MoveOutcome::Unclear) => Reply::Missing,
+        None if error.is_some_and(|error| !error.may_have_been_sent()) => Reply::Unsent,
+        None => Reply::Missing,
+    }
+}
+
 fn log(request: &str, from: &Endpoint, to: &Endpoint, outcome: Option<&MoveOutcome>, why: &str) {
     let (from, to) = (from.id.as_str(), to.id.as_str());
     let outcome = outcome.map_or("unknown".into(), |outcome| format!("{outcome:?}"));
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -8,7 +8,7 @@
 use crate::event;
 use crate::exchange::Answer;
 use crate::metrics::{Metrics, Retry};
-use crate::migration::{Called, Move, Stopped};
+use crate::migration::{Known, Move, Stopped};
 use crate::node::ResponseBody;
 use crate::quarantine;
 use crate::resume;
@@ -17,6 +17,7 @@
 use bytes::Bytes;
 use crosslane_coordination::health::Outcome;
 use crosslane_coordination::speed::Sample;
+use crosslane_coordination::stop::{self, Completeness, End};
 use crosslane_state::endpoint::Key;
 use crosslane_state::route::Kind;
 use crosslane_transport::connection::{self, Closer};
@@ -24,7 +25,6 @@
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
-use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use log::info;
 use std::pin::pin;
 use std::time::Duration;
@@ -62,8 +62,8 @@
     move_at: Option<Instant>,
     /// Remaining attempts to move the run.
     moves_left: u32,
-    /// Whether the engine of the current run may have been told to stop it.
-    called: Called,
+    /// Whether the current run was stopped.
+    known: Known,
     /// Engines that did not continue the run when it was moved to them.
     failed_targets: Vec<Key>,
     /// Endpoint of the last attempt.
@@ -170,7 +170,7 @@
             events,
             move_at: None,
             moves_left: MAX_MOVES,
-            called: Called::default(),
+            known: Known::default(),
             failed_targets: Vec::new(),
             broken: None,
             begun: false,
@@ -207,9 +207,9 @@
                         return Next::Item(Ok(Frame::data(events)), self);
                     }
                 }
-                Chunk::End => self.complete(),
+                Chunk::End => self.end().await,
                 Chunk::Replaced(answer) => self.replace_answer(*answer).await,
-                Chunk::Broken(broken) => self.fail(broken).await,
+                Chunk::Broken(broken) => self.break_off(broken).await,
             }
         }
     }
@@ -234,11 +234,41 @@
         }
     }
 
+    /// Ends the stream if the response that ended is whole, and resumes it otherwise.
+    async fn end(&mut self) {
+        let end = self.response_end();
+        let completeness = self.known.get().completeness(end);
+        if end != End::Framed {
+            self.log_close(completeness);
+        }
+        match completeness {
+            Completeness::Whole | Completeness::UnlessCrashed => self.complete(),
+            Completeness::Unknown => self.fail_stopped("ended").await,
+        }
+    }
+
+    /// How the response ended.
+    fn response_end(&self) -> End {
+        let is_framed = self.answer.as_ref().is_some_and(Answer::is_framed);
+        if is_framed { End::Framed } else { End::Closed }
+    }
+
+    /// Resumes the stream after its response broke off.
+    async fn break_off(&mut self, broken: Break) {
+        match self.known.get() {
+            stop::Run::Unstopped => self.fail(broken).await,
+            stop::Run::Unknown | stop::Run::Stopped => self.fail_stopped(&broken.why).await,
+        }
+    }
+
+    /// Resumes the stream after the end of a run that this node may have stopped.
+    async fn fail_stopped(&mut self, why: &str) {
+        self.drop_broken().await;
+        self.resume_stopped(Break::new(Side::Node, format!("told to stop: {why}"))).await;
+    }
+
     /// Ends the stream with the whole response.
     fn complete(&mut self) {
-        if !self.is_delimited() {
-            self.log_close();
-        }
         self.record_outcome(Outcome::Good);
         if let Some(mut answer) = self.answer.take() {
             answer.complete();
@@ -373,13 +403,12 @@
         self.move_at = Some(Instant::now() + MOVE_RETRY_INTERVAL);
         self.begin();
         let planned = self.answer.as_ref().and_then(|answer| {
-            let (source, key, called) = (&answer.endpoint, answer.key(), self.called.clone());
-            Move::plan(&self.generation, source, key, &self.failed_targets, called)
+            let (source, key, known) = (&answer.endpoint, answer.key(), self.known.clone());
+            Move::plan(&self.generation, source, key, &self.failed_targets, known)
         });
         let Some(planned) = planned else {
             return;
         };
-        let called = self.called.clone();
         let mut stopping = pin!(planned.stop());
         let last = loop {
             tokio::select! {
@@ -399,36 +428,19 @@
             }
         };
         // The engine closes the response of a run that it stops, before it answers the call.
-        let is_whole = matches!(last, Chunk::End) && self.is_delimited();
-        let mut is_known = is_whole || !called.get();
-        if !is_known {
-            let limit = self.stop_patience();
-            match timeout(limit, stopping).await {
-                Ok(Some(stopped)) => return self.continue_run(stopped).await,
-                Ok(None) => is_known = true,
-                Err(_) => {}
-            }
+        let is_whole = matches!(last, Chunk::End) && self.response_end() == End::Framed;
+        if !is_whole
+            && self.known.get() == stop::Run::Unknown
+            && let Ok(Some(stopped)) = timeout(self.stop_patience(), stopping).await
+        {
+            return self.continue_run(stopped).await;
         }
         match last {
-            Chunk::End if is_known => self.complete(),
-            Chunk::Broken(broken) if !called.get() => self.fail(broken).await,
-            last => {
-                let why =
-                    if let Chunk::Broken(broken) = last { broken.why } else { "ended".into() };
-                self.drop_broken().await;
-                self.resume_stopped(Break::new(Side::Node, format!("told to stop: {why}"))).await;
-            }
+            Chunk::Broken(broken) => self.break_off(broken).await,
+            _ => self.end().await,
         }
     }
 
-    /// Whether the end of the response can be told from the end of its connection.
-    fn is_delimited(&self) -> bool {
-        let headers = self.answer.as_ref().map(|answer| &answer.parts.headers);
-        headers.is_some_and(|headers| {
-            headers.contains_key(TRANSFER_ENCODING) || headers.contains_key(CONTENT_LENGTH)
-        })
-    }
-
     /// Time to wait for the response to a call that may have stopped the run, once the run has ended: as long as the caller waits,
     /// or half as long if the stream can be resumed without it.
     fn stop_patience(&self) -> Duration {
@@ -502,7 +514,7 @@
         }
         self.last_endpoint.clone_from(&answer.endpoint.id);
         self.last_event_at = None;
-        self.called = Called::default();
+        self.known = Known::default();
         self.answer = Some(answer);
     }
 
@@ -566,11 +578,11 @@
     }
 
     /// Logs that the engine ended its response by closing the connection.
-    fn log_close(&self) {
+    fn log_close(&self, completeness: Completeness) {
         let request = self.generation.call.metadata.id.as_str();
-        let (to, told) = (self.last_endpoint.as_str(), self.called.get());
+        let (to, run) = (self.last_endpoint.as_str(), self.known.get());
         let after = self.last_event().unwrap_or_default();
-        info!(request, to, told, after; "{}", event::CLOSED);
+        info!(request, to, run:? = run, completeness:? = completeness, after; "{}", event::CLOSED);
     }
 
     fn log_resume(&self, why: &str, outcome: &str) {
--- a/crates/transport/src/framing.rs
+++ b/crates/transport/src/framing.rs
@@ -33,6 +33,11 @@
     check_head(response.status(), response.headers())
 }
 
+/// Whether the headers say where the body ends. Otherwise it ends with its connection, and can't be told from one that broke off.
+pub fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(TRANSFER_ENCODING) || headers.contains_key(CONTENT_LENGTH)
+}
+
 /// Length of the body that the headers give, if they do.
 pub fn length(headers: &HeaderMap) -> Result<Option<u64>, Error> {
     let mut lengths = headers.get_all(CONTENT_LENGTH).iter().flat_map(items);
