Cut or resume responses without length whose endpoint has crashed

Cause: the kernel closes the connections of a process that ends as if it had finished its responses, and the end of the connection was taken for the end of the answer.

Change: such a response is whole only if its endpoint's process still runs, as the shared liveness check shows; otherwise a stream counts as broken off and is resumed, or cut if it may not be, and a plain answer is cut. That costs one connection for each such response. Methods and statuses without a body count as framed.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -6,6 +6,7 @@
 use crate::control::CONNECT_TIMEOUT;
 use crate::event;
 use crate::limit;
+use crate::liveness::Liveness;
 use crate::metrics::Retry;
 use crate::node::Node;
 use crate::quarantine::{self, Trial};
@@ -32,7 +33,7 @@
 use crosslane_transport::framing;
 use derive_more::Display;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::{AUTHORIZATION, COOKIE, HeaderValue};
 use hyper::http::response::Parts;
 use hyper::{Method, Request, StatusCode, Uri};
@@ -276,6 +277,8 @@
     pub started_at: Millis,
     /// How far the run has come.
     pub progress: Progress,
+    /// Whether its head says where the body ends.
+    is_framed: bool,
     slot: Slot,
     /// Segments of the prompt with which the run goes well once it has gone on for long enough; none if that is known.
     unproven: Option<Arc<[Segment]>>,
@@ -340,7 +343,13 @@
 
     /// Whether the end of the response can be told from the end of its connection.
     pub fn is_framed(&self) -> bool {
-        framing::is_framed(&self.parts.headers)
+        self.is_framed
+    }
+
+    /// Whether the endpoint's process still runs, as far as this node can tell.
+    pub async fn is_alive(&self) -> bool {
+        let node = &self.slot.node;
+        node.liveness_checks.check(node, &self.endpoint).await == Liveness::Alive
     }
 
     /// Reads the whole body, up to a length limit.
@@ -510,6 +519,8 @@
     let started_at = node.now();
     trial.iter_mut().for_each(|running| running.started_at = Some(started_at));
     let (connection, reusable) = (Some(connection), matches!(purpose, Purpose::Run));
+    // A method or status may allow no body.
+    let is_framed = framing::is_framed(&parts.headers) || body.size_hint().exact().is_some();
     let unproven = (runs && parts.status.is_success()).then(|| call.segments.clone());
     Ok(Answer {
         parts,
@@ -518,6 +529,7 @@
         endpoint,
         started_at,
         progress: Progress::Begun,
+        is_framed,
         slot,
         unproven,
         trial,
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -351,10 +351,14 @@
         let (node, mut answer, call) = state?;
         let (by, bound, error): (Side, _, http::BodyError) =
             match timeout_at(call.deadline.instant(), answer.body.frame()).await {
-                Ok(None) => {
+                Ok(None) if answer.is_framed() || answer.is_alive().await => {
                     answer.complete();
                     return None;
                 }
+                // The connections of a process are closed in the same way when it ends.
+                Ok(None) => {
+                    (Side::Endpoint, "may not be resumed", "gone at an end without length".into())
+                }
                 Ok(Some(Ok(frame))) => {
                     // hyper stops polling once a known length is reached.
                     if answer.body.is_end_stream() {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -242,7 +242,11 @@
             self.log_close(completeness);
         }
         match completeness {
-            Completeness::Whole | Completeness::UnlessCrashed => self.complete(),
+            Completeness::Whole => self.complete(),
+            Completeness::UnlessCrashed if self.is_alive().await => self.complete(),
+            Completeness::UnlessCrashed => {
+                self.fail(Break::new(Side::Endpoint, "engine gone at an end without length")).await;
+            }
             Completeness::Unknown => self.fail_stopped("ended").await,
         }
     }
@@ -253,6 +257,13 @@
         if is_framed { End::Framed } else { End::Closed }
     }
 
+    async fn is_alive(&self) -> bool {
+        match &self.answer {
+            Some(answer) => answer.is_alive().await,
+            None => false,
+        }
+    }
+
     /// Resumes the stream after its response broke off.
     async fn break_off(&mut self, broken: Break) {
         match self.known.get() {
