Repeat an unanswered order to stop a run while its KV cache is kept

Cause: the order was repeated 700 ms after the first one, but engines keep the KV cache of a stopped run for 500 ms, so the handle could no longer be had. A limit that does not follow from what it guards.

Change: an order without a reply is repeated after a quarter of the time for which KV cache is kept, while the reply to the first one may still come; coordination::stop counts open orders, of which none may be taken for refused. A 404 beside an open order waits for its reply that long.

--- a/crates/coordination/src/stop.rs
+++ b/crates/coordination/src/stop.rs
@@ -53,9 +53,43 @@
     Unknown,
 }
 
+/// Orders to stop one run.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Orders {
+    /// What the replies show.
+    run: Run,
+    /// Orders without a reply, which the engine may still carry out.
+    open: u32,
+}
+
+impl Orders {
+    /// What is known of the run.
+    pub fn known(&self) -> Run {
+        match self.run {
+            Run::Unstopped if self.open > 0 => Run::Unknown,
+            run => run,
+        }
+    }
+
+    /// Records that an order is sent. If nobody waits for its reply any more, it stays open.
+    pub fn send(&mut self) {
+        self.open += 1;
+    }
+
+    /// Records the reply to an order, or that none will come. Returns whether another order, or the reply to one that is open, can tell more.
+    pub fn record(&mut self, reply: Reply) -> bool {
+        self.open = self.open.saturating_sub(1);
+        // Another open order is the one under way.
+        if reply != Reply::UnderWay || self.open == 0 {
+            self.run = self.run.after(reply);
+        }
+        self.known().asks_again(reply)
+    }
+}
+
 impl Run {
     /// What is known after a reply.
-    pub fn after(self, reply: Reply) -> Self {
+    fn after(self, reply: Reply) -> Self {
         match (self, reply) {
             (_, Reply::Stopped) | (Self::Stopped, _) => Self::Stopped,
             (_, Reply::Missing | Reply::UnderWay) => Self::Unknown,
@@ -63,8 +97,8 @@
         }
     }
 
-    /// Whether another order can still tell more after a reply to one that was sent in this state.
-    pub fn asks_again(self, reply: Reply) -> bool {
+    /// Whether another order can still tell more after a reply that led to this state.
+    fn asks_again(self, reply: Reply) -> bool {
         match reply {
             Reply::Stopped | Reply::NoRun => false,
             Reply::Missing | Reply::UnderWay => true,
--- a/crates/coordination/tests/stop.rs
+++ b/crates/coordination/tests/stop.rs
@@ -1,6 +1,6 @@
 //! What replies to orders show of a run, and whether its response is whole.
 
-use crosslane_coordination::stop::{Completeness, End, Reply, Run};
+use crosslane_coordination::stop::{self, Completeness, End, Reply, Run};
 use rstest::rstest;
 
 struct Orders {
@@ -25,13 +25,41 @@
 #[case(Orders { name: "lost, refused, no run", replies: &[Reply::Missing, Reply::Refused, Reply::NoRun], known: Run::Unknown, asks_again: false })]
 #[case(Orders { name: "stopped, no run", replies: &[Reply::Stopped, Reply::NoRun], known: Run::Stopped, asks_again: false })]
 fn replies_to_orders(#[case] case: Orders) {
-    let mut known = Run::default();
+    let mut orders = stop::Orders::default();
     let mut asks_again = true;
     for reply in case.replies {
-        asks_again = known.asks_again(*reply);
-        known = known.after(*reply);
+        orders.send();
+        asks_again = orders.record(*reply);
     }
-    assert_eq!((known, asks_again), (case.known, case.asks_again), "{}", case.name);
+    assert_eq!((orders.known(), asks_again), (case.known, case.asks_again), "{}", case.name);
+}
+
+struct Concurrent {
+    name: &'static str,
+    /// Orders sent before the first reply.
+    sent: usize,
+    replies: &'static [Reply],
+    known: Run,
+    asks_again: bool,
+}
+
+#[rstest]
+#[case(Concurrent { name: "no reply yet", sent: 1, replies: &[], known: Run::Unknown, asks_again: true })]
+#[case(Concurrent { name: "the first under way", sent: 2, replies: &[Reply::UnderWay], known: Run::Unknown, asks_again: true })]
+#[case(Concurrent { name: "the first under way, refused", sent: 2, replies: &[Reply::UnderWay, Reply::Refused], known: Run::Unstopped, asks_again: false })]
+#[case(Concurrent { name: "the first under way, lost", sent: 2, replies: &[Reply::UnderWay, Reply::Missing], known: Run::Unknown, asks_again: true })]
+#[case(Concurrent { name: "one refused", sent: 2, replies: &[Reply::Refused], known: Run::Unknown, asks_again: true })]
+#[case(Concurrent { name: "both refused", sent: 2, replies: &[Reply::Refused, Reply::Refused], known: Run::Unstopped, asks_again: false })]
+#[case(Concurrent { name: "no run beside an open order", sent: 2, replies: &[Reply::NoRun], known: Run::Unknown, asks_again: false })]
+#[case(Concurrent { name: "the handle beside an open order", sent: 2, replies: &[Reply::Stopped], known: Run::Stopped, asks_again: false })]
+fn replies_to_concurrent_orders(#[case] case: Concurrent) {
+    let mut orders = stop::Orders::default();
+    (0..case.sent).for_each(|_| orders.send());
+    let mut asks_again = true;
+    for reply in case.replies {
+        asks_again = orders.record(*reply);
+    }
+    assert_eq!((orders.known(), asks_again), (case.known, case.asks_again), "{}", case.name);
 }
 
 struct Response {
@@ -62,9 +90,14 @@
         Reply::Missing,
         Reply::Unsent,
     ];
-    let mut known = vec![Run::default().after(Reply::Missing)];
-    for _ in 0..4 {
-        known = known.iter().flat_map(|run| replies.map(|reply| run.after(reply))).collect();
-        assert!(known.iter().all(|run| *run != Run::Unstopped));
+    let mut all = vec![stop::Orders::default()];
+    for reply in [&[Reply::Missing][..], &replies, &replies, &replies, &replies] {
+        let after = |mut orders: stop::Orders, reply: Reply| {
+            orders.send();
+            orders.record(reply);
+            orders
+        };
+        all = all.iter().flat_map(|orders| reply.iter().map(|it| after(*orders, *it))).collect();
+        assert!(all.iter().all(|orders| orders.known() != Run::Unstopped));
     }
 }
--- a/crates/gateway/src/migration.rs
+++ b/crates/gateway/src/migration.rs
@@ -14,30 +14,35 @@
 use crate::stream::Generation;
 use crosslane_coordination::admission::FULL_UTILIZATION;
 use crosslane_coordination::health::Outcome;
-use crosslane_coordination::stop::{self, Reply};
+use crosslane_coordination::stop::{self, Orders, Reply};
 use crosslane_platform::engine::{self, MoveOutcome};
 use crosslane_platform::request::Purpose;
 use crosslane_state::endpoint::{Endpoint, Key};
 use crosslane_transport::connection::Error;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use log::info;
 use std::pin::pin;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::Notify;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 /// Timeout of one call: 100 MB over the engines' links take some 10 ms, queued behind other moves.
 const CALL_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Orders to stop one run that may wait for their replies at the same time.
+const MAX_OPEN_ORDERS: usize = 4;
+
 /// Interval between calls while the outcome is unknown.
 const RETRY_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Requests to each engine that keeps the KV cache of a stopped run.
 const MAX_ASKS: u32 = 3;
 
-/// One part in this many of the time for which KV cache is kept is the first pause between two such requests, which doubles, and
-/// the longest wait for the target's response before the source is asked too.
+/// One part in this many of the time for which KV cache is kept is the first pause between two such requests, which doubles;
+/// the longest wait for the target's response before the source is asked too; and for the reply to an order before it is repeated.
 const PAUSE_DIVISOR: u32 = 6;
 const PATIENCE_DIVISOR: u32 = 4;
 
@@ -50,20 +55,25 @@
     target: Endpoint,
     slot: Slot,
     known: Known,
+    handle_ttl: Duration,
 }
 
 /// What is known of a run that its engine may be told to stop. Belongs to the run and outlives each move.
 #[derive(Clone, Debug, Default)]
-pub struct Known(Arc<Mutex<stop::Run>>);
+pub struct Known(Arc<Mutex<Orders>>);
 
 impl Known {
     /// What is known now.
     pub fn get(&self) -> stop::Run {
-        *lock(&self.0)
+        lock(&self.0).known()
+    }
+
+    fn send(&self) {
+        lock(&self.0).send();
     }
 
-    fn set(&self, run: stop::Run) {
-        *lock(&self.0) = run;
+    fn record(&self, reply: Reply) -> bool {
+        lock(&self.0).record(reply)
     }
 }
 
@@ -90,6 +100,7 @@
             target,
             slot,
             known,
+            handle_ttl: Duration::from_millis(generation.engine.handle_ttl_ms),
         })
     }
 
@@ -99,8 +110,9 @@
         quarantine::check(&self.node, &self.call).ok()?;
         self.slot.acquire_permit(&self.call.metadata.id).await.ok()?;
         self.slot.connect(&self.target).await.ok()?;
-        let Self { node, call, source, source_key, target, slot, known } = self;
-        let (id, copied) = stop_and_copy(&node.control, &call, &source, &target, &known).await?;
+        let Self { node, call, source, source_key, target, slot, known, handle_ttl } = self;
+        let (id, copied) =
+            stop_and_copy(&node.control, &call, &source, &target, &known, handle_ttl).await?;
         let handle = Handle::new(&node, source.clone(), id);
         let source = Holder { engine: source, key: source_key, is_source: true };
         let target = Holder { engine: target, key: slot.key, is_source: false };
@@ -267,41 +279,68 @@
     }
 }
 
-/// Stops a run at its engine and copies its KV cache to another one. Asks until a reply names the handle, or no further one can.
-/// Returns the handle, and whether the KV cache was copied.
+/// Stops a run at its engine and copies its KV cache to another one. Asks until a reply names the handle, or no further one can. An order
+/// without a reply is repeated while its reply may still come: the KV cache of a stopped run is kept for a short time only. Returns the
+/// handle, and whether the KV cache was copied.
 async fn stop_and_copy(
     control: &Control,
     call: &Call,
     from: &Endpoint,
     to: &Endpoint,
     known: &Known,
+    handle_ttl: Duration,
 ) -> Option<(String, bool)> {
     let run = &call.metadata.id;
+    let patience = CALL_TIMEOUT.min(handle_ttl / PATIENCE_DIVISOR);
+    let mut orders = FuturesUnordered::new();
+    let mut next_at = Instant::now();
+    let mut until = call.deadline.instant();
+    let mut asks = true;
     loop {
-        let before = known.get();
-        // Until the reply arrives, the engine may carry the order out.
-        known.set(stop::Run::Unknown);
-        let request = engine::move_run(from, run, to.address);
-        let response = control.call(from, request, CALL_TIMEOUT).await;
-        let (outcome, why) = match &response {
-            Ok(Response { status, body, is_framed }) => {
-                (Some(engine::parse_move_outcome(*status, body, *is_framed)), status.to_string())
+        let response = tokio::select! {
+            Some(response) = orders.next() => response,
+            () = sleep_until(until), if !asks => return None,
+            () = sleep_until(next_at), if asks && orders.len() < MAX_OPEN_ORDERS => {
+                known.send();
+                orders.push(control.call(from, engine::move_run(from, run, to.address), CALL_TIMEOUT));
+                next_at = Instant::now() + patience;
+                continue;
             }
-            Err(error) => (None, error.to_string()),
         };
-        let reply = reply(&outcome, response.err());
-        known.set(before.after(reply));
-        log(run, from, to, outcome.as_ref(), &why);
+        let (outcome, asks_again) = record(known, response, (run, from, to));
+        if asks && !asks_again {
+            // The reply to an order that is open may be under way.
+            (asks, until) = (false, until.min(Instant::now() + patience));
+        }
         match outcome {
             Some(MoveOutcome::Copied { handle }) => return Some((handle, true)),
             Some(MoveOutcome::Stopped { handle }) => return Some((handle, false)),
-            _ if !before.asks_again(reply) || call.remaining().is_zero() => return None,
-            _ if liveness::refuses_connections(control.dialer(), from).await => return None,
-            _ => sleep(RETRY_INTERVAL).await,
+            _ if call.remaining().is_zero() || (!asks && orders.is_empty()) => return None,
+            _ if asks && liveness::refuses_connections(control.dialer(), from).await => {
+                return None;
+            }
+            _ => next_at = next_at.min(Instant::now() + RETRY_INTERVAL),
         }
     }
 }
 
+/// Records and logs the response to an order. Returns what it says, and whether another order can tell more.
+fn record(
+    known: &Known,
+    response: Result<Response, Error>,
+    (run, from, to): (&str, &Endpoint, &Endpoint),
+) -> (Option<MoveOutcome>, bool) {
+    let (outcome, why) = match &response {
+        Ok(Response { status, body, is_framed }) => {
+            (Some(engine::parse_move_outcome(*status, body, *is_framed)), status.to_string())
+        }
+        Err(error) => (None, error.to_string()),
+    };
+    log(run, from, to, outcome.as_ref(), &why);
+    let asks_again = known.record(reply(&outcome, response.err()));
+    (outcome, asks_again)
+}
+
 /// Reply to an order, from what its response says or why there is none.
 fn reply(outcome: &Option<MoveOutcome>, error: Option<Error>) -> Reply {
     match outcome {
