--- a/crates/gateway/src/migration.rs
+++ b/crates/gateway/src/migration.rs
@@ -4,39 +4,45 @@
 //! a connection and may be sent the request. Then the engine stops the run and copies its KV cache. From there on, both engines
 //! can continue the run, and its handle serves only once. They are asked until one does or the KV cache is gone.
 
-use crate::control::Control;
+use crate::control::{Control, Response};
 use crate::event;
 use crate::exchange::{self, Answer, Call, Failure, Slot};
 use crate::liveness;
-use crate::node::Node;
+use crate::node::{Node, lock};
 use crate::quarantine;
 use crate::reservation::Handle;
 use crate::stream::Generation;
 use crosslane_coordination::admission::FULL_UTILIZATION;
 use crosslane_coordination::health::Outcome;
+use crosslane_coordination::stop::{self, Orders, Reply};
 use crosslane_platform::engine::{self, MoveOutcome};
 use crosslane_platform::request::Purpose;
 use crosslane_state::endpoint::{Endpoint, Key};
 use crosslane_transport::connection::Error;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use log::info;
 use std::pin::pin;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::Notify;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 /// Timeout of one call: 100 MB over the engines' links take some 10 ms, queued behind other moves.
 const CALL_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Orders to stop one run that may wait for their replies at the same time.
+const MAX_OPEN_ORDERS: usize = 4;
+
 /// Interval between calls while the outcome is unknown.
 const RETRY_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Requests to each engine that keeps the KV cache of a stopped run.
 const MAX_ASKS: u32 = 3;
 
-/// One part in this many of the time for which KV cache is kept is the first pause between two such requests, which doubles, and
-/// the longest wait for the target's response before the source is asked too.
+/// One part in this many of the time for which KV cache is kept is the first pause between two such requests, which doubles;
+/// the longest wait for the target's response before the source is asked too; and for the reply to an order before it is repeated.
 const PAUSE_DIVISOR: u32 = 6;
 const PATIENCE_DIVISOR: u32 = 4;
 
@@ -48,31 +54,38 @@
     source_key: Key,
     target: Endpoint,
     slot: Slot,
-    called: Called,
+    known: Known,
+    handle_ttl: Duration,
 }
 
-/// Whether the engine may have been told to stop the run.
+/// What is known of a run that its engine may be told to stop. Belongs to the run and outlives each move.
 #[derive(Clone, Debug, Default)]
-pub struct Called(Arc<AtomicBool>);
+pub struct Known(Arc<Mutex<Orders>>);
+
+impl Known {
+    /// What is known now.
+    pub fn get(&self) -> stop::Run {
+        lock(&self.0).known()
+    }
 
-impl Called {
-    fn set(&self) {
-        self.0.store(true, Ordering::Relaxed);
+    fn send(&self) {
+        lock(&self.0).send();
     }
 
-    /// Whether it may have been told.
-    pub fn get(&self) -> bool {
-        self.0.load(Ordering::Relaxed)
+    fn record(&self, reply: Reply) -> bool {
+        lock(&self.0).record(reply)
     }
 }
 
 impl Move {
-    /// Plans to move a run from an engine to another one with room for it, if there is one besides those to exclude.
+    /// Plans to move a run from an engine to another one with room for it, if there is one besides those to exclude. `known`
+    /// records what becomes of it.
     pub fn plan(
         generation: &Generation,
         source: &Endpoint,
         source_key: Key,
         exclude: &[Key],
+        known: Known,
     ) -> Option<Self> {
         let Generation { node, call, .. } = generation;
         let exclude = [exclude, &[source_key]].concat();
@@ -86,27 +99,20 @@
             source_key,
             target,
             slot,
-            called: Called::default(),
+            known,
+            handle_ttl: Duration::from_millis(generation.engine.handle_ttl_ms),
         })
     }
 
-    /// Whether the engine may have been told to stop the run, now and later.
-    pub fn called(&self) -> Called {
-        self.called.clone()
-    }
-
-    /// Stops the run if the other engine can be sent the request. Returns it if it was stopped.
+    /// Stops the run if the other engine can be sent the request. Returns it if a reply named the handle of its KV cache; without one it
+    /// may be stopped too.
     pub async fn stop(mut self) -> Option<Stopped> {
         quarantine::check(&self.node, &self.call).ok()?;
         self.slot.acquire_permit(&self.call.metadata.id).await.ok()?;
         self.slot.connect(&self.target).await.ok()?;
-        self.called.set();
-        let Self { node, call, source, source_key, target, slot, .. } = self;
-        let (id, copied) = match stop_and_copy(&node.control, &call, &source, &target).await {
-            MoveOutcome::Copied { handle } => (handle, true),
-            MoveOutcome::Stopped { handle } => (handle, false),
-            MoveOutcome::UnderWay | MoveOutcome::Ended | MoveOutcome::Refused => return None,
-        };
+        let Self { node, call, source, source_key, target, slot, known, handle_ttl } = self;
+        let (id, copied) =
+            stop_and_copy(&node.control, &call, &source, &target, &known, handle_ttl).await?;
         let handle = Handle::new(&node, source.clone(), id);
         let source = Holder { engine: source, key: source_key, is_source: true };
         let target = Holder { engine: target, key: slot.key, is_source: false };
@@ -273,46 +279,81 @@
     }
 }
 
-/// Stops a run at its engine and copies its KV cache to another one. Waits until the outcome is known, the engine is gone,
-/// or the deadline of the request. After a call without a response, a refusal does not say that the run goes on.
+/// Stops a run at its engine and copies its KV cache to another one. Asks until a reply names the handle, or no further one can. An order
+/// without a reply is repeated while its reply may still come: the KV cache of a stopped run is kept for a short time only. Returns the
+/// handle, and whether the KV cache was copied.
 async fn stop_and_copy(
     control: &Control,
     call: &Call,
     from: &Endpoint,
     to: &Endpoint,
-) -> MoveOutcome {
+    known: &Known,
+    handle_ttl: Duration,
+) -> Option<(String, bool)> {
     let run = &call.metadata.id;
-    let mut sent = false;
-    let mut is_unclear = false;
+    let patience = CALL_TIMEOUT.min(handle_ttl / PATIENCE_DIVISOR);
+    let mut orders = FuturesUnordered::new();
+    let mut next_at = Instant::now();
+    let mut until = call.deadline.instant();
+    let mut asks = true;
     loop {
-        let request = engine::move_run(from, run, to.address);
-        let response = control.call(from, request, CALL_TIMEOUT).await;
-        let (outcome, why) = match &response {
-            Ok(response) => (
-                Some(engine::parse_move_outcome(response.status, &response.body)),
-                response.status.to_string(),
-            ),
-            Err(error) => (None, error.to_string()),
-        };
-        log(run, from, to, outcome.as_ref(), &why);
-        sent |= response.as_ref().map_or_else(Error::may_have_been_sent, |_| true);
-        is_unclear |= sent && outcome.is_none();
-        let is_final = |outcome: &MoveOutcome| match outcome {
-            MoveOutcome::Copied { .. } | MoveOutcome::Stopped { .. } | MoveOutcome::Ended => true,
-            MoveOutcome::UnderWay => false,
-            MoveOutcome::Refused => !is_unclear,
+        let response = tokio::select! {
+            Some(response) = orders.next() => response,
+            () = sleep_until(until), if !asks => return None,
+            () = sleep_until(next_at), if asks && orders.len() < MAX_OPEN_ORDERS => {
+                known.send();
+                orders.push(control.call(from, engine::move_run(from, run, to.address), CALL_TIMEOUT));
+                next_at = Instant::now() + patience;
+                continue;
+            }
         };
-        match outcome.filter(is_final) {
-            Some(outcome) => return outcome,
-            None if !sent || call.remaining().is_zero() => return MoveOutcome::Refused,
-            None if liveness::refuses_connections(control.dialer(), from).await => {
-                return MoveOutcome::Ended;
+        let (outcome, asks_again) = record(known, response, (run, from, to));
+        if asks && !asks_again {
+            // The reply to an order that is open may be under way.
+            (asks, until) = (false, until.min(Instant::now() + patience));
+        }
+        match outcome {
+            Some(MoveOutcome::Copied { handle }) => return Some((handle, true)),
+            Some(MoveOutcome::Stopped { handle }) => return Some((handle, false)),
+            _ if call.remaining().is_zero() || (!asks && orders.is_empty()) => return None,
+            _ if asks && liveness::refuses_connections(control.dialer(), from).await => {
+                return None;
             }
-            None => sleep(RETRY_INTERVAL).await,
+            _ => next_at = next_at.min(Instant::now() + RETRY_INTERVAL),
         }
     }
 }
 
+/// Records and logs the response to an order. Returns what it says, and whether another order can tell more.
+fn record(
+    known: &Known,
+    response: Result<Response, Error>,
+    (run, from, to): (&str, &Endpoint, &Endpoint),
+) -> (Option<MoveOutcome>, bool) {
+    let (outcome, why) = match &response {
+        Ok(Response { status, body, is_framed }) => {
+            (Some(engine::parse_move_outcome(*status, body, *is_framed)), status.to_string())
+        }
+        Err(error) => (None, error.to_string()),
+    };
+    log(run, from, to, outcome.as_ref(), &why);
+    let asks_again = known.record(reply(&outcome, response.err()));
+    (outcome, asks_again)
+}
+
+/// Reply to an order, from what its response says or why there is none.
+fn reply(outcome: &Option<MoveOutcome>, error: Option<Error>) -> Reply {
+    match outcome {
+        Some(MoveOutcome::Copied { .. } | MoveOutcome::Stopped { .. }) => Reply::Stopped,
+        Some(MoveOutcome::UnderWay) => Reply::UnderWay,
+        Some(MoveOutcome::NoRun) => Reply::NoRun,
+        Some(MoveOutcome::Refused) => Reply::Refused,
+        Some(MoveOutcome::Unclear) => Reply::Missing,
+        None if error.is_some_and(|error| !error.may_have_been_sent()) => Reply::Unsent,
+        None => Reply::Missing,
+    }
+}
+
 fn log(request: &str, from: &Endpoint, to: &Endpoint, outcome: Option<&MoveOutcome>, why: &str) {
     let (from, to) = (from.id.as_str(), to.id.as_str());
     let outcome = outcome.map_or("unknown".into(), |outcome| format!("{outcome:?}"));
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -8,7 +8,7 @@
 use crate::event;
 use crate::exchange::Answer;
 use crate::metrics::{Metrics, Retry};
-use crate::migration::{Move, Stopped};
+use crate::migration::{Known, Move, Stopped};
 use crate::node::ResponseBody;
 use crate::quarantine;
 use crate::resume;
@@ -17,6 +17,7 @@
 use bytes::Bytes;
 use crosslane_coordination::health::Outcome;
 use crosslane_coordination::speed::Sample;
+use crosslane_coordination::stop::{self, Completeness, End};
 use crosslane_state::endpoint::Key;
 use crosslane_state::route::Kind;
 use crosslane_transport::connection::{self, Closer};
@@ -24,7 +25,6 @@
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
-use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use log::info;
 use std::pin::pin;
 use std::time::Duration;
@@ -62,6 +62,8 @@
     move_at: Option<Instant>,
     /// Remaining attempts to move the run.
     moves_left: u32,
+    /// Whether the current run was stopped.
+    known: Known,
     /// Engines that did not continue the run when it was moved to them.
     failed_targets: Vec<Key>,
     /// Endpoint of the last attempt.
@@ -168,6 +170,7 @@
             events,
             move_at: None,
             moves_left: MAX_MOVES,
+            known: Known::default(),
             failed_targets: Vec::new(),
             broken: None,
             begun: false,
@@ -204,9 +207,9 @@
                         return Next::Item(Ok(Frame::data(events)), self);
                     }
                 }
-                Chunk::End => self.complete(),
+                Chunk::End => self.end().await,
                 Chunk::Replaced(answer) => self.replace_answer(*answer).await,
-                Chunk::Broken(broken) => self.fail(broken).await,
+                Chunk::Broken(broken) => self.break_off(broken).await,
             }
         }
     }
@@ -231,6 +234,50 @@
         }
     }
 
+    /// Ends the stream if the response that ended is whole, and resumes it otherwise.
+    async fn end(&mut self) {
+        let end = self.response_end();
+        let completeness = self.known.get().completeness(end);
+        if end != End::Framed {
+            self.log_close(completeness);
+        }
+        match completeness {
+            Completeness::Whole => self.complete(),
+            Completeness::UnlessCrashed if self.is_alive().await => self.complete(),
+            Completeness::UnlessCrashed => {
+                self.fail(Break::new(Side::Endpoint, "engine gone at an end without length")).await;
+            }
+            Completeness::Unknown => self.fail_stopped("ended").await,
+        }
+    }
+
+    /// How the response ended.
+    fn response_end(&self) -> End {
+        let is_framed = self.answer.as_ref().is_some_and(Answer::is_framed);
+        if is_framed { End::Framed } else { End::Closed }
+    }
+
+    async fn is_alive(&self) -> bool {
+        match &self.answer {
+            Some(answer) => answer.is_alive().await,
+            None => false,
+        }
+    }
+
+    /// Resumes the stream after its response broke off.
+    async fn break_off(&mut self, broken: Break) {
+        match self.known.get() {
+            stop::Run::Unstopped => self.fail(broken).await,
+            stop::Run::Unknown | stop::Run::Stopped => self.fail_stopped(&broken.why).await,
+        }
+    }
+
+    /// Resumes the stream after the end of a run that this node may have stopped.
+    async fn fail_stopped(&mut self, why: &str) {
+        self.drop_broken().await;
+        self.resume_stopped(Break::new(Side::Node, format!("told to stop: {why}"))).await;
+    }
+
     /// Ends the stream with the whole response.
     fn complete(&mut self) {
         self.record_outcome(Outcome::Good);
@@ -367,12 +414,12 @@
         self.move_at = Some(Instant::now() + MOVE_RETRY_INTERVAL);
         self.begin();
         let planned = self.answer.as_ref().and_then(|answer| {
-            Move::plan(&self.generation, &answer.endpoint, answer.key(), &self.failed_targets)
+            let (source, key, known) = (&answer.endpoint, answer.key(), self.known.clone());
+            Move::plan(&self.generation, source, key, &self.failed_targets, known)
         });
         let Some(planned) = planned else {
             return;
         };
-        let called = planned.called();
         let mut stopping = pin!(planned.stop());
         let last = loop {
             tokio::select! {
@@ -392,36 +439,19 @@
             }
         };
         // The engine closes the response of a run that it stops, before it answers the call.
-        let is_whole = matches!(last, Chunk::End) && self.is_delimited();
-        let mut is_known = is_whole || !called.get();
-        if !is_known {
-            let limit = self.stop_patience();
-            match timeout(limit, stopping).await {
-                Ok(Some(stopped)) => return self.continue_run(stopped).await,
-                Ok(None) => is_known = true,
-                Err(_) => {}
-            }
+        let is_whole = matches!(last, Chunk::End) && self.response_end() == End::Framed;
+        if !is_whole
+            && self.known.get() == stop::Run::Unknown
+            && let Ok(Some(stopped)) = timeout(self.stop_patience(), stopping).await
+        {
+            return self.continue_run(stopped).await;
         }
         match last {
-            Chunk::End if is_known => self.complete(),
-            Chunk::Broken(broken) if !called.get() => self.fail(broken).await,
-            last => {
-                let why =
-                    if let Chunk::Broken(broken) = last { broken.why } else { "ended".into() };
-                self.drop_broken().await;
-                self.resume_stopped(Break::new(Side::Node, format!("told to stop: {why}"))).await;
-            }
+            Chunk::Broken(broken) => self.break_off(broken).await,
+            _ => self.end().await,
         }
     }
 
-    /// Whether the end of the response can be told from the end of its connection.
-    fn is_delimited(&self) -> bool {
-        let headers = self.answer.as_ref().map(|answer| &answer.parts.headers);
-        headers.is_some_and(|headers| {
-            headers.contains_key(TRANSFER_ENCODING) || headers.contains_key(CONTENT_LENGTH)
-        })
-    }
-
     /// Time to wait for the response to a call that may have stopped the run, once the run has ended: as long as the caller waits,
     /// or half as long if the stream can be resumed without it.
     fn stop_patience(&self) -> Duration {
@@ -495,6 +525,7 @@
         }
         self.last_endpoint.clone_from(&answer.endpoint.id);
         self.last_event_at = None;
+        self.known = Known::default();
         self.answer = Some(answer);
     }
 
@@ -557,6 +588,14 @@
         None
     }
 
+    /// Logs that the engine ended its response by closing the connection.
+    fn log_close(&self, completeness: Completeness) {
+        let request = self.generation.call.metadata.id.as_str();
+        let (to, run) = (self.last_endpoint.as_str(), self.known.get());
+        let after = self.last_event().unwrap_or_default();
+        info!(request, to, run:? = run, completeness:? = completeness, after; "{}", event::CLOSED);
+    }
+
     fn log_resume(&self, why: &str, outcome: &str) {
         let request = self.generation.call.metadata.id.as_str();
         let after = self.last_event().unwrap_or_default();
