Remember unanswered orders of a run that goes on at its engine

A caller can get a part as a complete answer when an order without an answer stops the run after it went on at the engine that had it (a review of the fix, by reading; no case seen outside the test).

Cause: what was known of orders was dropped whenever a run went on, also at the same engine, where the engine may still carry one out. A 409 beside an open order was taken for a word on that order alone, and a refusal after it for a run that was never stopped, though the order under way stops it.

Change: an order without a reply stays known while the run is at its engine; a 409 always means that the run may be stopped, which turns round one row of the table (unknown in place of unstopped). Replies are read before other orders are sent, none is sent after the deadline, three may be open (four before), and they come at the former interval once KV cache is kept no longer.

--- a/crates/coordination/src/stop.rs
+++ b/crates/coordination/src/stop.rs
@@ -1,8 +1,9 @@
 //! Whether an engine stopped a run, as far as its replies to orders show, and whether a response that has ended is whole.
 //!
 //! Answers the load of engines that leave in waves while replies to orders are lost and responses end with their connections. An order
-//! whose reply is lost may be carried out, also seconds later. From then on only a handle of the run's KV cache shows what became of
-//! the run: "no such run" is true of one that ended, and of one that was stopped and whose KV cache has expired.
+//! whose reply is lost may be carried out, also seconds later, and then stops the run that goes on at the engine by then. Only a handle of
+//! the run's KV cache shows what became of the run: "no such run" is true of one that ended, and of one that was stopped and is kept no
+//! longer.
 
 /// Reply to an order to stop a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -58,8 +59,10 @@
 pub struct Orders {
     /// What the replies show.
     run: Run,
-    /// Orders without a reply, which the engine may still carry out.
+    /// Orders whose reply is awaited.
     open: u32,
+    /// Whether an order got no reply, so that the engine may still carry it out.
+    is_late: bool,
 }
 
 impl Orders {
@@ -79,12 +82,16 @@
     /// Records the reply to an order, or that none will come. Returns whether another order, or the reply to one that is open, can tell more.
     pub fn record(&mut self, reply: Reply) -> bool {
         self.open = self.open.saturating_sub(1);
-        // Another open order is the one under way.
-        if reply != Reply::UnderWay || self.open == 0 {
-            self.run = self.run.after(reply);
-        }
+        self.run = self.run.after(reply);
+        self.is_late |= reply == Reply::Missing;
         self.known().asks_again(reply)
     }
+
+    /// Orders after the run went on at the same engine.
+    pub fn resumed(self) -> Self {
+        let is_late = self.is_late || self.open > 0;
+        Self { run: if is_late { Run::Unknown } else { Run::Unstopped }, open: 0, is_late }
+    }
 }
 
 impl Run {
--- a/crates/gateway/src/migration.rs
+++ b/crates/gateway/src/migration.rs
@@ -33,7 +33,7 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Orders to stop one run that may wait for their replies at the same time.
-const MAX_OPEN_ORDERS: usize = 4;
+const MAX_OPEN_ORDERS: usize = 3;
 
 /// Interval between calls while the outcome is unknown.
 const RETRY_INTERVAL: Duration = Duration::from_millis(100);
@@ -68,6 +68,11 @@
         lock(&self.0).known()
     }
 
+    /// What is known of the run after it went on at the same engine.
+    pub fn resumed(&self) -> Self {
+        Self(Arc::new(Mutex::new(lock(&self.0).resumed())))
+    }
+
     fn send(&self) {
         lock(&self.0).send();
     }
@@ -293,34 +298,36 @@
     let run = &call.metadata.id;
     let patience = CALL_TIMEOUT.min(handle_ttl / PATIENCE_DIVISOR);
     let mut orders = FuturesUnordered::new();
-    let mut next_at = Instant::now();
-    let mut until = call.deadline.instant();
+    let (mut next_at, mut until) = (Instant::now(), call.deadline.instant());
+    let kept_until = next_at + handle_ttl;
     let mut asks = true;
     loop {
         let response = tokio::select! {
+            biased;
             Some(response) = orders.next() => response,
-            () = sleep_until(until), if !asks => return None,
+            () = sleep_until(until) => return None,
             () = sleep_until(next_at), if asks && orders.len() < MAX_OPEN_ORDERS => {
                 known.send();
                 orders.push(control.call(from, engine::move_run(from, run, to.address), CALL_TIMEOUT));
-                next_at = Instant::now() + patience;
+                let now = Instant::now();
+                next_at = now + if now < kept_until { patience } else { CALL_TIMEOUT };
                 continue;
             }
         };
         let (outcome, asks_again) = record(known, response, (run, from, to));
-        if asks && !asks_again {
-            // The reply to an order that is open may be under way.
-            (asks, until) = (false, until.min(Instant::now() + patience));
-        }
         match outcome {
             Some(MoveOutcome::Copied { handle }) => return Some((handle, true)),
             Some(MoveOutcome::Stopped { handle }) => return Some((handle, false)),
-            _ if call.remaining().is_zero() || (!asks && orders.is_empty()) => return None,
-            _ if asks && liveness::refuses_connections(control.dialer(), from).await => {
-                return None;
-            }
             _ => next_at = next_at.min(Instant::now() + RETRY_INTERVAL),
         }
+        let is_gone = async || liveness::refuses_connections(control.dialer(), from).await;
+        if asks && (!asks_again || is_gone().await) {
+            // The replies to open orders may be under way.
+            (asks, until) = (false, until.min(Instant::now() + patience));
+        }
+        if !asks && orders.is_empty() {
+            return None;
+        }
     }
 }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -520,12 +520,13 @@
     fn run_at(&mut self, answer: Answer) {
         if self.last_endpoint == answer.endpoint.id {
             self.move_at = Some(Instant::now() + MOVE_RETRY_INTERVAL);
+            self.known = self.known.resumed();
         } else {
             (self.move_at, self.moves_left) = (None, MAX_MOVES);
+            self.known = Known::default();
         }
         self.last_endpoint.clone_from(&answer.endpoint.id);
         self.last_event_at = None;
-        self.known = Known::default();
         self.answer = Some(answer);
     }
 
