Tell a cut-off node's view of an endpoint from a crash at the end of a response

A node without its links, or whose links come back during a check, would have cut each whole response that ended with its connection; an engine that crashed and started again at its address would have been taken for one that runs (a review of the fix, by reading).

Cause: the check of an endpoint has three results, and the one that says nothing was read as a crash; that an endpoint is gone was remembered without being confirmed.

Change: liveness::settle confirms that an endpoint is gone, repeats checks without a result for as long as the caller waits, and counts an endpoint as gone if one that started later is listed at its address. What is not found out in that time is not taken as whole.

Measured: gateway/tests/liveness.rs, six cases, pass; they call the new function, so the former code was not run on them. moves and unframed of platform/tests/site pass (39).

--- a/crates/coordination/src/pool.rs
+++ b/crates/coordination/src/pool.rs
@@ -627,6 +627,16 @@
         keys.filter_map(|key| self.get(key)).map(|endpoint| endpoint.address).collect()
     }
 
+    /// Whether an endpoint of its service that started later has an endpoint's address.
+    pub fn is_replaced(&self, endpoint: &Endpoint) -> bool {
+        let mut keys =
+            STAGES.iter().flat_map(|stage| self.index.group(&endpoint.service, *stage).keys());
+        let other = |listed: &Endpoint| {
+            listed.address == endpoint.address && listed.started_unix_ms > endpoint.started_unix_ms
+        };
+        keys.any(|key| self.get(key).is_some_and(other))
+    }
+
     /// Records that this node ordered an engine to change its stage.
     pub fn record_stage_order(&mut self, key: Key, stage: Stage, now: Millis) {
         if let Some(entry) = self.entries.get(key) {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -6,7 +6,7 @@
 use crate::control::CONNECT_TIMEOUT;
 use crate::event;
 use crate::limit;
-use crate::liveness::Liveness;
+use crate::liveness::{self, Liveness};
 use crate::metrics::Retry;
 use crate::node::Node;
 use crate::quarantine::{self, Trial};
@@ -346,10 +346,9 @@
         self.is_framed
     }
 
-    /// Whether the endpoint's process still runs, as far as this node can tell.
-    pub async fn is_alive(&self) -> bool {
-        let node = &self.slot.node;
-        node.liveness_checks.check(node, &self.endpoint).await == Liveness::Alive
+    /// Whether the endpoint's process still runs, as far as this node finds out within a time.
+    pub async fn liveness(&self, patience: Duration) -> Liveness {
+        liveness::settle(&self.slot.node, &self.endpoint, patience).await
     }
 
     /// Reads the whole body, up to a length limit.
--- a/crates/gateway/src/liveness.rs
+++ b/crates/gateway/src/liveness.rs
@@ -13,7 +13,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::OnceCell;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 /// Timeout of a liveness check: a port without a process refuses connections within a round trip of some 3 ms. The next
 /// attempt at the request waits for the check.
@@ -78,6 +78,11 @@
         }
         liveness
     }
+
+    /// Forgets that an endpoint is gone.
+    fn forget(&self, endpoint: &Endpoint) {
+        lock(&self.0).remove(&endpoint.tag());
+    }
 }
 
 /// Whether an endpoint refuses connections while another one accepts them.
@@ -110,6 +115,26 @@
     false
 }
 
+/// What this node finds out about an endpoint within a time. That it is gone is confirmed, and a check without a result is repeated: this
+/// node's own links may come back meanwhile.
+pub async fn settle(node: &Node, endpoint: &Endpoint, patience: Duration) -> Liveness {
+    let until = Instant::now() + patience;
+    loop {
+        let found = match node.liveness_checks.check(node, endpoint).await {
+            Liveness::Gone if !refuses_connections(&node.dialer, endpoint).await => {
+                node.liveness_checks.forget(endpoint);
+                Liveness::Unknown
+            }
+            Liveness::Alive if node.pool().is_replaced(endpoint) => Liveness::Gone,
+            found => found,
+        };
+        if found != Liveness::Unknown || Instant::now() + NEXT_CHECK_DELAY > until {
+            return found;
+        }
+        sleep(NEXT_CHECK_DELAY).await;
+    }
+}
+
 /// Whether this node reaches another endpoint, if there is one. Otherwise its own links may be gone: then it sees every endpoint
 /// refuse connections.
 async fn reaches_another(node: &Node, endpoint: &Endpoint) -> bool {
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -4,6 +4,7 @@
 use crate::event;
 use crate::exchange::{self, Answer, Call, Failure, Slot};
 use crate::limit;
+use crate::liveness::Liveness;
 use crate::metrics::{Metrics, Retry};
 use crate::node::{Node, ResponseBody, lock};
 use crate::quarantine;
@@ -47,6 +48,9 @@
 /// Intervals into which that time is divided: with a single one, a stall of this node would count as one of the endpoint.
 const STALL_INTERVALS: u32 = 2;
 
+/// One part in this many of the time left goes into checks of the endpoint of a response that ended with its connection.
+const CHECK_DIVISOR: u32 = 4;
+
 /// Retry-After of a refused caller: plain calls last some 60 ms, bursts of load some seconds.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
 
@@ -341,6 +345,12 @@
     read.filter(|_| !is_bodiless)
 }
 
+/// Whether a response that has ended is whole: if only the end of its connection shows it, its endpoint must still run.
+async fn is_whole(answer: &Answer, call: &Call) -> bool {
+    let patience = call.remaining() / CHECK_DIVISOR;
+    answer.is_framed() || answer.liveness(patience).await == Liveness::Alive
+}
+
 /// Streams a response to the caller; cut at the deadline.
 pub fn relay(node: &Arc<Node>, answer: Answer, call: &Call) -> Response<ResponseBody> {
     let status = answer.parts.status;
@@ -351,14 +361,16 @@
         let (node, mut answer, call) = state?;
         let (by, bound, error): (Side, _, http::BodyError) =
             match timeout_at(call.deadline.instant(), answer.body.frame()).await {
-                Ok(None) if answer.is_framed() || answer.is_alive().await => {
+                Ok(None) if is_whole(&answer, &call).await => {
                     answer.complete();
                     return None;
                 }
                 // The connections of a process are closed in the same way when it ends.
-                Ok(None) => {
-                    (Side::Endpoint, "may not be resumed", "gone at an end without length".into())
-                }
+                Ok(None) => (
+                    Side::Endpoint,
+                    "may not be resumed",
+                    "crashed at an end without length".into(),
+                ),
                 Ok(Some(Ok(frame))) => {
                     // hyper stops polling once a known length is reached.
                     if answer.body.is_end_stream() {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -7,6 +7,7 @@
 use crate::cut::{Cut, Side};
 use crate::event;
 use crate::exchange::Answer;
+use crate::liveness::Liveness;
 use crate::metrics::{Metrics, Retry};
 use crate::migration::{Known, Move, Stopped};
 use crate::node::ResponseBody;
@@ -243,10 +244,13 @@
         }
         match completeness {
             Completeness::Whole => self.complete(),
-            Completeness::UnlessCrashed if self.is_alive().await => self.complete(),
-            Completeness::UnlessCrashed => {
-                self.fail(Break::new(Side::Endpoint, "engine gone at an end without length")).await;
-            }
+            Completeness::UnlessCrashed => match self.engine_liveness().await {
+                Liveness::Alive => self.complete(),
+                // A part must not look whole.
+                Liveness::Gone | Liveness::Unknown => {
+                    self.fail(Break::new(Side::Endpoint, "crashed at an end without length")).await;
+                }
+            },
             Completeness::Unknown => self.fail_stopped("ended").await,
         }
     }
@@ -257,10 +261,10 @@
         if is_framed { End::Framed } else { End::Closed }
     }
 
-    async fn is_alive(&self) -> bool {
+    async fn engine_liveness(&self) -> Liveness {
         match &self.answer {
-            Some(answer) => answer.is_alive().await,
-            None => false,
+            Some(answer) => answer.liveness(self.stop_patience()).await,
+            None => Liveness::Unknown,
         }
     }
 
--- a/crates/gateway/tests/liveness.rs
+++ b/crates/gateway/tests/liveness.rs
@@ -2,7 +2,7 @@
 
 mod node;
 
-use crosslane_gateway::liveness;
+use crosslane_gateway::liveness::{self, Liveness};
 use crosslane_gateway::node::Node;
 use crosslane_state::endpoint::{Endpoint, Stage};
 use node::settings;
@@ -16,6 +16,12 @@
 /// Metric of connections that could not be opened.
 const UNREACHABLE: &str = "crosslane_endpoint_connections{outcome=\"unreachable\"}";
 
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 128;
+
+/// Time for checks of an endpoint.
+const PATIENCE: Duration = Duration::from_secs(1);
+
 /// Time between looks at a condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -86,3 +92,67 @@
     node.pool().update(endpoint("other", refusing.local_addr().unwrap()), node.now());
     assert!(!liveness::turns_out_gone(&node, &cut_off).await);
 }
+
+/// What is found out about an endpoint whose response ended with its connection.
+struct Ended {
+    name: &'static str,
+    /// Whether it accepts connections, at first and after the first checks.
+    accepts: (bool, bool),
+    /// Whether another endpoint does.
+    other_accepts: bool,
+    /// Whether another incarnation is listed at its address.
+    is_replaced: bool,
+    found: Liveness,
+}
+
+/// A node that was cut off took an endpoint for crashed, and cut whole responses.
+#[rstest]
+#[case(Ended { name: "runs", accepts: (true, true), other_accepts: true, is_replaced: false, found: Liveness::Alive })]
+#[case(Ended { name: "crashed", accepts: (false, false), other_accepts: true, is_replaced: false, found: Liveness::Gone })]
+#[case(Ended { name: "started again", accepts: (true, true), other_accepts: true, is_replaced: true, found: Liveness::Gone })]
+#[case(Ended { name: "cut off for a while", accepts: (false, true), other_accepts: false, is_replaced: false, found: Liveness::Alive })]
+#[case(Ended { name: "cut off", accepts: (false, false), other_accepts: false, is_replaced: false, found: Liveness::Unknown })]
+#[tokio::test]
+async fn endpoints_whose_responses_ended(#[case] case: Ended) {
+    let (listener, refusing) = sockets().await;
+    let address = if case.accepts.0 { listener.local_addr() } else { refusing.local_addr() };
+    let ended = endpoint("ended", address.unwrap());
+    let closed = TcpSocket::new_v4().unwrap();
+    closed.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let beside = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let other = if case.other_accepts { beside.local_addr() } else { closed.local_addr() };
+    let node = Arc::new(Node::new(settings()).unwrap());
+    node.pool().update(ended.clone(), node.now());
+    node.pool().update(endpoint("other", other.unwrap()), node.now());
+    if case.is_replaced {
+        let successor = Endpoint { started_unix_ms: 1, ..endpoint("successor", ended.address) };
+        node.pool().update(successor, node.now());
+    }
+    let settled = tokio::spawn({
+        let (node, ended) = (node.clone(), ended.clone());
+        async move { liveness::settle(&node, &ended, PATIENCE).await }
+    });
+    let _listening = if case.accepts == (false, true) {
+        while refused(&node) < 2 {
+            sleep(POLL_INTERVAL).await;
+        }
+        Some(refusing.listen(BACKLOG).unwrap())
+    } else {
+        None
+    };
+    assert_eq!(settled.await.unwrap(), case.found, "{}", case.name);
+}
+
+/// An endpoint that a check had found gone, since the links came back within it, stayed gone for all later responses.
+#[rstest]
+#[tokio::test]
+async fn an_endpoint_that_accepts_connections_again_is_not_remembered_as_gone() {
+    let (listener, refusing) = sockets().await;
+    let ended = endpoint("ended", refusing.local_addr().unwrap());
+    let node = Arc::new(Node::new(settings()).unwrap());
+    node.pool().update(ended.clone(), node.now());
+    node.pool().update(endpoint("other", listener.local_addr().unwrap()), node.now());
+    assert_eq!(liveness::settle(&node, &ended, PATIENCE).await, Liveness::Gone);
+    let _listening = refusing.listen(BACKLOG).unwrap();
+    assert_eq!(liveness::settle(&node, &ended, PATIENCE).await, Liveness::Alive);
+}
