Cut streams without engines and without length that end within an event

Cause: only streams of engines were split into events; others were passed on as any body, whose end was that of its connection.

Change: the last bytes of such a stream are kept, and it is cut if they end no event.

--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -10,6 +10,7 @@
 use crate::quarantine;
 use crate::refusal::{Reason, Refusal};
 use crate::resume;
+use crate::sse::Tail;
 use crate::stall::{self, Watch};
 use bytes::Bytes;
 use crosslane_coordination::calls;
@@ -324,7 +325,8 @@
         resume::begin(node, call, route, answer.endpoint.build());
     }
     if route.kind != Kind::Safe || !short {
-        return Ok(Attempt::Final(relay(node, answer, call)));
+        let is_stream = matches!(route.kind, Kind::Stream { .. });
+        return Ok(Attempt::Final(relay(node, answer, call, is_stream)));
     }
     let (parts, body) = answer.read_body(call, MAX_BUFFERED_BYTES as usize, until).await?;
     let response = buffered(&call.method, parts, body);
@@ -351,16 +353,24 @@
     answer.is_framed() || answer.liveness(patience).await == Liveness::Alive
 }
 
-/// Streams a response to the caller; cut at the deadline.
-pub fn relay(node: &Arc<Node>, answer: Answer, call: &Call) -> Response<ResponseBody> {
+/// Streams a response to the caller; cut at the deadline. One that is a stream of events must not end within an event.
+pub fn relay(
+    node: &Arc<Node>,
+    answer: Answer,
+    call: &Call,
+    is_stream: bool,
+) -> Response<ResponseBody> {
     let status = answer.parts.status;
     let length = exact_length(status, answer.body.size_hint().exact());
     let headers = response::forwarded_headers(&answer.parts.headers, &call.method, length);
-    let initial = Some((node.clone(), answer, call.clone()));
+    let initial = Some((node.clone(), answer, call.clone(), Tail::default()));
     let frames = futures::stream::unfold(initial, move |state| async move {
-        let (node, mut answer, call) = state?;
+        let (node, mut answer, call, mut tail) = state?;
         let (by, bound, error): (Side, _, http::BodyError) =
             match timeout_at(call.deadline.instant(), answer.body.frame()).await {
+                Ok(None) if !answer.is_framed() && is_stream && tail.is_partial() => {
+                    (Side::Endpoint, "may not be resumed", "ended within an event".into())
+                }
                 Ok(None) if is_whole(&answer, &call).await => {
                     answer.complete();
                     return None;
@@ -378,7 +388,8 @@
                     } else {
                         answer.record_progress();
                     }
-                    return Some((Ok(frame), Some((node, answer, call))));
+                    tail.push(frame.data_ref().map_or(&[], |data| data.as_ref()));
+                    return Some((Ok(frame), Some((node, answer, call, tail))));
                 }
                 Ok(Some(Err(error))) => {
                     let by = Side::new(Closer::of(&error), Side::Endpoint);
--- a/crates/gateway/src/sse.rs
+++ b/crates/gateway/src/sse.rs
@@ -5,6 +5,12 @@
 /// Terminator of an event.
 const TERMINATOR: &[u8] = b"\n\n";
 
+/// Terminators of an event that the format of such streams allows.
+const TERMINATORS: [&[u8]; 3] = [TERMINATOR, b"\r\r", b"\r\n\r\n"];
+
+/// Size of the longest of them.
+const MAX_TERMINATOR_BYTES: usize = 4;
+
 /// Maximum size of an event; those of a site have some 500 bytes.
 const MAX_EVENT_BYTES: usize = 64 << 10;
 
@@ -46,6 +52,23 @@
     }
 }
 
+/// Last bytes of a stream that is passed on as it arrives.
+#[derive(Clone, Debug, Default)]
+pub struct Tail(Vec<u8>);
+
+impl Tail {
+    /// Adds bytes.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.0.extend_from_slice(&bytes[bytes.len().saturating_sub(MAX_TERMINATOR_BYTES)..]);
+        self.0.drain(..self.0.len().saturating_sub(MAX_TERMINATOR_BYTES));
+    }
+
+    /// Whether the stream ends within an event.
+    pub fn is_partial(&self) -> bool {
+        !self.0.is_empty() && !TERMINATORS.iter().any(|terminator| self.0.ends_with(terminator))
+    }
+}
+
 /// Number of complete events.
 pub fn count(events: &[u8]) -> usize {
     events.windows(TERMINATOR.len()).filter(|bytes| *bytes == TERMINATOR).count()
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -156,7 +156,7 @@
         Metrics::observe(&self.node.metrics.first_byte, self.call.arrived.elapsed());
         Ok(match stream {
             Ok(answer) => self.relay(answer),
-            Err(error) => plain::relay(&self.node, error, &self.call),
+            Err(error) => plain::relay(&self.node, error, &self.call, false),
         })
     }
 
--- a/crates/gateway/tests/sse.rs
+++ b/crates/gateway/tests/sse.rs
@@ -1,6 +1,6 @@
 //! Complete events are forwarded, and the id of the last one is known.
 
-use crosslane_gateway::sse::Splitter;
+use crosslane_gateway::sse::{Splitter, Tail};
 use rstest::rstest;
 
 struct Case {
@@ -30,3 +30,24 @@
         case.name
     );
 }
+
+struct End {
+    name: &'static str,
+    chunks: &'static [&'static [u8]],
+    partial: bool,
+}
+
+#[rstest]
+#[case(End { name: "nothing", chunks: &[], partial: false })]
+#[case(End { name: "one event", chunks: &[b"data: a\n\n"], partial: false })]
+#[case(End { name: "carriage returns", chunks: &[b"data: a\r\n", b"\r\n"], partial: false })]
+#[case(End { name: "split within the terminator", chunks: &[b"data: a\n", b"\n"], partial: false })]
+#[case(End { name: "split before the terminator, and an empty chunk", chunks: &[b"data: a", b"\n\n", b""], partial: false })]
+#[case(End { name: "within an event", chunks: &[b"data: a\n\nda", b"ta: b"], partial: true })]
+#[case(End { name: "within a terminator", chunks: &[b"data: a\n\n", b"data: b\n"], partial: true })]
+#[case(End { name: "one byte", chunks: &[b"\n"], partial: true })]
+fn ends_of_streams(#[case] case: End) {
+    let mut tail = Tail::default();
+    case.chunks.iter().for_each(|chunk| tail.push(chunk));
+    assert_eq!(tail.is_partial(), case.partial, "{}", case.name);
+}
