--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -82,7 +82,7 @@
 pub const REQUEST: &str = "request";
 /// Data that can't be decoded was skipped.
 pub const SKIPPED: &str = "skipped";
-/// An endpoint ended a response by closing its connection.
+/// An engine ended a stream without length by closing its connection.
 pub const CLOSED: &str = "closed";
 /// Log lines were dropped.
 pub const DROPPED: &str = "dropped";
