Take a status that is invalid or not final for a broken attempt

Cause: hyper refuses statuses below 100, but takes 600 to 999, which RFC 9110, section 15 calls invalid, and 101, which agrees to an upgrade that nobody asked for. Only the informational one was refused, and only for endpoints' answers. An endpoint, or another node that a request was forwarded to, could thus pass any of the others to a caller as an answer, and did not count as failing.

Change: `framing::check`, which every client connection calls, refuses all but 200 to 599, so the attempt counts as broken: it may have run, is repeated where that is allowed, ends as 502 otherwise, and tells the endpoint's health of a failure. `exchange::reject` needs no case for informational statuses any more.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -626,7 +626,7 @@
 /// Checks a response head; returns the failure and its outcome for the endpoint's health if it can't be used.
 fn reject(head: &Head, status: StatusCode, purpose: &Purpose<'_>) -> Option<(Failure, Outcome)> {
     let sealed = head.has_required_seal || matches!(purpose, Purpose::Prefill);
-    if !head.id_matches || !sealed || status.is_informational() {
+    if !head.id_matches || !sealed {
         return Some((Failure::Broken, Outcome::Failed));
     }
     head.not_executed.then(|| (Failure::Refused, refusal_outcome(status, purpose)))
--- a/crates/transport/src/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -190,7 +190,8 @@
         Ok(Self { to, sender, driver, last_used: clock::boot() })
     }
 
-    /// Sends a request and returns the response once its head has arrived. A response whose framing is invalid is an error.
+    /// Sends a request and returns the response once its head has arrived. A response whose status or framing is invalid is an
+    /// error.
     pub async fn send(
         &mut self,
         request: Outgoing,
--- a/crates/transport/src/framing.rs
+++ b/crates/transport/src/framing.rs
@@ -1,19 +1,27 @@
-//! Message framing of responses (RFC 9112, section 6).
+//! Message framing of responses (RFC 9112, section 6), and their status (RFC 9110, section 15).
 //!
 //! hyper reads a body by its chunks if a length stands beside them, as the RFC allows, and keeps both headers. The two ends of such
 //! a body differ, so a sender that gives both is faulty or joins two messages: its response is not used. The same holds for lengths
-//! that differ, and for codings that were not asked for and would be passed on without being named.
+//! that differ, and for codings that were not asked for and would be passed on without being named. hyper also takes statuses that
+//! the RFC calls invalid, and one that agrees to an upgrade, which no request asks for.
 
 use derive_more::{Display, Error};
 use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use hyper::{Response, StatusCode};
+use std::ops::RangeInclusive;
+
+/// Status codes of final responses.
+const FINAL: RangeInclusive<u16> = 200..=599;
 
 /// The only transfer coding that is read.
 const CHUNKED: &[u8] = b"chunked";
 
-/// Why the end of a response's body is not certain.
+/// Why a response is not used.
 #[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
 pub enum Error {
+    /// A status that is invalid, or not final.
+    #[display("the response has a status that is invalid or not final")]
+    Status,
     /// Both a length and a transfer coding.
     #[display("the response has a length beside a transfer coding")]
     Both,
@@ -28,7 +36,7 @@
     Body,
 }
 
-/// Checks that the head of a response says in one way where its body ends.
+/// Checks that the head of a response has a final status and says in one way where its body ends.
 pub fn check<B>(response: &Response<B>) -> Result<(), Error> {
     check_head(response.status(), response.headers())
 }
@@ -52,6 +60,9 @@
 }
 
 fn check_head(status: StatusCode, headers: &HeaderMap) -> Result<(), Error> {
+    if !FINAL.contains(&status.as_u16()) {
+        return Err(Error::Status);
+    }
     let is_coded = headers.contains_key(TRANSFER_ENCODING);
     if is_coded && headers.contains_key(CONTENT_LENGTH) {
         return Err(Error::Both);
