Reset connections of HTTP/1.0 callers whose responses are cut

Cause: a caller that speaks HTTP/1.0 gets a response of unknown length without chunks, which ends with its connection. When the node cut such a stream, hyper dropped the connection, the kernel closed it in the ordinary way, and the part looked whole.

Change: while such a response is being sent, closing its connection resets it (`unframed::Stream`, a linger time of zero, which the kernel also applies when the process is killed). Once the body has ended and is written, the connection is shut down as before. Responses with a length, with chunks, to HEAD, and with 204 or 304 never set it: they show a cut by themselves, and a reset may drop what was delivered.

A socket that is dropped is reset before the end of such a response is written (5 cases, new code; a killed process was not run).

--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -23,15 +23,16 @@
 use crosslane_state::residency::Residency;
 use crosslane_state::route::{Engine, Kind, Limits, Route, Table};
 use crosslane_state::segment::Segment;
-use crosslane_transport::ack;
 use crosslane_transport::clock::Deadline;
 use crosslane_transport::connection::{self, Closer};
 use crosslane_transport::http::{self, ReadError};
 use crosslane_transport::metered::Metered;
+use crosslane_transport::unframed::{self, UnderWay};
+use crosslane_transport::{ack, framing};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{HeaderMap, Request, Response, StatusCode};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode, Version};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use log::{debug, info, warn};
 use socket2::SockRef;
@@ -173,6 +174,8 @@
         let node = node.clone();
         move || node.ack_timeout()
     });
+    let unframed = UnderWay::default();
+    let stream = unframed::Stream::new(stream, unframed.clone());
     let meter = node.load.link.clone();
     let limits = node.table().map_or(DEFAULT_LIMITS, |table| table.limits);
     let mut stop = node.stopping.subscribe();
@@ -182,11 +185,13 @@
     let service = service_fn({
         let (node, failed) = (node.clone(), failed.clone());
         move |request| {
-            let (node, failed) = (node.clone(), failed.clone());
+            let (node, failed, unframed) = (node.clone(), failed.clone(), unframed.clone());
             let open = lock(&first).take().unwrap_or_else(|| node.load.open());
             async move {
                 let source = Source { caller, origin, open };
-                Ok::<_, Infallible>(handle(node, request, source, failed).await)
+                let sends = Sends::new(&request);
+                let response = handle(node, request, source, failed).await;
+                Ok::<_, Infallible>(sends.watch(response, unframed))
             }
         }
     });
@@ -211,6 +216,69 @@
     }
 }
 
+/// What tells a caller where the body of its response ends, as far as its request decides.
+#[derive(Clone, Copy)]
+struct Sends {
+    chunks: bool,
+    body: bool,
+}
+
+impl Sends {
+    fn new(request: &Request<Incoming>) -> Self {
+        let chunks = request.version() >= Version::HTTP_11;
+        Self { chunks, body: request.method() != Method::HEAD }
+    }
+
+    /// Has the connection reset if the response is cut and the caller could not tell.
+    fn watch(
+        self,
+        response: Response<ResponseBody>,
+        under_way: UnderWay,
+    ) -> Response<ResponseBody> {
+        let status = response.status();
+        let has_body =
+            self.body && ![StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&status);
+        let has_length =
+            framing::is_framed(response.headers()) || response.body().size_hint().exact().is_some();
+        if self.chunks || !has_body || has_length {
+            return response;
+        }
+        under_way.set(true);
+        response.map(|body| ResponseBody::new(UnframedBody { body, under_way }))
+    }
+}
+
+/// Response body that neither a length nor chunks frame.
+struct UnframedBody {
+    body: ResponseBody,
+    under_way: UnderWay,
+}
+
+impl Body for UnframedBody {
+    type Data = Bytes;
+    type Error = http::BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(context));
+        let failed = matches!(frame, Some(Err(_)));
+        if !failed && (frame.is_none() || self.body.is_end_stream()) {
+            self.under_way.set(false);
+        }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// Where a request comes from.
 struct Source {
     caller: IpAddr,
--- a/crates/transport/src/ack.rs
+++ b/crates/transport/src/ack.rs
@@ -2,6 +2,7 @@
 
 use crate::connection;
 use std::io;
+use std::os::fd::{AsFd, BorrowedFd};
 use std::pin::Pin;
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -36,6 +37,12 @@
     }
 }
 
+impl<F> AsFd for Stream<F> {
+    fn as_fd(&self) -> BorrowedFd<'_> {
+        self.inner.as_fd()
+    }
+}
+
 impl<F: Fn() -> Duration + Unpin> AsyncRead for Stream<F> {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -30,3 +30,4 @@
 pub mod rpc;
 pub mod run;
 pub mod serve;
+pub mod unframed;
