Check again before sending whether a request ends before the kill

Cause: a stopping node checked once, on arrival, whether a plain call ends before the kill, and a stream before its prefill only. A call that arrived before the announcement, or in the first 2.8 s, and then waited for a limit, an endpoint that refused it or a retry was sent on late in the grace period with a deadline after the kill.

Change: an attempt that would be the first to run a request asks shutdown again, after all waits and before anything is sent. What may not end in time fails as not sent and is refused with 503, stopping and Retry-After. A stream that was accepted is sent if streams like it end in time, also after the first 2.8 s, since its prefill comes in between. Attempts after one that may have run are not checked: the caller could no longer be told that it did not run.

Weighed: calls that may not be repeated are still accepted in the first 2.8 s if calls to their service usually end in time.

Measured: a_call_refused_late_in_the_grace_period_is_not_sent_again failed before (200 by the second endpoint in place of 503), passes now; requests_sent_while_stopping is new.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -12,6 +12,7 @@
 use crate::quarantine::{self, Trial};
 use crate::quota::Grant;
 use crate::refusal::{Reason, Refusal};
+use crate::shutdown;
 use crate::stream;
 use bytes::Bytes;
 use crosslane_coordination::backlog::Pool;
@@ -156,6 +157,9 @@
     /// Not sent: shut out, since too many endpoints crashed while running it.
     #[display("shut out")]
     ShutOut,
+    /// Not sent: this node is stopping, and the request may outlast it.
+    #[display("stopping")]
+    Stopping,
 }
 
 impl Failure {
@@ -169,6 +173,11 @@
         matches!(self, Self::Refused | Self::Broken | Self::Timeout)
     }
 
+    /// Whether no other endpoint is tried.
+    pub fn is_final(self) -> bool {
+        self.quarantined() || self == Self::Stopping
+    }
+
     /// Whether quarantine keeps the request from every endpoint for now.
     pub fn quarantined(self) -> bool {
         matches!(self, Self::OnTrial | Self::ShutOut)
@@ -408,6 +417,10 @@
         return Err(Failure::Unsent);
     }
     let trial = quarantine::admit(&node, call, &endpoint, purpose).await?;
+    if let Err(failure) = shutdown::check_before_sending(&node, &endpoint.service, call, purpose) {
+        log_failure(call, &endpoint, failure, "may outlast the grace period");
+        return Err(failure);
+    }
     // A run that is moved with its KV cache, without a reservation, goes on and does not count again.
     if matches!(purpose, Purpose::Run | Purpose::Decode { reservation: Some(_), .. }) {
         call.grant.charge_repeat();
@@ -661,7 +674,7 @@
         match failure {
             Failure::Unreachable | Failure::Unsent => Self::Unreachable,
             Failure::RateLimited => Self::RateLimited,
-            Failure::Refused => Self::Refused,
+            Failure::Refused | Failure::Stopping => Self::Refused,
             Failure::Broken | Failure::Timeout => Self::Broken,
             Failure::OnTrial | Failure::ShutOut => Self::Quarantined,
         }
@@ -679,6 +692,7 @@
             Failure::Timeout => Self::Timeout,
             Failure::OnTrial => Self::OnTrial,
             Failure::ShutOut => Self::ShutOut,
+            Failure::Stopping => Self::Stopping,
         }
     }
 }
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -94,8 +94,10 @@
                 if failure.may_have_run() && !route.kind.idempotent() {
                     return Err(reason.into());
                 }
-                node.metrics.count_retry(failure.into());
-                if failure.quarantined() {
+                if failure != Failure::Stopping {
+                    node.metrics.count_retry(failure.into());
+                }
+                if failure.is_final() {
                     break;
                 }
             }
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -267,6 +267,11 @@
         self.sent.swap(true, Ordering::Relaxed)
     }
 
+    /// Whether the request is marked as sent.
+    pub fn was_sent(&self) -> bool {
+        self.sent.load(Ordering::Relaxed)
+    }
+
     /// Charges the cost once more if the request has run before: each run counts against the limit of an organisation. A run that
     /// breaks off is continued whatever is left of the limit; later requests get less.
     pub fn charge_repeat(&self) {
--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -3,9 +3,12 @@
 //! The load balancer needs two health checks, a second apart, to notice that a node is not ready; and if most nodes of a
 //! failure domain stop at once, it keeps sending requests to all of them. So a stopping node accepts requests that are sure
 //! to end before it is killed. Streams, which last seconds, are accepted only at first, and only if such streams end in time.
+//! A request may wait for a limit, memory or a retry after that, so it is checked again before it is sent to an endpoint.
 
+use crate::exchange::{Call, Failure};
 use crate::node::Node;
 use crate::refusal::{RETRY_AFTER, Reason, Refusal};
+use crosslane_platform::request::Purpose;
 use crosslane_state::route::{Kind, Route};
 use std::time::Duration;
 
@@ -33,15 +36,45 @@
 }
 
 impl Arrival {
+    /// State of a request at a node, if that is stopping.
+    fn new(
+        node: &Node,
+        service: &str,
+        tokens: u32,
+        remaining: Duration,
+        is_stream: bool,
+    ) -> Option<Self> {
+        let announced_at = (*node.stopping.borrow())?;
+        Some(Self {
+            since_announcement: Duration::from_millis(node.now().since(announced_at)),
+            grace: Duration::from_millis(node.adjustable().grace_ms),
+            remaining,
+            longest: node
+                .longest_duration(service, tokens)
+                .map_or(remaining, |longest| longest.min(remaining)),
+            is_stream,
+        })
+    }
+
     /// Whether the request is accepted.
     pub fn is_accepted(self) -> bool {
-        let ends_in_time =
-            |duration: Duration| self.since_announcement + duration + KILL_MARGIN <= self.grace;
         match self.since_announcement <= ACCEPT_TIME {
-            true => ends_in_time(self.longest),
-            false => !self.is_stream && ends_in_time(self.remaining),
+            true => self.ends_in_time(self.longest),
+            false => !self.is_stream && self.ends_in_time(self.remaining),
+        }
+    }
+
+    /// Whether a request that was accepted and has not run yet is sent to an endpoint. A stream's prompt is prefilled by then.
+    pub fn is_sent(self) -> bool {
+        match self.is_stream {
+            true => self.ends_in_time(self.longest),
+            false => self.is_accepted(),
         }
     }
+
+    fn ends_in_time(self, duration: Duration) -> bool {
+        self.since_announcement + duration + KILL_MARGIN <= self.grace
+    }
 }
 
 /// Refuses a request if the node is stopping and may be killed before the request ends.
@@ -52,21 +85,34 @@
     tokens: u32,
     remaining: Duration,
 ) -> Result<(), Refusal> {
-    let Some(announced_at) = *node.stopping.borrow() else {
-        return Ok(());
-    };
-    let arrival = Arrival {
-        since_announcement: Duration::from_millis(node.now().since(announced_at)),
-        grace: Duration::from_millis(node.adjustable().grace_ms),
-        remaining,
-        longest: node
-            .longest_duration(service, tokens)
-            .map_or(remaining, |longest| longest.min(remaining)),
-        is_stream: matches!(route.kind, Kind::Stream { .. }),
+    let is_stream = matches!(route.kind, Kind::Stream { .. });
+    match Arrival::new(node, service, tokens, remaining, is_stream) {
+        Some(arrival) if !arrival.is_accepted() => {
+            Err(Refusal::retry_after(Reason::Stopping, RETRY_AFTER))
+        }
+        _ => Ok(()),
+    }
+}
+
+/// Fails an attempt that would be the first to run a request if the node is stopping and may be killed before the request ends.
+pub fn check_before_sending(
+    node: &Node,
+    service: &str,
+    call: &Call,
+    purpose: &Purpose<'_>,
+) -> Result<(), Failure> {
+    let is_stream = match purpose {
+        Purpose::Prefill => return Ok(()),
+        Purpose::Run => false,
+        Purpose::Decode { .. } => true,
     };
-    if arrival.is_accepted() {
-        Ok(())
-    } else {
-        Err(Refusal::retry_after(Reason::Stopping, RETRY_AFTER))
+    // Without a further attempt, a request that may have run ends all the same.
+    if call.grant.was_sent() {
+        return Ok(());
+    }
+    let tokens = call.metadata.estimated_output_tokens();
+    match Arrival::new(node, service, tokens, call.remaining(), is_stream) {
+        Some(arrival) if !arrival.is_sent() => Err(Failure::Stopping),
+        _ => Ok(()),
     }
 }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -495,7 +495,7 @@
             return Err(self.final_refusal(failure));
         }
         let mut failure = failure;
-        while !failure.quarantined() && self.attempts() < self.route.max_attempts.max(1) {
+        while !failure.is_final() && self.attempts() < self.route.max_attempts.max(1) {
             if failure == Failure::Unreachable && self.node.has_lost(&self.service) {
                 break;
             }
