Answer what is open shortly before a stopping node is killed

Cause: a call that was accepted since calls to its service usually end in time, or that began before the announcement, and then outlasted the grace period was cut by the kill without a response. Its caller could not tell whether it had run.

Change: 0.4 s before the kill, what has no response head yet is answered: with 504 and grace_over if it may have run (here or at another node), which promises nothing, and with 503, stopping and Retry-After if it was not sent. This holds for calls that may be repeated and for those that may not. The runs are dropped, as by the kill.

Not covered: a response whose head was passed on, such as a stream, is still cut by the kill.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -255,6 +255,7 @@
         | Reason::Evacuated
         | Reason::NoRegion
         | Reason::NoVersion
-        | Reason::UnknownStream => false,
+        | Reason::UnknownStream
+        | Reason::GraceOver => false,
     }
 }
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -359,7 +359,7 @@
         if origin == Origin::Node {
             return Err(Refusal::retry_after(Reason::Unreachable, RETRY_AFTER));
         }
-        if let Some(result) = forwardable.send(node, service).await {
+        if let Some(result) = forward(node, service, &forwardable).await {
             return result;
         }
         // No other node serves it either, so this one tries all that it has.
@@ -371,7 +371,7 @@
     call.grant = Arc::new(grant);
     let counted_at = node.count_request(service);
     let (may_forward, prefilled) = (call.may_forward, call.prefilled.clone());
-    match place(node, target, call).await {
+    match place_before_kill(node, target, call).await {
         Err(refusal) if refusal.reason == Reason::Unreachable && may_forward => {
             // The next node counts the request, and has the prompt prefilled again.
             node.withdraw_request(service, counted_at);
@@ -379,7 +379,9 @@
                 return Err(Refusal::retry_after(Reason::Refused, RETRY_AFTER));
             }
             match origin {
-                Origin::Caller => forwardable.send(node, service).await.unwrap_or(Err(refusal)),
+                Origin::Caller => {
+                    forward(node, service, &forwardable).await.unwrap_or(Err(refusal))
+                }
                 Origin::Node => Err(refusal),
             }
         }
@@ -387,6 +389,30 @@
     }
 }
 
+/// Sends a request to other nodes; `None` if none took it.
+async fn forward(
+    node: &Arc<Node>,
+    service: &str,
+    request: &forward::Request,
+) -> Option<Result<Response<ResponseBody>, Refusal>> {
+    let sent = shutdown::before_kill(node, request.send(node, service)).await;
+    sent.unwrap_or_else(|| Some(Err(Reason::GraceOver.into())))
+}
+
+/// Serves a call, or answers it shortly before the node is killed if there is no response yet.
+async fn place_before_kill(
+    node: &Arc<Node>,
+    target: Target<'_>,
+    call: Call,
+) -> Result<Response<ResponseBody>, Refusal> {
+    let grant = call.grant.clone();
+    let placed = shutdown::before_kill(node, place(node, target, call)).await;
+    placed.unwrap_or_else(|| match grant.was_sent() {
+        true => Err(Reason::GraceOver.into()),
+        false => Err(Refusal::retry_after(Reason::Stopping, RETRY_AFTER)),
+    })
+}
+
 /// Serves a call at endpoints that this node reaches.
 async fn place(
     node: &Arc<Node>,
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -58,11 +58,13 @@
     NoVersion,
     /// Which software version began the stream is not known.
     UnknownStream,
+    /// The request was sent, and the grace period of this node is over.
+    GraceOver,
 }
 
 /// Every reason with its name and HTTP status, in the order of `Reason`. With status 408, 429 or 503 the request
 /// has not run.
-pub const REASONS: [(Reason, &str, StatusCode); 22] = [
+pub const REASONS: [(Reason, &str, StatusCode); 23] = [
     (Reason::NoId, "no_id", StatusCode::BAD_REQUEST),
     (Reason::NoRoute, "no_route", StatusCode::NOT_FOUND),
     (Reason::BodyTooLong, "too_long", StatusCode::PAYLOAD_TOO_LARGE),
@@ -85,6 +87,7 @@
     (Reason::NoRegion, "no_region", StatusCode::SERVICE_UNAVAILABLE),
     (Reason::NoVersion, "no_version", StatusCode::SERVICE_UNAVAILABLE),
     (Reason::UnknownStream, "unknown_stream", StatusCode::SERVICE_UNAVAILABLE),
+    (Reason::GraceOver, "grace_over", StatusCode::GATEWAY_TIMEOUT),
 ];
 
 impl Reason {
--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -3,6 +3,7 @@
 //! The load balancer needs two health checks, a second apart, to notice that a node is not ready; and if most nodes of a
 //! failure domain stop at once, it keeps sending requests to all of them. So a stopping node accepts requests that are sure
 //! to end before it is killed. Streams, which last seconds, are accepted only at first, and only if such streams end in time.
+//! What still has no response shortly before the kill is answered by the node, since a cut tells its caller nothing.
 //! A request may wait for a limit, memory or a retry after that, so it is checked again before it is sent to an endpoint.
 
 use crate::exchange::{Call, Failure};
@@ -10,7 +11,10 @@
 use crate::refusal::{RETRY_AFTER, Reason, Refusal};
 use crosslane_platform::request::Purpose;
 use crosslane_state::route::{Kind, Route};
+use crosslane_state::time::Millis;
+use std::future::pending;
 use std::time::Duration;
+use tokio::time::sleep;
 
 /// Time after the announcement in which streams and calls are accepted if requests to their service usually end in
 /// time. Later, only calls are accepted, and only if their deadline is before the kill.
@@ -20,6 +24,10 @@
 /// response.
 const KILL_MARGIN: Duration = Duration::from_millis(700);
 
+/// Time before the kill at which what is open is answered: enough to transmit short responses, and after requests with a
+/// deadline before the kill have ended.
+const ANSWER_MARGIN: Duration = Duration::from_millis(400);
+
 /// A request that arrived after the announcement.
 #[derive(Clone, Copy, Debug)]
 pub struct Arrival {
@@ -116,3 +124,31 @@
         _ => Ok(()),
     }
 }
+
+/// Waits for a result; `None` once the grace period is almost over.
+pub async fn before_kill<T>(node: &Node, result: impl Future<Output = T>) -> Option<T> {
+    tokio::select! {
+        biased;
+        result = result => Some(result),
+        () = grace_over(node) => None,
+    }
+}
+
+/// Waits until the node is stopping and its grace period is almost over.
+async fn grace_over(node: &Node) {
+    let mut stopping = node.stopping.subscribe();
+    let Ok(Some(announced_at)) = stopping.wait_for(Option::is_some).await.map(|at| *at) else {
+        return pending().await;
+    };
+    // The grace period may change meanwhile.
+    while let Some(left) = time_to_answer(node, announced_at) {
+        sleep(left).await;
+    }
+}
+
+/// Time until what is open is answered, unless it is over.
+fn time_to_answer(node: &Node, announced_at: Millis) -> Option<Duration> {
+    let grace = Duration::from_millis(node.adjustable().grace_ms);
+    let since = Duration::from_millis(node.now().since(announced_at));
+    grace.saturating_sub(ANSWER_MARGIN).checked_sub(since).filter(|left| !left.is_zero())
+}
