Accept no connection once a stopping node's last request has ended

Cause: a stopping node exits once no connection is open, but its listeners kept accepting until then. The node runs on one thread: a connection that became readable in the same turn as the last one ended could be accepted, its request read and passed on, and cut off by the exit.

Change: once the last connection has ended, the listeners are closed, and what was accepted meanwhile is waited for.

That a caller of a real process met this was not seen; it follows from the code.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -19,6 +19,7 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::Signal;
+use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
 use tokio_util::task::TaskTracker;
 
@@ -53,7 +54,7 @@
 ) -> Result<(), Error> {
     let node = Arc::new(Node::new(settings)?);
     let connections = TaskTracker::new();
-    start(&node, &connections, metrics_port).await?;
+    let listeners = start(&node, &connections, metrics_port).await?;
     let mut announced = pin!(announced);
     loop {
         tokio::select! {
@@ -61,15 +62,16 @@
             _ = reload_signal.recv() => reload::run(&node, path),
         }
     }
-    stop(&node, &connections).await;
+    stop(&node, listeners, &connections).await;
     Ok(())
 }
 
+/// Starts the node's tasks, and returns those that accept requests.
 async fn start(
     node: &Arc<Node>,
     connections: &TaskTracker,
     metrics_port: u16,
-) -> Result<(), Error> {
+) -> Result<JoinSet<()>, Error> {
     let settings = &node.settings;
     let callers = TcpListener::bind(settings.caller_address).await?;
     let ready = TcpListener::bind(settings.readiness_address).await?;
@@ -81,9 +83,10 @@
     info!(vm = settings.vm, domain = settings.domain, callers:% = settings.caller_address; "{}", event::START);
     tokio::spawn(follower::follow(node.clone(), Topic::Operators));
     tokio::spawn(follower::follow(node.clone(), Topic::Endpoints));
-    tokio::spawn(frontend::run(node.clone(), callers, Origin::Caller, connections.clone()));
+    let mut listeners = JoinSet::new();
+    listeners.spawn(frontend::run(node.clone(), callers, Origin::Caller, connections.clone()));
     if let Some(forwarded) = forwarded {
-        tokio::spawn(frontend::run(node.clone(), forwarded, Origin::Node, connections.clone()));
+        listeners.spawn(frontend::run(node.clone(), forwarded, Origin::Node, connections.clone()));
     }
     tokio::spawn(reach::watch(node.clone()));
     tokio::spawn(frontend::serve_status(node.clone(), ready, METRICS_PATH));
@@ -104,7 +107,7 @@
             warn!(dependency = "peers", why:% = error; "{}", event::LOST);
         }
     });
-    Ok(())
+    Ok(listeners)
 }
 
 async fn remove_expired(node: Arc<Node>) {
@@ -131,7 +134,7 @@
 }
 
 /// Drains requests in flight. The platform kills the process at the end of its grace period.
-async fn stop(node: &Arc<Node>, connections: &TaskTracker) {
+async fn stop(node: &Arc<Node>, mut listeners: JoinSet<()>, connections: &TaskTracker) {
     let started_at = Instant::now();
     node.stopping.send_replace(Some(node.now()));
     node.heartbeat_due.notify_one();
@@ -139,6 +142,9 @@
     sleep(ACCEPT_TIME).await;
     connections.close();
     connections.wait().await;
+    // A connection that is accepted before this task goes on has its requests answered too.
+    listeners.shutdown().await;
+    connections.wait().await;
     let took_ms = started_at.elapsed().as_millis() as u64;
     info!(took_ms, phase = "end"; "{}", event::STOP);
 }
