Pass resets on as resets in the soak's proxies

Cause: a proxy that reset a connection dropped its writing half first, which closes in order, and one whose server reset closed too. Nodes saw the end of a response without length where the soak meant a reset.

Change: a side that fails resets the other one, and halves are forgotten before they reset.

Measured: proxy::resets_are_not_passed_on_as_closes, case_2 read the end of the connection before (Ok(0)), and reads a reset now.

--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -149,13 +149,16 @@
     let (mut far_read, mut far_write) = far.into_split();
     let modes = mode.clone();
     let is_reset = tokio::select! {
-        _ = pass(&mut near_read, &mut far_write, modes.clone(), Way::There) => false,
-        _ = pass(&mut far_read, &mut near_write, modes, Way::Back) => false,
+        passed = pass(&mut near_read, &mut far_write, modes.clone(), Way::There) => passed.is_err(),
+        passed = pass(&mut far_read, &mut near_write, modes, Way::Back) => passed.is_err(),
         _ = mode.wait_for(|it| matches!(it, Mode::Reset | Mode::Refused)) => true,
     };
     if is_reset {
         reset(near_write.as_ref());
         reset(far_write.as_ref());
+        // Dropped otherwise, they close in order first.
+        near_write.forget();
+        far_write.forget();
     }
 }
 
