Send responses without length in the soak, and have engines forget stopped runs

Cause: no soak sent responses with neither a length nor chunks, and stand-ins named the handle of a stopped run at the second call at the latest. The soak saw no part of a stream that its caller got as a whole one.

With it, a third of the moves lose two answers in a row, forget the run at once or when its KV cache has expired, or end the engine. A run whose handle nobody was told ends as Forgotten: no node can deliver its end, and it still counts as a run of a request that may run once. Each run prints how many such answers were complete, cut, and cut although whole. The check of complete answers is the caller's, which now has a test.

--- a/crates/crosslane/examples/soak.rs
+++ b/crates/crosslane/examples/soak.rs
@@ -9,6 +9,7 @@
 use crosslane_harness::site::Binaries;
 use crosslane_platform_standins::repeats::Budget;
 use crosslane_platform_standins::texts::RETRY_BUDGET;
+use crosslane_platform_standins::unframed::Unframed;
 use crosslane_soak::fault::Mix;
 use crosslane_soak::pressure::{Competition, Pressure};
 use crosslane_soak::run::{self, Report};
@@ -20,7 +21,7 @@
 use std::time::Duration;
 
 /// Numbers that may be set, with what they are and the usual value.
-const NUMBERS: [(&str, &str, &str); 10] = [
+const NUMBERS: [(&str, &str, &str); 11] = [
     ("seed", "First seed", "1"),
     ("seeds", "How many seeds, one after the other", "1"),
     ("seconds", "Time in which faults begin", "15"),
@@ -30,6 +31,11 @@
     ("callers", "Callers", "24"),
     ("versions", "Software versions side by side", "2"),
     ("retry-percent", "Repeats per hundred requests that the retry budget allows", "20"),
+    (
+        "unframed",
+        "Answers per hundred with neither a length nor chunks; above zero, engines also forget moves",
+        "30",
+    ),
     ("retry-slack", "Repeats allowed in addition", "50"),
 ];
 
@@ -117,6 +123,7 @@
             slots: matches.get_flag("slots"),
             malformed_loads: matches.get_flag("malformed-loads"),
             failing: matches.get_flag("failing"),
+            unframed: Unframed(get(matches, "unframed")),
         },
         gathering: matches.get_flag("gathering"),
         retry_budget: Budget {
--- a/crates/crosslane/tests/unframed.rs
+++ b/crates/crosslane/tests/unframed.rs
@@ -3,8 +3,9 @@
 mod fixture;
 
 use crosslane_platform_standins::caller::Ending;
-use crosslane_platform_standins::endpoint::{Endpoint, Fault};
+use crosslane_platform_standins::endpoint::Fault;
 use crosslane_platform_standins::ledger::Kind;
+use crosslane_platform_standins::unframed::Unframed;
 use crosslane_soak::proxy::Mode;
 use fixture::Fixture;
 use rstest::rstest;
@@ -47,7 +48,7 @@
     for kind in kinds {
         fixture.until_served(kind).await;
     }
-    fixture.site.with_all(Endpoint::end_connections);
+    fixture.site.with_all(|endpoint| endpoint.end_connections(Unframed(100)));
     cut_off.into_iter().for_each(|node| fixture.site.partition(node, Mode::Refused));
     let nodes = cut_off.map_or(0..fixture.site.nodes.len(), |node| node..node + 1);
     for (node, kind) in nodes.flat_map(|node| kinds.map(|kind| (node, kind))) {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -5,6 +5,7 @@
 //! stand-ins in this process, behind proxies that delay, silence or reset. Nodes read no time of
 //! day for their decisions and have no storage, so neither is disturbed.
 
+pub mod closes;
 pub mod crowd;
 pub mod excuse;
 pub mod fault;
--- a/crates/soak/src/pressure.rs
+++ b/crates/soak/src/pressure.rs
@@ -11,6 +11,7 @@
 use crosslane_platform_standins::texts::{
     COMPETING, DESK_KEY, PRIORITIES, PRIORITY_KEYS, priority_path,
 };
+use crosslane_platform_standins::unframed::Unframed;
 use rand::rngs::SmallRng;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
@@ -67,6 +68,8 @@
     pub malformed_loads: bool,
     /// Endpoints fail part of their requests throughout, so that the retry budget is used up.
     pub failing: bool,
+    /// Requests whose answers have neither a length nor chunks.
+    pub unframed: Unframed,
 }
 
 impl Pressure {
@@ -85,6 +88,7 @@
             let text = MALFORMED[place / 2 % MALFORMED.len()];
             endpoint.set_report(Report::Text(text.into()));
         }
+        endpoint.end_connections(self.unframed);
         if self.failing {
             endpoint.inject_fault(Some(FAILING));
         }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,5 +1,6 @@
 //! One run of the soak, and its report.
 
+use crate::closes;
 use crate::fault::{self, Fault, PARTITIONED};
 use crate::innocence;
 use crate::keys;
@@ -67,6 +68,8 @@
     pub crashing: Vec<(Poison, Effect)>,
     /// Runs that were stopped to be moved, and those that went on.
     pub moved: Moved,
+    /// Answers without length or chunks.
+    pub closes: closes::Tally,
     /// First tries at nodes where callers gathered.
     pub crowded: Tally,
     /// Requests of different priority in contended bursts.
@@ -116,6 +119,7 @@
         }
         let Moved { stopped, continued } = self.moved;
         writeln!(formatter, "  {stopped} runs stopped for a move, {continued} continued")?;
+        writeln!(formatter, "  answers without length or chunks: {}", self.closes)?;
         writeln!(formatter, "  at crowded nodes: {}", self.crowded)?;
         write!(formatter, "{}", self.competition)?;
         for (service, usage) in &self.retries {
@@ -189,7 +193,7 @@
     }
     let (crashing, violations) = (site.ledger.effects(), site.ledger.violations());
     let moved = site.ledger.moved();
-    let crowded = site.crowd.tally();
+    let (closes, crowded) = (site.closes.tally(), site.crowd.tally());
     let competition = site.bursts.competition();
     Ok(Report {
         seed: plan.seed,
@@ -198,6 +202,7 @@
         megabytes,
         crashing,
         moved,
+        closes,
         crowded,
         competition,
         retries,
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -1,5 +1,6 @@
 //! The site under soak: store, endpoints and nodes, and what is disturbed.
 
+use crate::closes::Closes;
 use crate::crowd::Crowd;
 use crate::fault::Mix;
 use crate::node::Node;
@@ -120,6 +121,8 @@
     pub crowd: Crowd,
     /// Callers who came back with their streams.
     pub returns: Returns,
+    /// How answers without length or chunks ended.
+    pub closes: Closes,
     /// Callers of different priority that competed.
     pub bursts: Bursts,
     /// Additional load, and the seed of all choices.
@@ -167,6 +170,7 @@
             crowd: Crowd::default(),
             returns: Returns::default(),
             bursts: Bursts::default(),
+            closes: Closes::new(plan.pressure.unframed),
             pressure: (plan.pressure, plan.seed),
             engines: Engines::default(),
             version: AtomicU64::new(0),
--- a/crates/soak/src/traffic.rs
+++ b/crates/soak/src/traffic.rs
@@ -315,6 +315,7 @@
             return;
         }
         let runs = self.runs(site).await;
+        site.closes.record(self.id, self.ending, &runs);
         let Some(run) = excuse::deliverable(&runs, self.kind.idempotent()) else {
             return;
         };
--- a/crates/soak/tests/excuse.rs
+++ b/crates/soak/tests/excuse.rs
@@ -67,6 +67,18 @@
     name: "broke off where it went on",
     runs: &[(0, 9, Ended::Moved, false), (10, 11, Ended::Faulty, false)], idempotent: false, deliverable: None,
 })]
+#[case(Delivered {
+    name: "stopped, and its handle never told",
+    runs: &[(0, 9, Ended::Forgotten, false)], idempotent: false, deliverable: None,
+})]
+#[case(Delivered {
+    name: "stopped and forgotten, then run elsewhere",
+    runs: &[(0, 9, Ended::Forgotten, false), (10, 19, Ended::Whole, false)], idempotent: true, deliverable: Some(1),
+})]
+#[case(Delivered {
+    name: "forgotten where it went on after a move",
+    runs: &[(0, 9, Ended::Moved, false), (10, 19, Ended::Forgotten, false)], idempotent: false, deliverable: None,
+})]
 #[case(Delivered {
     name: "failed where it went on",
     runs: &[(0, 9, Ended::Moved, false), (10, 11, Ended::Erred, false)], idempotent: false, deliverable: None,
