Cut answers without end at their deadline

Cause: a time limit around the next part of a body ends only waits. A body that always has a part ready (plain, stream, drained after a move, passed on from another node) was relayed on after the deadline, without end. Change: parts that are read after their time count, a short one as 512 bytes; after 128 KB the answer is cut. An endpoint is not blamed for what its caller read too late. The soak's proxies flood; a test floods a real node with 200 requests at once, and its store, against 110 MB.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -9,6 +9,7 @@
 use crate::liveness::Liveness;
 use crate::metrics::Retry;
 use crate::node::Node;
+use crate::overtime::Overtime;
 use crate::quarantine::{self, Trial};
 use crate::quota::Grant;
 use crate::refusal::{Reason, Refusal};
@@ -33,7 +34,7 @@
 use crosslane_transport::framing;
 use derive_more::Display;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use hyper::body::{Body, Frame, Incoming};
 use hyper::header::{AUTHORIZATION, COOKIE, HeaderValue};
 use hyper::http::response::Parts;
 use hyper::{Method, Request, StatusCode, Uri};
@@ -41,6 +42,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
+use tokio::time::error::Elapsed;
 use tokio::time::{Instant, timeout_at};
 
 /// Request with its body read.
@@ -279,6 +281,7 @@
     pub progress: Progress,
     /// Whether its head says where the body ends.
     is_framed: bool,
+    overtime: Overtime,
     slot: Slot,
     /// Segments of the prompt with which the run goes well once it has gone on for long enough; none if that is known.
     unproven: Option<Arc<[Segment]>>,
@@ -293,7 +296,10 @@
 impl Answer {
     /// Records how the request ended at the endpoint.
     pub fn record_outcome(&self, outcome: Outcome) {
-        self.slot.record_outcome(outcome);
+        // The caller may have read too late.
+        if outcome != Outcome::Failed || !self.overtime.has_begun() {
+            self.slot.record_outcome(outcome);
+        }
     }
 
     /// Records the time that a part of the run took, with the endpoint's present load besides this run.
@@ -352,6 +358,14 @@
         node.liveness_checks.check(node, &self.endpoint).await == Liveness::Alive
     }
 
+    /// Reads the next frame of the body, if it arrives in time.
+    pub async fn frame(
+        &mut self,
+        until: Instant,
+    ) -> Result<Option<hyper::Result<Frame<Bytes>>>, Elapsed> {
+        self.overtime.frame(&mut self.body, until).await
+    }
+
     /// Reads the whole body, up to a length limit.
     pub async fn read_body(
         mut self,
@@ -530,6 +544,7 @@
         started_at,
         progress: Progress::Begun,
         is_framed,
+        overtime: Overtime::default(),
         slot,
         unproven,
         trial,
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -9,6 +9,7 @@
 use crate::event;
 use crate::exchange::Call;
 use crate::node::{Node, ResponseBody, lock};
+use crate::overtime::Overtime;
 use crate::plain::exact_length;
 use crate::refusal::{REASONS, Reason, Refusal};
 use crosslane_platform::request::Metadata;
@@ -19,14 +20,14 @@
 use crosslane_transport::connection::{self, Closer, Connection, Error, Outgoing};
 use crosslane_transport::http::BodyError;
 use http_body_util::combinators::BoxBody;
-use http_body_util::{BodyExt, Full, StreamBody};
+use http_body_util::{Full, StreamBody};
 use hyper::body::{Body, Bytes, Frame, Incoming};
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::{Method, Request as HttpRequest, Response, StatusCode, Uri};
 use log::info;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
 /// Header with which a node tells another one why it refused a forwarded request. Callers and endpoints never see it.
 const REFUSAL: HeaderName = HeaderName::from_static("crosslane-refusal");
@@ -182,15 +183,17 @@
         let (parts, body) = response.into_parts();
         let length = exact_length(parts.status, body.size_hint().exact());
         let (metadata, deadline) = (self.metadata.clone(), self.deadline.clone());
-        let initial = Some((connection, body));
+        let initial = Some((connection, body, Overtime::default()));
         let frames = futures::stream::unfold(initial, move |state| {
             let (metadata, deadline) = (metadata.clone(), deadline.clone());
             async move {
-                let (connection, mut body) = state?;
+                let (connection, mut body, mut overtime) = state?;
                 let (by, error): (Side, BodyError) =
-                    match timeout_at(deadline.instant(), body.frame()).await {
+                    match overtime.frame(&mut body, deadline.instant()).await {
                         Ok(None) => return None,
-                        Ok(Some(Ok(frame))) => return Some((Ok(frame), Some((connection, body)))),
+                        Ok(Some(Ok(frame))) => {
+                            return Some((Ok(frame), Some((connection, body, overtime))));
+                        }
                         Ok(Some(Err(error))) => (
                             Side::new(Closer::of(&error), Side::Node),
                             connection::cause(&error).into(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod operators;
 pub mod orders;
 pub mod organisations;
+pub mod overtime;
 pub mod patch;
 pub mod peers;
 pub mod plain;
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -22,8 +22,8 @@
 use crosslane_state::route::{Kind, Route};
 use crosslane_transport::connection::{self, Closer};
 use crosslane_transport::http;
+use http_body_util::StreamBody;
 use http_body_util::combinators::BoxBody;
-use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Body, Frame};
 use hyper::http::response::Parts;
 use hyper::{Method, Response, StatusCode};
@@ -31,7 +31,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
 /// Responses up to this length are buffered before they are passed on if the request is safe, so that one that breaks
 /// off can be retried. Usual responses are about 1 KB.
@@ -350,7 +350,7 @@
     let frames = futures::stream::unfold(initial, move |state| async move {
         let (node, mut answer, call) = state?;
         let (by, bound, error): (Side, _, http::BodyError) =
-            match timeout_at(call.deadline.instant(), answer.body.frame()).await {
+            match answer.frame(call.deadline.instant()).await {
                 Ok(None) if answer.is_framed() || answer.is_alive().await => {
                     answer.complete();
                     return None;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -22,8 +22,8 @@
 use crosslane_state::route::Kind;
 use crosslane_transport::connection::{self, Closer};
 use crosslane_transport::http::BodyError;
+use http_body_util::StreamBody;
 use http_body_util::combinators::BoxBody;
-use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use log::info;
 use std::pin::pin;
@@ -368,7 +368,7 @@
         let (at, started_at) = (answer.key(), Instant::now());
         self.waited_since = started_at;
         let until = self.generation.call.deadline.instant();
-        let frame = timeout_at(until, answer.body.frame());
+        let frame = answer.frame(until);
         let broke = |frame: &Result<Option<Result<_, _>>, _>| matches!(frame, Ok(Some(Err(_))));
         let watched = Watched { engines: &[at], is_first: true };
         let frame = self.generation.unless_stalled(watched, last_event, frame, broke).await;
@@ -476,7 +476,7 @@
         let until = Instant::now() + limit;
         while let Some(answer) = &mut self.answer
             && timeout_at(until, events.has_room()).await.is_ok()
-            && let Ok(Some(Ok(frame))) = timeout_at(until, answer.body.frame()).await
+            && let Ok(Some(Ok(frame))) = answer.frame(until).await
         {
             // Its wait for the caller says nothing about the engine.
             self.last_event_at = None;
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -25,6 +25,49 @@
 /// Pause before a socket that fails is tried again.
 const RETRY: Duration = Duration::from_millis(20);
 
+/// End of an answer's head, and headers that say where its body ends.
+const HEAD_END: &[u8] = b"\r\n\r\n";
+const FRAMING: [&str; 2] = ["content-length:", "transfer-encoding:"];
+
+/// Bytes without end, sent until the other side closes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Flood {
+    /// Whether it comes after the head of the answer, without its framing; otherwise it comes in place of it.
+    pub after_head: bool,
+    /// Whether answers to control calls are left alone.
+    pub spares_control: bool,
+    /// What is sent once.
+    pub first: &'static str,
+    /// What is sent again and again.
+    pub again: &'static str,
+}
+
+impl Flood {
+    fn replaces(&self, received: &[u8]) -> bool {
+        !self.spares_control || find(received, SEAL).is_some()
+    }
+
+    async fn send(&self, received: &[u8], to: &mut OwnedWriteHalf) -> io::Result<()> {
+        if let Some(end) = find(received, HEAD_END).filter(|_| self.after_head) {
+            let head = String::from_utf8_lossy(&received[..end]);
+            let is_framing =
+                |line: &&str| FRAMING.iter().any(|name| line.to_lowercase().starts_with(name));
+            for line in head.split("\r\n").filter(|line| !is_framing(line)) {
+                to.write_all(format!("{line}\r\n").as_bytes()).await?;
+            }
+        }
+        to.write_all(self.first.as_bytes()).await?;
+        let again = self.again.repeat(CHUNK / self.again.len() + 1);
+        loop {
+            to.write_all(again.as_bytes()).await?;
+        }
+    }
+}
+
+fn find(bytes: &[u8], part: &[u8]) -> Option<usize> {
+    bytes.windows(part.len()).position(|it| it == part)
+}
+
 /// What it does to connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Mode {
@@ -38,6 +81,8 @@
     OneWay,
     /// Passes on the heads of an endpoint's answers up to the middle of a header, and ends the connections.
     CutHeads,
+    /// Floods its callers instead of an answer.
+    Endless(Flood),
     /// Resets all connections, and new ones.
     Reset,
     /// Passes nothing on, and leaves new connections unanswered.
@@ -194,7 +239,13 @@
             sleep(DELAY).await;
         }
         let received = &buffer[..length];
-        let cut_at = received.windows(SEAL.len()).position(|part| part == SEAL);
+        if let Mode::Endless(flood) = now
+            && way == Way::Back
+            && flood.replaces(received)
+        {
+            return flood.send(received, to).await;
+        }
+        let cut_at = find(received, SEAL);
         if let Some(cut_at) = cut_at.filter(|_| now == Mode::CutHeads && way == Way::Back) {
             return to.write_all(&received[..cut_at + SEAL.len() / 2]).await;
         }
