--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -9,6 +9,7 @@
 use crate::liveness::{self, Liveness};
 use crate::metrics::Retry;
 use crate::node::Node;
+use crate::overtime::Overtime;
 use crate::quarantine::{self, Trial};
 use crate::quota::Grant;
 use crate::refusal::{Reason, Refusal};
@@ -34,7 +35,7 @@
 use crosslane_transport::framing;
 use derive_more::Display;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use hyper::body::{Body, Frame, Incoming};
 use hyper::header::{AUTHORIZATION, COOKIE, HeaderValue};
 use hyper::http::response::Parts;
 use hyper::{Method, Request, StatusCode, Uri};
@@ -42,6 +43,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
+use tokio::time::error::Elapsed;
 use tokio::time::{Instant, timeout_at};
 
 /// Request with its body read.
@@ -288,6 +290,7 @@
     pub progress: Progress,
     /// Whether its head says where the body ends.
     is_framed: bool,
+    overtime: Overtime,
     slot: Slot,
     /// Segments of the prompt with which the run goes well once it has gone on for long enough; none if that is known.
     unproven: Option<Arc<[Segment]>>,
@@ -302,7 +305,10 @@
 impl Answer {
     /// Records how the request ended at the endpoint.
     pub fn record_outcome(&self, outcome: Outcome) {
-        self.slot.record_outcome(outcome);
+        // The caller may have read too late.
+        if outcome != Outcome::Failed || !self.overtime.has_begun() {
+            self.slot.record_outcome(outcome);
+        }
     }
 
     /// Records the time that a part of the run took, with the endpoint's present load besides this run.
@@ -360,6 +366,14 @@
         liveness::settle(&self.slot.node, &self.endpoint, patience).await
     }
 
+    /// Reads the next frame of the body, if it arrives in time.
+    pub async fn frame(
+        &mut self,
+        until: Instant,
+    ) -> Result<Option<hyper::Result<Frame<Bytes>>>, Elapsed> {
+        self.overtime.frame(&mut self.body, until).await
+    }
+
     /// Reads the whole body, up to a length limit.
     pub async fn read_body(
         mut self,
@@ -542,6 +556,7 @@
         started_at,
         progress: Progress::Begun,
         is_framed,
+        overtime: Overtime::default(),
         slot,
         unproven,
         trial,
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -24,8 +24,8 @@
 use crosslane_state::route::{Kind, Route};
 use crosslane_transport::connection::{self, Closer};
 use crosslane_transport::http;
+use http_body_util::StreamBody;
 use http_body_util::combinators::BoxBody;
-use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Body, Frame};
 use hyper::http::response::Parts;
 use hyper::{Method, Response, StatusCode};
@@ -33,7 +33,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
 /// Responses up to this length are buffered before they are passed on if the request is safe, so that one that breaks
 /// off can be retried. Usual responses are about 1 KB.
@@ -368,37 +368,37 @@
     let initial = Some((node.clone(), answer, call.clone(), Tail::default()));
     let frames = futures::stream::unfold(initial, move |state| async move {
         let (node, mut answer, call, mut tail) = state?;
-        let (by, bound, error): (Side, _, http::BodyError) =
-            match timeout_at(call.deadline.instant(), answer.body.frame()).await {
-                Ok(None) if !answer.is_framed() && is_stream && tail.is_partial() => {
-                    (Side::Endpoint, "may not be resumed", "ended within an event".into())
-                }
-                Ok(None) if is_whole(&answer, &call).await => {
+        let (by, bound, error): (Side, _, http::BodyError) = match answer
+            .frame(call.deadline.instant())
+            .await
+        {
+            Ok(None) if !answer.is_framed() && is_stream && tail.is_partial() => {
+                (Side::Endpoint, "may not be resumed", "ended within an event".into())
+            }
+            Ok(None) if is_whole(&answer, &call).await => {
+                answer.complete();
+                return None;
+            }
+            // The connections of a process are closed in the same way when it ends.
+            Ok(None) => {
+                (Side::Endpoint, "may not be resumed", "crashed at an end without length".into())
+            }
+            Ok(Some(Ok(frame))) => {
+                // hyper stops polling once a known length is reached.
+                if answer.body.is_end_stream() {
                     answer.complete();
-                    return None;
-                }
-                // The connections of a process are closed in the same way when it ends.
-                Ok(None) => (
-                    Side::Endpoint,
-                    "may not be resumed",
-                    "crashed at an end without length".into(),
-                ),
-                Ok(Some(Ok(frame))) => {
-                    // hyper stops polling once a known length is reached.
-                    if answer.body.is_end_stream() {
-                        answer.complete();
-                    } else {
-                        answer.record_progress();
-                    }
-                    tail.push(frame.data_ref().map_or(&[], |data| data.as_ref()));
-                    return Some((Ok(frame), Some((node, answer, call, tail))));
+                } else {
+                    answer.record_progress();
                 }
-                Ok(Some(Err(error))) => {
-                    let by = Side::new(Closer::of(&error), Side::Endpoint);
-                    (by, "may not be resumed", connection::cause(&error).into())
-                }
-                Err(elapsed) => (Side::Node, "time ran out", elapsed.into()),
-            };
+                tail.push(frame.data_ref().map_or(&[], |data| data.as_ref()));
+                return Some((Ok(frame), Some((node, answer, call, tail))));
+            }
+            Ok(Some(Err(error))) => {
+                let by = Side::new(Closer::of(&error), Side::Endpoint);
+                (by, "may not be resumed", connection::cause(&error).into())
+            }
+            Err(elapsed) => (Side::Node, "time ran out", elapsed.into()),
+        };
         answer.record_outcome(Outcome::Failed);
         Cut {
             request: &call.metadata.id,
