Read at most two large bodies at the same time

A store that sends bodies without end took a node to 84, 93 and 100 MB of the 110 MB that it has (trials of the test on floods).

Cause: each client of the store may buffer 16 MB, in a buffer that doubles, and a node has several.

Change: bodies wait from 2 MB on until one of two that are read has ended.

Measured: the test of a flooding store takes 68 MB now; the floods of endpoints 43 to 46 MB, as before.

--- a/crates/transport/src/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -22,6 +22,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpSocket, TcpStream};
+use tokio::sync::Semaphore;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout, timeout_at};
 
@@ -35,6 +36,12 @@
 /// Size of a connection's buffer: hyper's minimum, as responses are relayed as they arrive.
 const BUFFER_BYTES: usize = 8_192;
 
+/// Size of a large body, in bytes.
+const LARGE_BYTES: usize = 2 << 20;
+
+/// Large bodies that are read at the same time: more could take the memory of a process.
+static LARGE: Semaphore = Semaphore::const_new(2);
+
 /// A request with a buffered body.
 pub type Outgoing = Request<Full<Bytes>>;
 
@@ -130,7 +137,7 @@
     }
 }
 
-/// Reads a whole body within a size limit, with a timeout for each frame. The total time is not limited: a total limit would never
+/// Reads a whole body within a size limit, with a timeout for each frame. Large ones wait for each other. The total time is not limited: a total limit would never
 /// let 0.9 MB arrive over a 250 KB/s link, however often the request is retried.
 pub async fn read_body(
     mut body: Incoming,
@@ -139,7 +146,11 @@
     max_bytes: usize,
 ) -> Result<Bytes, Error> {
     let mut bytes = BytesMut::new();
+    let mut large = None;
     loop {
+        if bytes.len() > LARGE_BYTES && large.is_none() {
+            large = LARGE.acquire().await.ok();
+        }
         let frame = match timeout(frame_timeout, body.frame()).await {
             Err(_) => return Err(Error::Timeout { to }),
             Ok(None) => return Ok(bytes.freeze()),
