Remove from comments how values were chosen

Cause: the read-through found two comments that told it, and an overlong line.

Change: comments only.

--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -24,8 +24,7 @@
 /// response.
 const KILL_MARGIN: Duration = Duration::from_millis(700);
 
-/// Time before the kill at which what is open is answered: enough to transmit short responses, and after requests with a
-/// deadline before the kill have ended.
+/// Time before the kill at which what is open is answered.
 const ANSWER_MARGIN: Duration = Duration::from_millis(400);
 
 /// A request that arrived after the announcement.
--- a/crates/transport/src/awaited.rs
+++ b/crates/transport/src/awaited.rs
@@ -7,7 +7,7 @@
 use std::task::{Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-/// Most that is read until the head is there, in bytes: some heads of the longest kind.
+/// Most that is read until the head is there, in bytes.
 const MAX_BYTES: usize = 64 << 10;
 
 /// What may be read until the head is there.
--- a/crates/transport/src/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -137,8 +137,8 @@
     }
 }
 
-/// Reads a whole body within a size limit, with a timeout for each frame. Large ones wait for each other. The total time is not limited: a total limit would never
-/// let 0.9 MB arrive over a 250 KB/s link, however often the request is retried.
+/// Reads a whole body within a size limit, with a timeout for each frame. Large ones wait for each other. The total time is not
+/// limited: a total limit would never let 0.9 MB arrive over a 250 KB/s link, however often the request is retried.
 pub async fn read_body(
     mut body: Incoming,
     to: SocketAddr,
