Log over which connection a move was answered, and when

A 404 to a move that belongs to an earlier call could not be told from the engine's own: the event had neither the connection nor the time.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -32,6 +32,10 @@
     pub body: Bytes,
     /// Whether its length or chunks show that the body is whole.
     pub is_framed: bool,
+    /// Whether an earlier call was made on its connection.
+    pub is_reused: bool,
+    /// Time from sending the call until its head arrived.
+    pub took: Duration,
 }
 
 /// Makes control calls to engines.
@@ -61,11 +65,15 @@
     ) -> Result<Response, Error> {
         let to = engine.address;
         let until = Instant::now() + timeout;
-        let mut connection = match self.idle.take(to) {
+        let idle = self.idle.take(to);
+        let is_reused = idle.is_some();
+        let mut connection = match idle {
             Some(connection) => connection,
             None => self.dialer.open(engine, CONNECT_TIMEOUT.min(timeout), ACK_TIMEOUT).await?,
         };
+        let sent_at = Instant::now();
         let response = connection.send(request, until).await?;
+        let took = sent_at.elapsed();
         let (status, is_framed) = (response.status(), framing::is_framed(response.headers()));
         let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
         let body = match timeout_at(until, body.collect()).await {
@@ -74,7 +82,7 @@
             Ok(Ok(body)) => body.to_bytes(),
         };
         self.idle.put_back(to, connection);
-        Ok(Response { status, body, is_framed })
+        Ok(Response { status, body, is_framed, is_reused, took })
     }
 
     /// Closes connections that were idle for too long.
--- a/crates/gateway/src/migration.rs
+++ b/crates/gateway/src/migration.rs
@@ -337,13 +337,10 @@
     response: Result<Response, Error>,
     (run, from, to): (&str, &Endpoint, &Endpoint),
 ) -> (Option<MoveOutcome>, bool) {
-    let (outcome, why) = match &response {
-        Ok(Response { status, body, is_framed }) => {
-            (Some(engine::parse_move_outcome(*status, body, *is_framed)), status.to_string())
-        }
-        Err(error) => (None, error.to_string()),
-    };
-    log(run, from, to, outcome.as_ref(), &why);
+    let outcome = response.as_ref().ok().map(|Response { status, body, is_framed, .. }| {
+        engine::parse_move_outcome(*status, body, *is_framed)
+    });
+    log(run, from, to, outcome.as_ref(), &response);
     let asks_again = known.record(reply(&outcome, response.err()));
     (outcome, asks_again)
 }
@@ -361,8 +358,20 @@
     }
 }
 
-fn log(request: &str, from: &Endpoint, to: &Endpoint, outcome: Option<&MoveOutcome>, why: &str) {
+fn log(
+    request: &str,
+    from: &Endpoint,
+    to: &Endpoint,
+    outcome: Option<&MoveOutcome>,
+    response: &Result<Response, Error>,
+) {
     let (from, to) = (from.id.as_str(), to.id.as_str());
     let outcome = outcome.map_or("unknown".into(), |outcome| format!("{outcome:?}"));
-    info!(request, from, to, outcome, why; "{}", event::MOVE);
+    match response {
+        Ok(Response { status, is_reused, took, .. }) => {
+            let (reused, took_ms) = (*is_reused, took.as_secs_f64() * 1e3);
+            info!(request, from, to, outcome, why:% = status, reused, took_ms; "{}", event::MOVE);
+        }
+        Err(error) => info!(request, from, to, outcome, why:% = error; "{}", event::MOVE),
+    }
 }
