Use a response only if it is known to belong to its request

Cause: HTTP/1.1 associates responses with requests by their order on a connection, and control calls went over connections that had carried others. The event "move" showed the wrong NoRun on a reused connection, before "closed", once for that run.

A response is now used if it carries the id of its request, or carries none and its request is the first on its connection (transport::association). Nothing else can have been asked there, so a copy has no place to come in. The client of the own interface opens a connection for each call. What can't be associated counts as sent and unanswered, so moves are asked for again. An engine that refuses the connection of a reservation counts as out of reach for that request, as at an attempt.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -1,9 +1,14 @@
-//! Client for short control calls to engines over pooled connections: reservations, handles and orders.
+//! Client for short control calls to engines: reservations, handles and orders.
+//!
+//! A connection is pooled once its engine has carried back the id of a call. The responses of other engines are associated with their calls
+//! by a connection for each.
 
 use crate::dialer::Dialer;
 use crate::idle::Connections;
 use bytes::Bytes;
+use crosslane_platform::request;
 use crosslane_state::endpoint::Endpoint;
+use crosslane_transport::association::Association;
 use crosslane_transport::connection::{ACK_TIMEOUT, Error, Outgoing};
 use crosslane_transport::framing;
 use http_body_util::{BodyExt, Limited};
@@ -32,8 +37,8 @@
     pub body: Bytes,
     /// Whether its length or chunks show that the body is whole.
     pub is_framed: bool,
-    /// Whether an earlier call was made on its connection.
-    pub is_reused: bool,
+    /// How it is known to belong to the call.
+    pub association: Association,
     /// Time from sending the call until its head arrived.
     pub took: Duration,
 }
@@ -65,14 +70,12 @@
     ) -> Result<Response, Error> {
         let to = engine.address;
         let until = Instant::now() + timeout;
-        let idle = self.idle.take(to);
-        let is_reused = idle.is_some();
-        let mut connection = match idle {
+        let mut connection = match self.idle.take(to) {
             Some(connection) => connection,
             None => self.dialer.open(engine, CONNECT_TIMEOUT.min(timeout), ACK_TIMEOUT).await?,
         };
         let sent_at = Instant::now();
-        let response = connection.send(request, until).await?;
+        let (response, association) = connection.call(request, &request::call_id(), until).await?;
         let took = sent_at.elapsed();
         let (status, is_framed) = (response.status(), framing::is_framed(response.headers()));
         let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
@@ -81,8 +84,10 @@
             Ok(Err(error)) => return Err(Error::Broken { to, message: error.to_string() }),
             Ok(Ok(body)) => body.to_bytes(),
         };
-        self.idle.put_back(to, connection);
-        Ok(Response { status, body, is_framed, is_reused, took })
+        if association.allows_reuse() {
+            self.idle.put_back(to, connection);
+        }
+        Ok(Response { status, body, is_framed, association, took })
     }
 
     /// Closes connections that were idle for too long.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -716,7 +716,7 @@
         match error {
             Error::Unreachable { .. } => Self::Unreachable,
             Error::Connect { .. } => Self::Unsent,
-            Error::Broken { .. } => Self::Broken,
+            Error::Broken { .. } | Error::Unassociated { .. } => Self::Broken,
             Error::Timeout { .. } => Self::Timeout,
         }
     }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -156,7 +156,9 @@
                 Error::Unreachable { .. } | Error::Connect { .. } => {
                     Failure::NotRun(Reason::NotReady)
                 }
-                Error::Broken { .. } => Failure::Unknown(Reason::Broken),
+                Error::Broken { .. } | Error::Unassociated { .. } => {
+                    Failure::Unknown(Reason::Broken)
+                }
                 Error::Timeout { .. } => Failure::Unknown(Reason::Timeout),
             })?;
         match refusal(&response) {
--- a/crates/gateway/src/migration.rs
+++ b/crates/gateway/src/migration.rs
@@ -368,9 +368,9 @@
     let (from, to) = (from.id.as_str(), to.id.as_str());
     let outcome = outcome.map_or("unknown".into(), |outcome| format!("{outcome:?}"));
     match response {
-        Ok(Response { status, is_reused, took, .. }) => {
-            let (reused, took_ms) = (*is_reused, took.as_secs_f64() * 1e3);
-            info!(request, from, to, outcome, why:% = status, reused, took_ms; "{}", event::MOVE);
+        Ok(Response { status, association, took, .. }) => {
+            let took_ms = took.as_secs_f64() * 1e3;
+            info!(request, from, to, outcome, why:% = status, association:%, took_ms; "{}", event::MOVE);
         }
         Err(error) => info!(request, from, to, outcome, why:% = error; "{}", event::MOVE),
     }
--- a/crates/gateway/src/reserve.rs
+++ b/crates/gateway/src/reserve.rs
@@ -22,6 +22,7 @@
 use crosslane_platform::engine;
 use crosslane_state::endpoint::{Key, Stage, Tag};
 use crosslane_state::priority::Priority;
+use crosslane_transport::connection::Error;
 use hyper::StatusCode;
 use log::{debug, info};
 use rand::Rng;
@@ -358,6 +359,9 @@
             }
             Err(error) => {
                 debug!("reservation at {} failed: {error}", engine.id);
+                if matches!(error, Error::Unreachable { refused: true, .. }) {
+                    self.unreachable().push(key);
+                }
                 slot.record_outcome(exchange::error_outcome(error));
                 None
             }
--- a/crates/transport/src/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -2,6 +2,7 @@
 //!
 //! Dropping a connection closes it immediately, which cancels the request in flight.
 
+use crate::association::{Association, Id};
 use crate::awaited::{Awaited, Room};
 use crate::clock;
 use crate::framing;
@@ -74,6 +75,12 @@
         /// Cause.
         message: String,
     },
+    /// A response that may belong to another request on the connection.
+    #[display("response from {to} can't be associated with its request")]
+    Unassociated {
+        /// Remote address.
+        to: SocketAddr,
+    },
     /// No response before the deadline; the request may be running.
     #[display("no response from {to} before the deadline")]
     Timeout {
@@ -172,6 +179,8 @@
     sender: SendRequest<Full<Bytes>>,
     room: Arc<Room>,
     driver: JoinHandle<()>,
+    /// Whether no request was sent on it.
+    is_unused: bool,
     /// When it was last used, as time since boot, which includes suspension of the VM: the endpoint may
     /// have closed the connection meanwhile.
     last_used: Duration,
@@ -202,7 +211,7 @@
                 log::debug!("connection to {to} failed: {error}");
             }
         });
-        Ok(Self { to, sender, room, driver, last_used: clock::boot() })
+        Ok(Self { to, sender, room, driver, is_unused: true, last_used: clock::boot() })
     }
 
     /// Sends a request and returns the response once its head has arrived. A response whose status or framing is invalid is an
@@ -214,6 +223,7 @@
     ) -> Result<Response<Incoming>, Error> {
         let to = self.to;
         self.last_used = clock::boot();
+        self.is_unused = false;
         self.room.limit();
         let sent = timeout_at(deadline, self.sender.try_send_request(request)).await;
         self.room.lift();
@@ -232,6 +242,23 @@
         }
     }
 
+    /// Sends a request with an id, and returns the response once its head has arrived. One that can't be associated with the request is
+    /// an error.
+    pub async fn call(
+        &mut self,
+        mut request: Outgoing,
+        id: &Id,
+        deadline: Instant,
+    ) -> Result<(Response<Incoming>, Association), Error> {
+        let is_first = self.is_unused;
+        id.insert(request.headers_mut());
+        let response = self.send(request, deadline).await?;
+        match id.associate(is_first, response.headers()) {
+            Association::Unknown => Err(Error::Unassociated { to: self.to }),
+            association => Ok((response, association)),
+        }
+    }
+
     /// Waits until the connection can take another request; false if it is closed.
     pub async fn wait_ready(&mut self) -> bool {
         self.last_used = clock::boot();
--- a/crates/transport/src/http.rs
+++ b/crates/transport/src/http.rs
@@ -1,4 +1,6 @@
-//! HTTP with hyper: a pooled client, and helpers for the bodies of clients and servers.
+//! HTTP with hyper: a client, and helpers for the bodies of clients and servers.
+//!
+//! The client opens a connection for each call, by which the response is associated with it.
 
 use crate::{connection, framing};
 use bytes::Bytes;
@@ -9,7 +11,7 @@
 use hyper::header::{CONTENT_TYPE, HeaderMap};
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::{TokioExecutor, TokioTimer};
+use hyper_util::rt::TokioExecutor;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
@@ -27,9 +29,6 @@
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Time after which an idle pooled connection is closed.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
-
 /// Maximum size of a buffered response: some times that of the longest list or log page.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
 
@@ -75,6 +74,9 @@
                 Self::Connect { to }
             }
             connection::Error::Broken { to, message } => Self::Broken { to, message },
+            connection::Error::Unassociated { to } => {
+                Self::Broken { to, message: error.to_string() }
+            }
             connection::Error::Timeout { to } => Self::Timeout { to },
         }
     }
@@ -110,7 +112,7 @@
     }
 }
 
-/// HTTP client with a connection pool.
+/// HTTP client.
 #[derive(Clone, Debug)]
 pub struct Client {
     inner: hyper_util::client::legacy::Client<HttpConnector, Full<Bytes>>,
@@ -122,8 +124,7 @@
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         let inner = hyper_util::client::legacy::Client::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(IDLE_TIMEOUT)
+            .pool_max_idle_per_host(0)
             .build(connector);
         Self { inner }
     }
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -1,6 +1,7 @@
 //! Network servers and clients, actor tasks and clocks of a crosslane node.
 
 pub mod ack;
+pub mod association;
 pub mod awaited;
 pub mod buffer;
 pub mod call;
