Send surplus answers to control calls in the soak

No soak and no stand-in sent surplus answers to control calls, so none could show that they were taken for the next ones.

--- a/crates/crosslane/examples/soak.rs
+++ b/crates/crosslane/examples/soak.rs
@@ -12,6 +12,7 @@
 use crosslane_platform_standins::unframed::Unframed;
 use crosslane_soak::fault::Mix;
 use crosslane_soak::pressure::{Competition, Pressure};
+use crosslane_soak::proxy::Surplus;
 use crosslane_soak::run::{self, Report};
 use crosslane_soak::site::Plan;
 use std::fs::File;
@@ -21,7 +22,7 @@
 use std::time::Duration;
 
 /// Numbers that may be set, with what they are and the usual value.
-const NUMBERS: [(&str, &str, &str); 11] = [
+const NUMBERS: [(&str, &str, &str); 12] = [
     ("seed", "First seed", "1"),
     ("seeds", "How many seeds, one after the other", "1"),
     ("seconds", "Time in which faults begin", "15"),
@@ -36,6 +37,11 @@
         "Answers per hundred with neither a length nor chunks; above zero, engines also forget moves",
         "30",
     ),
+    (
+        "surplus",
+        "Answers per hundred to engines' control calls that come once more, in the place of the next one",
+        "10",
+    ),
     ("retry-slack", "Repeats allowed in addition", "50"),
 ];
 
@@ -124,6 +130,7 @@
             malformed_loads: matches.get_flag("malformed-loads"),
             failing: matches.get_flag("failing"),
             unframed: Unframed(get(matches, "unframed")),
+            surplus: Surplus(get(matches, "surplus")),
         },
         gathering: matches.get_flag("gathering"),
         retry_budget: Budget {
--- a/crates/soak/src/pressure.rs
+++ b/crates/soak/src/pressure.rs
@@ -2,6 +2,7 @@
 //! different priority that compete for decode memory and slots.
 
 use crate::fault::Mix;
+use crate::proxy::Surplus;
 use crate::site::{Plan, Site};
 use crosslane_platform_standins::caller::{Caller, Ending};
 use crosslane_platform_standins::endpoint::{Endpoint, Fault, Stage};
@@ -70,6 +71,8 @@
     pub failing: bool,
     /// Requests whose answers have neither a length nor chunks.
     pub unframed: Unframed,
+    /// Answers to control calls that come twice.
+    pub surplus: Surplus,
 }
 
 impl Pressure {
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -3,8 +3,11 @@
 use crate::gate::Gate;
 use socket2::SockRef;
 use std::future::pending;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -29,6 +32,34 @@
 const HEAD_END: &[u8] = b"\r\n\r\n";
 const FRAMING: [&str; 2] = ["content-length:", "transfer-encoding:"];
 
+/// Answers to control calls, per hundred, before which the one before on the connection is sent once more.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Surplus(pub u64);
+
+impl Surplus {
+    fn has(self, answer: &[u8]) -> bool {
+        let mut hasher = DefaultHasher::new();
+        answer.hash(&mut hasher);
+        hasher.finish() % 100 < self.0
+    }
+}
+
+/// Answers to control calls on one connection.
+struct Control {
+    surplus: Arc<AtomicU64>,
+    /// The last one.
+    last: Option<Vec<u8>>,
+}
+
+impl Control {
+    /// The answer before this one, if it comes once more.
+    fn surplus(&mut self, received: &[u8]) -> Option<Vec<u8>> {
+        let is_answer = received.starts_with(b"HTTP/1.1 ") && find(received, SEAL).is_none();
+        let before = if is_answer { self.last.replace(received.to_vec()) } else { None };
+        before.filter(|_| Surplus(self.surplus.load(Ordering::Relaxed)).has(received))
+    }
+}
+
 /// Bytes without end, sent until the other side closes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Flood {
@@ -105,6 +136,7 @@
     /// Where it listens.
     pub address: SocketAddr,
     mode: watch::Sender<Mode>,
+    surplus: Arc<AtomicU64>,
     task: JoinHandle<()>,
 }
 
@@ -131,8 +163,14 @@
     pub fn start_at(address: SocketAddr, server: SocketAddr, mode: Mode) -> io::Result<Self> {
         let gate = Gate::bind(address)?;
         let mode = watch::Sender::new(mode);
-        let task = tokio::spawn(accept(gate, server, mode.subscribe()));
-        Ok(Self { address, mode, task })
+        let surplus = Arc::<AtomicU64>::default();
+        let task = tokio::spawn(accept(gate, server, mode.subscribe(), surplus.clone()));
+        Ok(Self { address, mode, surplus, task })
+    }
+
+    /// Changes how many answers to control calls come twice.
+    pub fn set_surplus(&self, surplus: Surplus) {
+        self.surplus.store(surplus.0, Ordering::Relaxed);
     }
 
     /// Changes what it does.
@@ -141,7 +179,12 @@
     }
 }
 
-async fn accept(mut gate: Gate, server: SocketAddr, mut mode: watch::Receiver<Mode>) {
+async fn accept(
+    mut gate: Gate,
+    server: SocketAddr,
+    mut mode: watch::Receiver<Mode>,
+    surplus: Arc<AtomicU64>,
+) {
     let mut connections = JoinSet::new();
     loop {
         let now = *mode.borrow_and_update();
@@ -167,7 +210,7 @@
                 accepted = accepted => {
                     match accepted {
                         Ok((near, _)) => {
-                            connections.spawn(carry(near, server, mode.clone()));
+                            connections.spawn(carry(near, server, mode.clone(), surplus.clone()));
                         }
                         Err(_) => sleep(RETRY).await,
                     }
@@ -183,7 +226,12 @@
     }
 }
 
-async fn carry(near: TcpStream, server: SocketAddr, mut mode: watch::Receiver<Mode>) {
+async fn carry(
+    near: TcpStream,
+    server: SocketAddr,
+    mut mode: watch::Receiver<Mode>,
+    surplus: Arc<AtomicU64>,
+) {
     if *mode.borrow_and_update() == Mode::Reset {
         return reset(&near);
     }
@@ -193,9 +241,10 @@
     let (mut near_read, mut near_write) = near.into_split();
     let (mut far_read, mut far_write) = far.into_split();
     let modes = mode.clone();
+    let control = Control { surplus, last: None };
     let is_reset = tokio::select! {
-        passed = pass(&mut near_read, &mut far_write, modes.clone(), Way::There) => passed.is_err(),
-        passed = pass(&mut far_read, &mut near_write, modes, Way::Back) => passed.is_err(),
+        passed = pass(&mut near_read, &mut far_write, modes.clone(), Way::There, None) => passed.is_err(),
+        passed = pass(&mut far_read, &mut near_write, modes, Way::Back, Some(control)) => passed.is_err(),
         _ = mode.wait_for(|it| matches!(it, Mode::Reset | Mode::Refused)) => true,
     };
     if is_reset {
@@ -225,6 +274,7 @@
     to: &mut OwnedWriteHalf,
     mut mode: watch::Receiver<Mode>,
     way: Way,
+    mut control: Option<Control>,
 ) -> io::Result<()> {
     let mut buffer = vec![0; CHUNK];
     loop {
@@ -252,6 +302,9 @@
         if let Some(cut_at) = cut_at.filter(|_| now == Mode::CutHeads && way == Way::Back) {
             return to.write_all(&received[..cut_at + SEAL.len() / 2]).await;
         }
+        if let Some(before) = control.as_mut().and_then(|control| control.surplus(received)) {
+            to.write_all(&before).await?;
+        }
         to.write_all(received).await?;
     }
 }
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -270,6 +270,7 @@
         pressure.apply(&endpoint, place, seed);
         let server = endpoint.serve().await?;
         let proxy = Proxy::start(server.address).await?;
+        proxy.set_surplus(pressure.surplus);
         let mut served = lock(&self.served);
         let ways = self.start_ways(proxy.address)?;
         let port = ways.first().map_or(0, |way| way.address.port());
