--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -5,6 +5,7 @@
 
 use crate::dialer::Dialer;
 use crate::idle::Connections;
+use crate::metrics::Metrics;
 use bytes::Bytes;
 use crosslane_platform::request;
 use crosslane_state::endpoint::Endpoint;
@@ -13,6 +14,7 @@
 use crosslane_transport::framing;
 use http_body_util::{BodyExt, Limited};
 use hyper::StatusCode;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
@@ -47,13 +49,14 @@
 #[derive(Clone, Debug)]
 pub struct Control {
     dialer: Dialer,
+    metrics: Arc<Metrics>,
     idle: Connections,
 }
 
 impl Control {
     /// A client without connections.
-    pub fn new(dialer: Dialer) -> Self {
-        Self { dialer, idle: Connections::new(MAX_IDLE, MAX_IDLE_PER_ENGINE) }
+    pub fn new(dialer: Dialer, metrics: Arc<Metrics>) -> Self {
+        Self { dialer, metrics, idle: Connections::new(MAX_IDLE, MAX_IDLE_PER_ENGINE) }
     }
 
     /// The dialer that opens its connections.
@@ -75,7 +78,10 @@
             None => self.dialer.open(engine, CONNECT_TIMEOUT.min(timeout), ACK_TIMEOUT).await?,
         };
         let sent_at = Instant::now();
-        let (response, association) = connection.call(request, &request::call_id(), until).await?;
+        let called = connection.call(request, &request::call_id(), until).await;
+        let (response, association) = called.inspect_err(|error| {
+            self.metrics.unassociated.inc_by(matches!(error, Error::Unassociated { .. }).into());
+        })?;
         let took = sent_at.elapsed();
         let (status, is_framed) = (response.status(), framing::is_framed(response.headers()));
         let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -112,6 +112,8 @@
     pub room_wait: Histogram,
     /// Requests that were refused at once, since the expected wait was too long.
     pub shed: IntCounter,
+    /// Responses to control calls that may belong to other calls.
+    pub unassociated: IntCounter,
     /// Waiting requests that left their place to more urgent ones.
     pub displaced: IntCounter,
     /// Duration of a prefill.
@@ -250,6 +252,10 @@
             waiting: gauge("crosslane_waiting", "Requests that wait for room")?,
             room_wait: histogram("crosslane_wait_seconds", "Time that requests waited for room")?,
             shed: counter("crosslane_shed", "Requests refused at once as the wait was too long")?,
+            unassociated: counter(
+                "crosslane_unassociated_responses",
+                "Responses to control calls that may belong to other calls",
+            )?,
             displaced: counter("crosslane_displaced", "Waiting requests that left their place")?,
             prefill: histogram("crosslane_prefill_seconds", "Time of a prefill")?,
             event_gap: histogram("crosslane_gap_seconds", "Pauses between events")?,
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -203,6 +203,7 @@
         let (clock, load) = (Clock::start(), Arc::<Load>::default());
         let waiting = Waiting::new(metrics.waiting.clone());
         let dialer = Dialer::new(settings.ip, clock.clone(), load.clone(), metrics.clone());
+        let control = Control::new(dialer.clone(), metrics.clone());
         let mut allowance = Allowance::new(adjustable.retry_budget);
         if !settings.first_start {
             allowance.restart(Millis::default());
@@ -212,7 +213,7 @@
             load,
             metrics,
             lost: Mutex::default(),
-            control: Control::new(dialer.clone()),
+            control,
             dialer,
             idle_connections: Connections::new(IDLE_TIMEOUT, MAX_IDLE_CONNECTIONS),
             prefix_caches: Listings::default(),
