Let begun streams wait for engines that refuse a reservation

A reservation over a new connection shows that its engine refuses connections, and since the request then leaves that engine out. For a new request that saves its caller a wait; a stream that has begun would be refused, and cut, while all engines that it may use start again, where it waited for them before. It waits again. Found by reading the change; the tests of engines that can't be reached pass (11 of 11).

--- a/crates/gateway/src/reserve.rs
+++ b/crates/gateway/src/reserve.rs
@@ -359,7 +359,9 @@
             }
             Err(error) => {
                 debug!("reservation at {} failed: {error}", engine.id);
-                if matches!(error, Error::Unreachable { refused: true, .. }) {
+                // A stream that has begun waits for engines that start again.
+                if self.attempts() == 0 && matches!(error, Error::Unreachable { refused: true, .. })
+                {
                     self.unreachable().push(key);
                 }
                 slot.record_outcome(exchange::error_outcome(error));
