Log pages of the store that lack a record, and pause before reading anew

A page that can't be used as it is led to a read of all records without a line or a pause, which a store that keeps sending such pages would have turned into a busy loop.

--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -208,7 +208,12 @@
                     info!(topic = topic.name(), failures; "{}", event::REGAINED);
                 }
             }
-            Err(Error::Gone | Error::Unreadable) => follower.records_dropped = true,
+            Err(Error::Gone) => follower.records_dropped = true,
+            Err(error @ Error::Unreadable) => {
+                warn!(topic = topic.name(), why:% = error; "{}", event::SKIPPED);
+                follower.records_dropped = true;
+                sleep(FIRST_RETRY_PAUSE).await;
+            }
             Err(error) => {
                 node.record_store_failure(topic);
                 if follower.failures == 0 {
--- a/crates/transport/src/association.rs
+++ b/crates/transport/src/association.rs
@@ -1,8 +1,8 @@
 //! Association of responses with requests.
 //!
-//! HTTP/1.1 has no identifier for it: responses come in the order of the requests on their connection (RFC 9112, section 9.2). After a
-//! surplus response that order is off for all that follow, and each is taken for the one before it. So a response is used only if it
-//! carries the id of its request, or if its request is the first on its connection.
+//! HTTP/1.1 has no identifier for it: responses come in the order of the requests on their connection (RFC 9112, section 9.2). A surplus
+//! response takes the place of the next one, and each after it that of the one that follows. So a response is used only if it carries the
+//! id of its request, or if its request is the first on its connection.
 
 use derive_more::Display;
 use hyper::HeaderMap;
