Let only new streams leave out engines that refuse a reservation

Streams whose build is known wait as before. A new stream is refused as unreachable, which sends it to another node.

--- a/crates/gateway/src/reserve.rs
+++ b/crates/gateway/src/reserve.rs
@@ -359,9 +359,9 @@
             }
             Err(error) => {
                 debug!("reservation at {} failed: {error}", engine.id);
-                // A stream that has begun waits for engines that start again.
-                if self.attempts() == 0 && matches!(error, Error::Unreachable { refused: true, .. })
-                {
+                // A stream that has begun waits for engines of its build, or until other nodes are seen to be the only way to them.
+                let has_begun = self.call.build.get().is_some();
+                if !has_begun && matches!(error, Error::Unreachable { refused: true, .. }) {
                     self.unreachable().push(key);
                 }
                 slot.record_outcome(exchange::error_outcome(error));
